--- /dev/null
+++ b/tools/jdk.sh
@@ -0,0 +1,21 @@
+# Sourced by the scripts: finds a JDK of 21 or later and exports JAVA_HOME.
+java_major() {
+    "$1/bin/java" -version 2>&1 | sed -n 's/.*version "\([0-9]*\).*/\1/p' | head -n 1
+}
+
+choose_jdk() {
+    for home in "${JAVA_HOME:-}" /usr/lib/jvm/* /opt/java/* /Library/Java/JavaVirtualMachines/*/Contents/Home; do
+        if [ -x "$home/bin/javac" ]; then
+            major=$(java_major "$home")
+            if [ "${major:-0}" -ge 21 ]; then
+                JAVA_HOME=$home
+                export JAVA_HOME
+                return 0
+            fi
+        fi
+    done
+    echo "bronzelug needs a JDK of 21 or later: install one and set JAVA_HOME to it." >&2
+    return 1
+}
+
+choose_jdk || exit 69
