--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/action/package-info.java
@@ -0,0 +1,2 @@
+/** Non-idempotent calls run at most once (DESIGN.md "Actions"). */
+package org.bronzelug.core.action;
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/drain/package-info.java
@@ -0,0 +1,2 @@
+/** The graceful stop (DESIGN.md "Graceful stop"). */
+package org.bronzelug.core.drain;
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/fairness/FairQueue.java
@@ -0,0 +1,122 @@
+package org.bronzelug.core.fairness;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Requests that wait for a runner, served fairly between teams by the work they bring.
+ *
+ * <p>Each team has a counter of the work served for it; the waiting team with the least goes next.
+ * A team that comes back from idleness starts at the least counter of those who wait, so idleness
+ * earns no credit. The failure this guards against: one team sends several times its share, and the
+ * others wait behind its backlog; here they wait for one of its requests at most.
+ *
+ * <p>Bounded: an offer beyond the bound is refused, from the team with the longest backlog. Not
+ * thread-safe: guarded by its owner.
+ *
+ * @param <T> what waits
+ */
+public final class FairQueue<T> {
+    private final int capacity;
+    private final Map<String, TeamBacklog<T>> teams = new HashMap<>();
+    private double floor;
+    private int size;
+
+    public FairQueue(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /** Adds a request; false where the queue is full and this team has the longest backlog. */
+    public boolean offer(String team, T item, double work) {
+        TeamBacklog<T> backlog = teams.computeIfAbsent(team, ignored -> new TeamBacklog<>());
+        if (size >= capacity && backlog.waiting.size() >= longestBacklog()) {
+            return false;
+        }
+        if (backlog.waiting.isEmpty()) {
+            backlog.served = Math.max(backlog.served, floor);
+        }
+        backlog.waiting.addLast(new Waiting<>(item, work));
+        size++;
+        return true;
+    }
+
+    /** Takes the next request in fair order. */
+    public Optional<T> poll() {
+        return poll(item -> true);
+    }
+
+    /** Takes the next request in fair order among the teams whose first one can be served now. */
+    public Optional<T> poll(Predicate<T> servable) {
+        TeamBacklog<T> next = null;
+        for (TeamBacklog<T> backlog : teams.values()) {
+            if (backlog.waiting.isEmpty() || !servable.test(backlog.waiting.peekFirst().item)) {
+                continue;
+            }
+            if (next == null || backlog.served < next.served) {
+                next = backlog;
+            }
+        }
+        if (next == null) {
+            return Optional.empty();
+        }
+        Waiting<T> first = next.waiting.removeFirst();
+        floor = Math.max(floor, next.served);
+        next.served += first.work;
+        size--;
+        forgetIdle();
+        return Optional.of(first.item);
+    }
+
+    /** Takes a request out, for example since its deadline passed. */
+    public boolean remove(String team, T item) {
+        TeamBacklog<T> backlog = teams.get(team);
+        boolean removed =
+                backlog != null && backlog.waiting.removeIf(waiting -> waiting.item.equals(item));
+        if (removed) {
+            size--;
+        }
+        return removed;
+    }
+
+    public int size() {
+        return size;
+    }
+
+    /** Work that waits in front of a new request of the team. */
+    public double workAhead(String team) {
+        TeamBacklog<T> own = teams.get(team);
+        double ownWork = own == null ? 0 : own.work();
+        double ahead = ownWork;
+        for (Map.Entry<String, TeamBacklog<T>> other : teams.entrySet()) {
+            if (!other.getKey().equals(team)) {
+                ahead += Math.min(other.getValue().work(), ownWork);
+            }
+        }
+        return ahead;
+    }
+
+    private int longestBacklog() {
+        return teams.values().stream().mapToInt(b -> b.waiting.size()).max().orElse(0);
+    }
+
+    private void forgetIdle() {
+        teams.values().removeIf(backlog -> backlog.waiting.isEmpty() && backlog.served <= floor);
+    }
+
+    /** One team's requests, and the work served for it so far. */
+    private static final class TeamBacklog<T> {
+        private final Deque<Waiting<T>> waiting = new ArrayDeque<>();
+        private double served;
+
+        private double work() {
+            return waiting.stream().mapToDouble(item -> item.work).sum();
+        }
+    }
+
+    /** A request and its work. */
+    private record Waiting<T>(T item, double work) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/key/KeyDigest.java
@@ -0,0 +1,48 @@
+package org.bronzelug.core.key;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+
+/**
+ * The SHA-256 of a team's key: all that is ever kept of a key.
+ *
+ * <p>A key has 256 random bits, so its plain hash can't be guessed back. Immutable.
+ */
+public record KeyDigest(String hex) {
+    private static final String KEY_PREFIX = "blk_";
+    private static final int KEY_BYTES = 32;
+
+    /** The digest of a key as a caller presents it. */
+    public static KeyDigest of(String key) {
+        try {
+            MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+            byte[] digest = sha256.digest(key.getBytes(StandardCharsets.UTF_8));
+            return new KeyDigest(HexFormat.of().formatHex(digest));
+        } catch (NoSuchAlgorithmException missing) {
+            throw new IllegalStateException("every Java platform has SHA-256", missing);
+        }
+    }
+
+    public static KeyDigest ofBytes(byte[] digest) {
+        return new KeyDigest(HexFormat.of().formatHex(digest));
+    }
+
+    public byte[] bytes() {
+        return HexFormat.of().parseHex(hex);
+    }
+
+    /** Draws a new key. */
+    public static String newKey(SecureRandom random) {
+        byte[] bytes = new byte[KEY_BYTES];
+        random.nextBytes(bytes);
+        return KEY_PREFIX + HexFormat.of().formatHex(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return hex.substring(0, Math.min(8, hex.length())) + "…";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/membership/MemberKnowledge.java
@@ -0,0 +1,18 @@
+package org.bronzelug.core.membership;
+
+import java.util.OptionalLong;
+
+/**
+ * What is known of one VM. Immutable.
+ *
+ * @param identity the newest incarnation heard of
+ * @param heardAsOfNanos local monotonic time at which it lived
+ * @param coveredAsOfNanos local monotonic time; everything that the VM, while settled, knew then is
+ *     known here; empty where there was no such time
+ * @param draining whether the VM has said that it is about to stop
+ */
+public record MemberKnowledge(
+        MemberIdentity identity,
+        long heardAsOfNanos,
+        OptionalLong coveredAsOfNanos,
+        boolean draining) {}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/placement/Placement.java
@@ -0,0 +1,12 @@
+package org.bronzelug.core.placement;
+
+/**
+ * A choice of runner.
+ *
+ * @param runner the endpoint's name
+ * @param incarnation that the choice relies upon; the runner refuses the request if it has another
+ * @param believedCachedTokens tokens expected in its cache
+ * @param costNanos expected time to the first token
+ */
+public record Placement(
+        String runner, String incarnation, int believedCachedTokens, double costNanos) {}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -0,0 +1,85 @@
+package org.bronzelug.core.placement;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.bronzelug.core.membership.Rendezvous;
+
+/**
+ * Chooses the runner of a request: the least expected time to the first token.
+ *
+ * <p>The cost of a runner is the prefill work that waits there plus that of the tokens missing in
+ * its cache, plus the slowdown by the streams it generates for. Where the cache is not known, the
+ * runner that rendezvous hashing names for the prompt's shared prefix is assumed to hold it. That
+ * needs no memory, so a restarted VM, or all of them at once, place as before the restart.
+ *
+ * <p>Stateless and thread-safe.
+ */
+public final class PlacementPolicy {
+    private final PlacementSettings settings;
+
+    public PlacementPolicy(PlacementSettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Chooses among the runners.
+     *
+     * @return empty where there is no runner
+     */
+    public Optional<Placement> choose(
+            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
+        Optional<String> home = homeRunner(chain, runners);
+        boolean known = anyKnown(chain, runners, belief, nowNanos);
+        Optional<Placement> best = Optional.empty();
+        for (RunnerLoad runner : runners) {
+            boolean assumeHome = !known && home.filter(runner.name()::equals).isPresent();
+            Placement candidate = evaluate(chain, runner, assumeHome, belief, nowNanos);
+            if (best.isEmpty() || better(chain, candidate, best.get())) {
+                best = Optional.of(candidate);
+            }
+        }
+        return best;
+    }
+
+    private Placement evaluate(
+            PrefixChain chain,
+            RunnerLoad runner,
+            boolean assumeHome,
+            CacheBelief belief,
+            long nowNanos) {
+        int cached = belief.cachedTokens(runner.name(), runner.incarnation(), chain, nowNanos);
+        int assumed = assumeHome ? chain.deepestShared().tokens() : 0;
+        int missing = chain.tokens() - Math.max(cached, assumed);
+        double prefill = (runner.queuedPrefillTokens() + missing) * settings.nanosPerPrefillToken();
+        double decode = runner.runningStreams() * settings.nanosPerRunningStream();
+        return new Placement(runner.name(), runner.incarnation(), cached, prefill + decode);
+    }
+
+    private static boolean better(PrefixChain chain, Placement candidate, Placement best) {
+        if (candidate.costNanos() != best.costNanos()) {
+            return candidate.costNanos() < best.costNanos();
+        }
+        String key = chain.deepestShared().hash().toString();
+        return Rendezvous.weight(key, candidate.runner()) > Rendezvous.weight(key, best.runner());
+    }
+
+    private static Optional<String> homeRunner(PrefixChain chain, Collection<RunnerLoad> runners) {
+        String key = chain.deepestShared().hash().toString();
+        return Rendezvous.order(key, runners.stream().map(RunnerLoad::name).toList()).stream()
+                .findFirst();
+    }
+
+    private static boolean anyKnown(
+            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
+        int wanted = chain.deepestShared().tokens();
+        return runners.stream()
+                .anyMatch(
+                        runner ->
+                                belief.cachedTokens(
+                                                runner.name(),
+                                                runner.incarnation(),
+                                                chain,
+                                                nowNanos)
+                                        >= wanted);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/placement/PrefixHash.java
@@ -0,0 +1,13 @@
+package org.bronzelug.core.placement;
+
+/**
+ * 128 bits that name a prefix.
+ *
+ * <p>The chance that two of 100 million prefixes collide is below 1e-22. Immutable.
+ */
+public record PrefixHash(long high, long low) {
+    @Override
+    public String toString() {
+        return String.format("%016x%016x", high, low);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Streams that stay whole and in order (DESIGN.md "Streams"). */
+package org.bronzelug.core.stream;
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/DaemonComponent.java
@@ -0,0 +1,47 @@
+package org.bronzelug.daemon;
+
+import dagger.Component;
+import javax.inject.Singleton;
+import org.bronzelug.daemon.caller.CallerServer;
+import org.bronzelug.daemon.claim.HeirService;
+import org.bronzelug.daemon.claim.OrderKeeper;
+import org.bronzelug.daemon.claim.RosterKeeper;
+import org.bronzelug.daemon.claim.ShareKeeper;
+import org.bronzelug.daemon.control.ControlState;
+import org.bronzelug.daemon.control.ControlThread;
+import org.bronzelug.daemon.control.PlatformWatch;
+import org.bronzelug.daemon.control.ProbeService;
+import org.bronzelug.daemon.monitor.MonitorServer;
+import org.bronzelug.daemon.peer.PeerNetwork;
+import org.bronzelug.daemon.runner.EndpointDirectory;
+
+/** The daemon's parts, wired by Dagger. */
+@Singleton
+@Component(modules = DaemonModule.class)
+interface DaemonComponent {
+    ControlThread controlThread();
+
+    ControlState controlState();
+
+    PeerNetwork peerNetwork();
+
+    ProbeService probeService();
+
+    PlatformWatch platformWatch();
+
+    EndpointDirectory endpointDirectory();
+
+    CallerServer callerServer();
+
+    HeirService heirService();
+
+    RosterKeeper rosterKeeper();
+
+    ShareKeeper shareKeeper();
+
+    OrderKeeper orderKeeper();
+
+    MonitorServer monitorServer();
+
+    Drain drain();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
@@ -0,0 +1,68 @@
+package org.bronzelug.daemon;
+
+import java.nio.file.Path;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.bronzelug.daemon.kernel.ServiceException;
+import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.daemon.settings.SettingsException;
+import org.bronzelug.daemon.settings.SettingsReader;
+
+/** The daemon as a program. Stateless. */
+public final class DaemonMain {
+    private static final int USAGE_ERROR = 64;
+    private static final int CANNOT_START = 69;
+    private static final int CONFIGURATION_ERROR = 78;
+
+    private DaemonMain() {}
+
+    /** Reads the settings and runs until the process is told to stop. */
+    public static void main(String[] arguments) {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("bronzelugd")
+                        .build()
+                        .description("The daemon of one VM: routes requests to endpoints.")
+                        .epilog(
+                                "Exit codes: 0 stopped gracefully, 64 usage, 69 can't start, 78"
+                                        + " wrong settings.");
+        parser.addArgument("--config").required(true).help("settings file, JSON with comments");
+        parser.addArgument("--check-config")
+                .action(Arguments.storeTrue())
+                .help("check the settings file and exit");
+        try {
+            Namespace options = parser.parseArgs(arguments);
+            Settings settings = SettingsReader.read(Path.of(options.getString("config")));
+            if (options.getBoolean("check_config")) {
+                System.out.println(options.getString("config") + ": no mistakes found");
+                return;
+            }
+            run(settings);
+        } catch (ArgumentParserException wrong) {
+            parser.handleError(wrong);
+            System.exit(USAGE_ERROR);
+        } catch (SettingsException wrong) {
+            System.err.println(wrong.getMessage());
+            System.exit(CONFIGURATION_ERROR);
+        } catch (ServiceException failed) {
+            System.err.println(failed.getMessage());
+            System.exit(CANNOT_START);
+        }
+    }
+
+    private static void run(Settings settings) throws ServiceException {
+        Daemon daemon = new Daemon(settings);
+        daemon.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+    }
+
+    private static void stop(Daemon daemon) {
+        try {
+            daemon.stop();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
@@ -0,0 +1,92 @@
+package org.bronzelug.daemon.caller;
+
+import io.grpc.Server;
+import io.grpc.netty.NettyServerBuilder;
+import java.io.IOException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Provider;
+import javax.inject.Singleton;
+import org.bronzelug.daemon.kernel.Service;
+import org.bronzelug.daemon.kernel.ServiceException;
+import org.bronzelug.daemon.operator.OperatorCalls;
+import org.bronzelug.daemon.settings.Addresses;
+import org.bronzelug.daemon.settings.Settings;
+
+/** The gRPC server for callers and operators. Thread-safe. */
+@Singleton
+public final class CallerServer implements Service {
+    /** Under which the kernel knows this service. */
+    public static final String NAME = "callers";
+
+    private static final int MAXIMUM_STREAMS_PER_CONNECTION = 1_000;
+    private static final int MAXIMUM_HEADER_BYTES = 8_192;
+    private static final long LAST_ANSWERS_MILLIS = 500;
+
+    private final Settings settings;
+    private final Provider<RouterCalls> routerCalls;
+    private final Provider<OperatorCalls> operatorCalls;
+    private volatile Server server;
+
+    @Inject
+    public CallerServer(
+            Settings settings,
+            Provider<RouterCalls> routerCalls,
+            Provider<OperatorCalls> operatorCalls) {
+        this.settings = settings;
+        this.routerCalls = routerCalls;
+        this.operatorCalls = operatorCalls;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() throws ServiceException {
+        try {
+            server =
+                    NettyServerBuilder.forAddress(Addresses.parse(settings.listen().callers()))
+                            .executor(Executors.newVirtualThreadPerTaskExecutor())
+                            .maxInboundMessageSize(settings.limits().maximumRequestBytes())
+                            .maxInboundMetadataSize(MAXIMUM_HEADER_BYTES)
+                            .maxConcurrentCallsPerConnection(MAXIMUM_STREAMS_PER_CONNECTION)
+                            .permitKeepAliveTime(5, TimeUnit.SECONDS)
+                            .permitKeepAliveWithoutCalls(true)
+                            .intercept(new HeaderInterceptor())
+                            .addService(routerCalls.get())
+                            .addService(operatorCalls.get())
+                            .build()
+                            .start();
+        } catch (IOException failed) {
+            throw new ServiceException(
+                    "listen.callers: can't listen on " + settings.listen().callers(), failed);
+        }
+    }
+
+    /** The address that callers reach this VM at. */
+    public String address() {
+        Server running = server;
+        return running == null
+                ? settings.listen().callers()
+                : Addresses.withPort(settings.listen().callers(), running.getPort());
+    }
+
+    @Override
+    public void stop() {
+        if (server == null) {
+            return;
+        }
+        server.shutdown();
+        try {
+            if (!server.awaitTermination(LAST_ANSWERS_MILLIS, TimeUnit.MILLISECONDS)) {
+                server.shutdownNow();
+            }
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            server.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/configuration/AuditTrail.java
@@ -0,0 +1,69 @@
+package org.bronzelug.daemon.configuration;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import org.bronzelug.api.AuditEntry;
+import org.bronzelug.api.PoolObject;
+import org.bronzelug.api.RosterObject;
+import org.bronzelug.api.TeamObject;
+
+/**
+ * The audit entries inside the configuration objects.
+ *
+ * <p>Invariant: an entry and its change are one value, so there is no change without its entry. An
+ * object keeps its newest entries. Stateless and thread-safe.
+ */
+public final class AuditTrail {
+    /** Entries kept in an object; an object must stay far below the platform's megabyte. */
+    public static final int ENTRIES_KEPT = 50;
+
+    private AuditTrail() {}
+
+    public static void append(TeamObject.Builder team, AuditEntry entry) {
+        if (team.getAuditCount() >= ENTRIES_KEPT) {
+            team.removeAudit(0);
+        }
+        team.addAudit(entry);
+    }
+
+    public static void append(PoolObject.Builder pool, AuditEntry entry) {
+        if (pool.getAuditCount() >= ENTRIES_KEPT) {
+            pool.removeAudit(0);
+        }
+        pool.addAudit(entry);
+    }
+
+    public static void append(RosterObject.Builder roster, AuditEntry entry) {
+        if (roster.getAuditCount() >= ENTRIES_KEPT) {
+            roster.removeAudit(0);
+        }
+        roster.addAudit(entry);
+    }
+
+    /** The entries of an object of ours. */
+    public static List<AuditEntry> entries(String key, byte[] value)
+            throws InvalidProtocolBufferException {
+        if (key.startsWith(ObjectKeys.TEAM_PREFIX)) {
+            return TeamObject.parseFrom(value).getAuditList();
+        }
+        if (key.startsWith(ObjectKeys.POOL_PREFIX)) {
+            return PoolObject.parseFrom(value).getAuditList();
+        }
+        return key.equals(ObjectKeys.ROSTER)
+                ? RosterObject.parseFrom(value).getAuditList()
+                : List.of();
+    }
+
+    /** Whether a value holds the entry of one write. */
+    public static boolean hasMark(String key, byte[] value, String mark) {
+        try {
+            return entries(key, value).stream().anyMatch(entry -> entry.getMark().equals(mark));
+        } catch (InvalidProtocolBufferException unreadable) {
+            return false;
+        }
+    }
+
+    public static boolean rosterHasMark(byte[] value, String mark) {
+        return hasMark(ObjectKeys.ROSTER, value, mark);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
@@ -0,0 +1,203 @@
+package org.bronzelug.daemon.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.random.RandomGenerator;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.bronzelug.api.peer.Acknowledged;
+import org.bronzelug.api.peer.Envelope;
+import org.bronzelug.api.peer.FetchObjects;
+import org.bronzelug.api.peer.ObjectVersion;
+import org.bronzelug.api.peer.Objects;
+import org.bronzelug.api.peer.Probe;
+import org.bronzelug.api.peer.ProbeAnswer;
+import org.bronzelug.core.configuration.VersionedObject;
+import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.daemon.action.ActionBook;
+import org.bronzelug.daemon.kernel.Service;
+import org.bronzelug.daemon.peer.PeerNetwork;
+import org.bronzelug.daemon.settings.Settings;
+
+/**
+ * Probes other VMs at random, answers their probes, and brings the configuration level.
+ *
+ * <p>One exchange carries liveness, freshness and, where the digests differ, the versions needed to
+ * level the configuration; a round costs the same whatever the fleet's size. State is touched on
+ * the control thread only.
+ */
+@Singleton
+public final class ProbeService implements Service {
+    /** Under which the kernel knows this service. */
+    public static final String NAME = "probes";
+
+    private static final int PROBES_A_ROUND = 2;
+    private static final long TIMEOUT_MILLIS = 800;
+
+    private final Settings settings;
+    private final ControlThread control;
+    private final ControlState state;
+    private final PeerNetwork peers;
+    private final ActionBook actions;
+    private final RandomGenerator random;
+
+    @Inject
+    public ProbeService(
+            Settings settings,
+            ControlThread control,
+            ControlState state,
+            PeerNetwork peers,
+            ActionBook actions,
+            RandomGenerator random) {
+        this.settings = settings;
+        this.control = control;
+        this.state = state;
+        this.peers = peers;
+        this.actions = actions;
+        this.random = random;
+        peers.handle(Envelope.BodyCase.PROBE, this::answerProbe);
+        peers.handle(Envelope.BodyCase.FETCH_OBJECTS, this::answerFetch);
+        peers.handle(Envelope.BodyCase.PUSH_OBJECTS, this::answerPush);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() {
+        control.every(settings.limits().probeMillis(), this::probeRound);
+    }
+
+    private void probeRound() {
+        List<String> addresses = new ArrayList<>();
+        state.view().peers().values().forEach(peer -> addresses.add(peer.peerAddress()));
+        if (addresses.isEmpty()) {
+            addresses.addAll(settings.seedPeers());
+        }
+        Collections.shuffle(addresses, new java.util.Random(random.nextLong()));
+        addresses.stream().limit(PROBES_A_ROUND).forEach(this::probe);
+        state.publish();
+    }
+
+    private void probe(String address) {
+        long sent = System.nanoTime();
+        Probe probe =
+                Probe.newBuilder()
+                        .setVm(state.self().vm())
+                        .setIncarnation(state.self().incarnation())
+                        .setDigest(state.configuration().digest())
+                        .build();
+        peers.exchange(address, Envelope.newBuilder().setProbe(probe), TIMEOUT_MILLIS)
+                .whenComplete(
+                        (envelope, failure) -> {
+                            if (failure == null) {
+                                control.run(
+                                        () -> takeAnswer(address, envelope.getProbeAnswer(), sent));
+                            }
+                        });
+    }
+
+    private void takeAnswer(String address, ProbeAnswer answer, long sent) {
+        List<String> missing = new ArrayList<>();
+        for (ObjectVersion version : answer.getVersionsList()) {
+            if (state.configuration().version(version.getKey()) < version.getVersion()) {
+                missing.add(version.getKey());
+            }
+        }
+        if (missing.isEmpty()) {
+            state.recordReport(PeerMessages.report(answer), answer.getHeirOfList(), sent);
+            return;
+        }
+        FetchObjects fetch = FetchObjects.newBuilder().addAllKeys(missing).build();
+        peers.exchange(address, Envelope.newBuilder().setFetchObjects(fetch), TIMEOUT_MILLIS)
+                .whenComplete(
+                        (envelope, failure) -> {
+                            if (failure == null) {
+                                control.run(() -> takeObjects(envelope.getObjects(), answer, sent));
+                            }
+                        });
+    }
+
+    private void takeObjects(Objects objects, ProbeAnswer answer, long sent) {
+        state.install(PeerMessages.toObjects(objects.getObjectsList()));
+        // The report counts only where all that it was based on has arrived.
+        boolean covered =
+                answer.getVersionsList().stream()
+                        .allMatch(
+                                version ->
+                                        state.configuration().version(version.getKey())
+                                                >= version.getVersion());
+        if (covered) {
+            state.recordReport(PeerMessages.report(answer), answer.getHeirOfList(), sent);
+        }
+    }
+
+    private CompletableFuture<Envelope.Builder> answerProbe(Envelope request) {
+        return control.ask(
+                () -> {
+                    long now = System.nanoTime();
+                    long digest = state.configuration().digest();
+                    ProbeAnswer.Builder answer =
+                            PeerMessages.answer(
+                                    state.freshness().report(now, state.isDraining()), digest);
+                    if (digest != request.getProbe().getDigest()) {
+                        answer.addAllVersions(versions(state.configuration().objects()));
+                    }
+                    for (MemberIdentity former : actions.inheritedFrom()) {
+                        answer.addHeirOf(former.toString());
+                    }
+                    return Envelope.newBuilder().setProbeAnswer(answer);
+                });
+    }
+
+    private static List<ObjectVersion> versions(Collection<VersionedObject> objects) {
+        List<ObjectVersion> versions = new ArrayList<>();
+        for (VersionedObject object : objects) {
+            versions.add(
+                    ObjectVersion.newBuilder()
+                            .setKey(object.key())
+                            .setVersion(object.version())
+                            .build());
+        }
+        return versions;
+    }
+
+    private CompletableFuture<Envelope.Builder> answerFetch(Envelope request) {
+        return control.ask(
+                () -> {
+                    List<VersionedObject> found = new ArrayList<>();
+                    for (String key : request.getFetchObjects().getKeysList()) {
+                        state.configuration().object(key).ifPresent(found::add);
+                    }
+                    Objects objects =
+                            Objects.newBuilder()
+                                    .addAllObjects(PeerMessages.toMessages(found))
+                                    .build();
+                    return Envelope.newBuilder().setObjects(objects);
+                });
+    }
+
+    private CompletableFuture<Envelope.Builder> answerPush(Envelope request) {
+        return control.ask(
+                () -> {
+                    state.install(
+                            PeerMessages.toObjects(request.getPushObjects().getObjectsList()));
+                    Acknowledged acknowledged =
+                            Acknowledged.newBuilder()
+                                    .setIncarnation(state.self().incarnation())
+                                    .setSettled(state.freshness().isSettled())
+                                    .build();
+                    return Envelope.newBuilder().setAcknowledged(acknowledged);
+                });
+    }
+
+    @Override
+    public void stop() {
+        // The probes end with the control thread.
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/package-info.java
@@ -0,0 +1,2 @@
+/** The control thread and the state it owns (DESIGN.md "Freshness", "Configuration"). */
+package org.bronzelug.daemon.control;
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/Generation.java
@@ -0,0 +1,73 @@
+package org.bronzelug.daemon.generate;
+
+import org.bronzelug.core.placement.PrefixChain;
+import org.bronzelug.core.stream.StreamProgress;
+
+/**
+ * One generation in progress. Thread-safe.
+ *
+ * <p>The deadline counts until the first chunk; after it, the runners' silence limit watches.
+ */
+final class Generation {
+    private final String team;
+    private final String requestId;
+    private final String model;
+    private final PrefixChain chain;
+    private final long deadlineNanos;
+    private final StreamProgress progress;
+    private final ChunkSink sink;
+    private volatile boolean cancelled;
+
+    Generation(
+            String team,
+            String requestId,
+            String model,
+            PrefixChain chain,
+            long deadlineNanos,
+            StreamProgress progress,
+            ChunkSink sink) {
+        this.team = team;
+        this.requestId = requestId;
+        this.model = model;
+        this.chain = chain;
+        this.deadlineNanos = deadlineNanos;
+        this.progress = progress;
+        this.sink = sink;
+    }
+
+    String team() {
+        return team;
+    }
+
+    String requestId() {
+        return requestId;
+    }
+
+    String model() {
+        return model;
+    }
+
+    PrefixChain chain() {
+        return chain;
+    }
+
+    long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    StreamProgress progress() {
+        return progress;
+    }
+
+    ChunkSink sink() {
+        return sink;
+    }
+
+    void cancel() {
+        cancelled = true;
+    }
+
+    boolean isCancelled() {
+        return cancelled || sink.isCancelled();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
@@ -0,0 +1,197 @@
+package org.bronzelug.daemon.generate;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.bronzelug.core.fairness.FairQueue;
+import org.bronzelug.core.placement.CacheBelief;
+import org.bronzelug.core.placement.Placement;
+import org.bronzelug.core.placement.PlacementPolicy;
+import org.bronzelug.core.placement.PrefixChain;
+import org.bronzelug.core.placement.RunnerLoad;
+import org.bronzelug.daemon.runner.Endpoint;
+import org.bronzelug.daemon.runner.EndpointDirectory;
+
+/**
+ * The requests for one pool that wait for a runner, and the placement of the next one.
+ *
+ * <p>Invariant: a request is given to an endpoint only if the endpoint is usable at that moment and
+ * has a free slot; each slot given is given back once. Thread-safe under its own lock.
+ */
+final class ModelQueue {
+    private static final int BELIEVED_PREFIXES_PER_RUNNER = 20_000;
+    private static final long BELIEF_NANOS = TimeUnit.SECONDS.toNanos(30);
+    private static final int RECENT_WAITS = 8;
+
+    private final String pool;
+    private final int slotsPerRunner;
+    private final EndpointDirectory directory;
+    private final PlacementPolicy policy;
+    private final FairQueue<Waiter> queue;
+    private final CacheBelief belief = new CacheBelief(BELIEVED_PREFIXES_PER_RUNNER, BELIEF_NANOS);
+    private final Map<Endpoint, Integer> used = new HashMap<>();
+    private double recentWaitNanos;
+
+    ModelQueue(
+            String pool,
+            int slotsPerRunner,
+            int capacity,
+            EndpointDirectory directory,
+            PlacementPolicy policy) {
+        this.pool = pool;
+        this.slotsPerRunner = slotsPerRunner;
+        this.directory = directory;
+        this.policy = policy;
+        this.queue = new FairQueue<>(capacity);
+    }
+
+    /** A runner's slot, given to one attempt. */
+    record Slot(Endpoint endpoint, Placement placement) {}
+
+    /** One request that waits. */
+    private record Waiter(PrefixChain chain, Set<String> avoided, CompletableFuture<Slot> slot) {}
+
+    /**
+     * Waits for a slot in fair order.
+     *
+     * @param avoided endpoints that failed this request; used only if there is no other
+     */
+    Slot acquire(String team, PrefixChain chain, Set<String> avoided, long untilNanos)
+            throws RefusalException, InterruptedException {
+        long arrived = System.nanoTime();
+        Waiter waiter = new Waiter(chain, Set.copyOf(avoided), new CompletableFuture<>());
+        enqueue(team, waiter);
+        pump();
+        try {
+            long left = Math.max(0, untilNanos - System.nanoTime());
+            Slot slot = waiter.slot.get(left, TimeUnit.NANOSECONDS);
+            noteWait(System.nanoTime() - arrived);
+            return slot;
+        } catch (TimeoutException late) {
+            giveUp(team, waiter);
+            throw RefusalException.notRun(
+                    ProblemCode.DEADLINE,
+                    "no runner was free before the deadline",
+                    "come back later, or allow a longer deadline",
+                    retryAfterMillis());
+        } catch (ExecutionException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+
+    private synchronized void enqueue(String team, Waiter waiter) throws RefusalException {
+        if (!queue.offer(team, waiter, waiter.chain.tokens())) {
+            throw RefusalException.notRun(
+                    ProblemCode.OVERLOADED,
+                    "too many requests wait for pool " + pool,
+                    "come back later",
+                    retryAfterMillis());
+        }
+    }
+
+    private void giveUp(String team, Waiter waiter) {
+        Optional<Slot> tooLate = Optional.empty();
+        synchronized (this) {
+            if (!queue.remove(team, waiter)) {
+                tooLate = Optional.ofNullable(waiter.slot.getNow(null));
+            }
+        }
+        tooLate.ifPresent(slot -> release(slot.endpoint));
+    }
+
+    /** Gives a slot back. */
+    void release(Endpoint endpoint) {
+        synchronized (this) {
+            used.merge(endpoint, -1, Integer::sum);
+            used.remove(endpoint, 0);
+        }
+        pump();
+    }
+
+    /** Places requests as long as there are free slots. */
+    void pump() {
+        List<Runnable> granted = new ArrayList<>();
+        synchronized (this) {
+            Map<String, Endpoint> free = freeEndpoints();
+            while (!free.isEmpty()) {
+                Optional<Waiter> next = queue.poll();
+                if (next.isEmpty()) {
+                    break;
+                }
+                Slot slot = place(next.get(), free);
+                granted.add(() -> next.get().slot.complete(slot));
+                free = freeEndpoints();
+            }
+        }
+        granted.forEach(Runnable::run);
+    }
+
+    private Map<String, Endpoint> freeEndpoints() {
+        Map<String, Endpoint> free = new HashMap<>();
+        for (Endpoint endpoint : directory.usable(pool)) {
+            if (used.getOrDefault(endpoint, 0) < slotsPerRunner) {
+                free.put(endpoint.name(), endpoint);
+            }
+        }
+        return free;
+    }
+
+    private Slot place(Waiter waiter, Map<String, Endpoint> free) {
+        List<RunnerLoad> loads = new ArrayList<>();
+        for (Endpoint endpoint : free.values()) {
+            if (!waiter.avoided.contains(endpoint.name())) {
+                loads.add(endpoint.load());
+            }
+        }
+        if (loads.isEmpty()) {
+            free.values().forEach(endpoint -> loads.add(endpoint.load()));
+        }
+        long now = System.nanoTime();
+        Placement placement = policy.choose(waiter.chain, loads, belief, now).orElseThrow();
+        Endpoint endpoint = free.get(placement.runner());
+        used.merge(endpoint, 1, Integer::sum);
+        endpoint.begin(missingTokens(waiter, placement));
+        belief.recordCached(placement.runner(), placement.incarnation(), waiter.chain, now);
+        return new Slot(endpoint, placement);
+    }
+
+    /** The tokens that a placed request is expected to prefill. */
+    static int missingTokens(PrefixChain chain, Placement placement) {
+        return Math.max(0, chain.tokens() - placement.believedCachedTokens());
+    }
+
+    private static int missingTokens(Waiter waiter, Placement placement) {
+        return missingTokens(waiter.chain, placement);
+    }
+
+    /** Learns from a runner what it really found in its cache. */
+    synchronized void learn(Slot slot, PrefixChain chain, int cachedTokens) {
+        String runner = slot.placement.runner();
+        String incarnation = slot.placement.incarnation();
+        if (cachedTokens < slot.placement.believedCachedTokens()) {
+            belief.recordFound(runner, incarnation, chain, cachedTokens);
+        }
+        belief.recordCached(runner, incarnation, chain, System.nanoTime());
+    }
+
+    /** Forgets what an endpoint had cached. */
+    synchronized void forget(Endpoint endpoint) {
+        belief.forget(endpoint.name());
+    }
+
+    private synchronized void noteWait(long nanos) {
+        recentWaitNanos += (nanos - recentWaitNanos) / RECENT_WAITS;
+    }
+
+    /** When a request that was given up should come back: after a wait as of late. */
+    private synchronized long retryAfterMillis() {
+        return Math.max(100, TimeUnit.NANOSECONDS.toMillis((long) recentWaitNanos) * 2);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/RefusalException.java
@@ -0,0 +1,33 @@
+package org.bronzelug.daemon.generate;
+
+import org.bronzelug.api.Execution;
+import org.bronzelug.api.Problem;
+
+/** A request gets its final answer: why, whether it ran, when to come back, and the remedy. */
+public final class RefusalException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    private final transient Problem problem;
+
+    public RefusalException(Problem problem) {
+        super(problem.getCode() + ": " + problem.getMessage());
+        this.problem = problem;
+    }
+
+    public Problem problem() {
+        return problem;
+    }
+
+    /** A refusal of a request that did not run. */
+    public static RefusalException notRun(
+            ProblemCode code, String message, String remedy, long retryAfterMillis) {
+        return new RefusalException(
+                Problem.newBuilder()
+                        .setCode(code.name())
+                        .setMessage(message)
+                        .setRemedy(remedy)
+                        .setExecution(Execution.NOT_RUN)
+                        .setRetryAfterMs(retryAfterMillis)
+                        .build());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/package-info.java
@@ -0,0 +1,2 @@
+/** Generations: admitted, queued fairly, placed, streamed, and moved when a runner fails. */
+package org.bronzelug.daemon.generate;
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/ConfigurationEdit.java
@@ -0,0 +1,240 @@
+package org.bronzelug.daemon.operator;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.security.SecureRandom;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.bronzelug.api.AuditEntry;
+import org.bronzelug.api.ChangeRequest;
+import org.bronzelug.api.EndpointEntry;
+import org.bronzelug.api.JoinEndpoint;
+import org.bronzelug.api.KeyEntry;
+import org.bronzelug.api.LeaveEndpoint;
+import org.bronzelug.api.OrderWeights;
+import org.bronzelug.api.PoolObject;
+import org.bronzelug.api.RosterObject;
+import org.bronzelug.api.SetPool;
+import org.bronzelug.api.SetTeam;
+import org.bronzelug.api.TeamObject;
+import org.bronzelug.core.key.KeyDigest;
+import org.bronzelug.daemon.configuration.AuditTrail;
+import org.bronzelug.daemon.configuration.ObjectKeys;
+import org.bronzelug.daemon.generate.ProblemCode;
+import org.bronzelug.daemon.generate.RefusalException;
+
+/**
+ * One change, as an edit of the one object that it touches.
+ *
+ * <p>Immutable but for the key that an edit issues; an edit is applied afresh to each version that
+ * it meets. Not thread-safe.
+ */
+final class ConfigurationEdit {
+    private static final int MAXIMUM_NAME = 63;
+
+    private final ChangeRequest request;
+    private final SecureRandom random;
+    private Optional<String> issuedKey = Optional.empty();
+
+    ConfigurationEdit(ChangeRequest request, SecureRandom random) {
+        this.request = request;
+        this.random = random;
+    }
+
+    /** The key issued by the last application, shown to the operator once. */
+    Optional<String> issuedKey() {
+        return issuedKey;
+    }
+
+    /** The object that the change touches. */
+    String objectKey() throws RefusalException {
+        return switch (request.getChangeCase()) {
+            case SET_TEAM -> ObjectKeys.team(name(request.getSetTeam().getTeam()));
+            case ISSUE_KEY -> ObjectKeys.team(name(request.getIssueKey().getTeam()));
+            case WITHDRAW_KEY -> ObjectKeys.team(name(request.getWithdrawKey().getTeam()));
+            case SET_POOL -> ObjectKeys.pool(name(request.getSetPool().getPool()));
+            case JOIN_ENDPOINT -> ObjectKeys.pool(name(request.getJoinEndpoint().getPool()));
+            case LEAVE_ENDPOINT -> ObjectKeys.pool(name(request.getLeaveEndpoint().getPool()));
+            case ORDER_WEIGHTS -> ObjectKeys.pool(name(request.getOrderWeights().getPool()));
+            case REMOVE_VM -> ObjectKeys.ROSTER;
+            case CHANGE_NOT_SET -> throw bad("no change in the request", "name one change");
+        };
+    }
+
+    /**
+     * Applies the change.
+     *
+     * @param present the object's value; empty where there is none
+     * @param audit the entry that the new value carries
+     */
+    byte[] apply(Optional<byte[]> present, AuditEntry audit) throws RefusalException {
+        try {
+            String key = objectKey();
+            if (key.equals(ObjectKeys.ROSTER)) {
+                return editRoster(require(present), audit);
+            }
+            return key.startsWith(ObjectKeys.TEAM_PREFIX)
+                    ? editTeam(present, audit)
+                    : editPool(present, audit);
+        } catch (InvalidProtocolBufferException unreadable) {
+            throw bad("the object can't be read: " + unreadable.getMessage(), "see event 203");
+        }
+    }
+
+    private byte[] editTeam(Optional<byte[]> present, AuditEntry audit)
+            throws RefusalException, InvalidProtocolBufferException {
+        boolean creates = request.hasSetTeam();
+        TeamObject.Builder team =
+                creates && present.isEmpty()
+                        ? TeamObject.newBuilder()
+                        : TeamObject.parseFrom(require(present)).toBuilder();
+        switch (request.getChangeCase()) {
+            case SET_TEAM -> setTeam(team, request.getSetTeam());
+            case ISSUE_KEY -> issueKey(team, name(request.getIssueKey().getKeyName()));
+            default -> withdrawKey(team, request.getWithdrawKey().getKeyName());
+        }
+        AuditTrail.append(team, audit);
+        return team.build().toByteArray();
+    }
+
+    private static void setTeam(TeamObject.Builder team, SetTeam change) throws RefusalException {
+        boolean valid = change.getTokensPerSecond() >= 0 && change.getBurstTokens() > 0;
+        if (!valid) {
+            throw bad("met a negative rate or no burst", "give a rate of 0 or more and a burst");
+        }
+        team.setTeam(change.getTeam())
+                .setTokensPerSecond(change.getTokensPerSecond())
+                .setBurstTokens(change.getBurstTokens());
+    }
+
+    private void issueKey(TeamObject.Builder team, String keyName) throws RefusalException {
+        if (team.getKeysList().stream().anyMatch(key -> key.getName().equals(keyName))) {
+            throw bad("the team has a key named " + keyName, "choose another name");
+        }
+        String key = KeyDigest.newKey(random);
+        issuedKey = Optional.of(key);
+        team.addKeys(
+                KeyEntry.newBuilder()
+                        .setName(keyName)
+                        .setDigest(ByteString.copyFrom(KeyDigest.of(key).bytes())));
+    }
+
+    private static void withdrawKey(TeamObject.Builder team, String keyName)
+            throws RefusalException {
+        for (int index = 0; index < team.getKeysCount(); index++) {
+            if (team.getKeys(index).getName().equals(keyName)) {
+                team.setKeys(index, team.getKeys(index).toBuilder().setWithdrawn(true));
+                return;
+            }
+        }
+        throw notFound("key " + keyName);
+    }
+
+    private byte[] editPool(Optional<byte[]> present, AuditEntry audit)
+            throws RefusalException, InvalidProtocolBufferException {
+        boolean creates = request.hasSetPool();
+        PoolObject.Builder pool =
+                creates && present.isEmpty()
+                        ? PoolObject.newBuilder()
+                        : PoolObject.parseFrom(require(present)).toBuilder();
+        switch (request.getChangeCase()) {
+            case SET_POOL -> setPool(pool, request.getSetPool());
+            case JOIN_ENDPOINT -> join(pool, request.getJoinEndpoint());
+            case LEAVE_ENDPOINT -> leave(pool, request.getLeaveEndpoint());
+            default -> orderWeights(pool, request.getOrderWeights());
+        }
+        AuditTrail.append(pool, audit);
+        return pool.build().toByteArray();
+    }
+
+    private static void setPool(PoolObject.Builder pool, SetPool change) {
+        pool.setPool(change.getPool())
+                .setKind(change.getKind())
+                .setModel(change.getModel())
+                .setWeightsVersion(Math.max(1, change.getWeightsVersion()))
+                .setConcurrentLoads(Math.max(1, change.getConcurrentLoads()))
+                .setDeduplicates(change.getDeduplicates())
+                .setChecksFencing(change.getChecksFencing());
+    }
+
+    private static void join(PoolObject.Builder pool, JoinEndpoint change) throws RefusalException {
+        if (!change.getUrl().matches("https?://[0-9.\\[\\]a-fA-F:]+")) {
+            throw bad("met the URL " + change.getUrl(), "give http://IP:port, with no host name");
+        }
+        EndpointEntry entry =
+                EndpointEntry.newBuilder()
+                        .setEndpoint(name(change.getEndpoint()))
+                        .setUrl(change.getUrl())
+                        .build();
+        replaceEndpoint(pool, change.getEndpoint(), Optional.of(entry));
+    }
+
+    private static void leave(PoolObject.Builder pool, LeaveEndpoint change)
+            throws RefusalException {
+        Optional<EndpointEntry> present =
+                pool.getEndpointsList().stream()
+                        .filter(entry -> entry.getEndpoint().equals(change.getEndpoint()))
+                        .findFirst();
+        if (present.isEmpty()) {
+            throw notFound("endpoint " + change.getEndpoint());
+        }
+        EndpointEntry leaving = present.get().toBuilder().setLeaving(true).build();
+        replaceEndpoint(pool, change.getEndpoint(), Optional.of(leaving));
+    }
+
+    private static void replaceEndpoint(
+            PoolObject.Builder pool, String endpoint, Optional<EndpointEntry> next) {
+        Consumer<EndpointEntry> add = pool::addEndpoints;
+        var others =
+                pool.getEndpointsList().stream()
+                        .filter(entry -> !entry.getEndpoint().equals(endpoint))
+                        .toList();
+        pool.clearEndpoints().addAllEndpoints(others);
+        next.ifPresent(add);
+    }
+
+    private static void orderWeights(PoolObject.Builder pool, OrderWeights change)
+            throws RefusalException {
+        if (change.getWeightsVersion() <= 0) {
+            throw bad("met no weights version", "give a version above 0");
+        }
+        pool.setWeightsVersion(change.getWeightsVersion());
+    }
+
+    private byte[] editRoster(byte[] present, AuditEntry audit)
+            throws RefusalException, InvalidProtocolBufferException {
+        RosterObject.Builder roster = RosterObject.parseFrom(present).toBuilder();
+        String vm = request.getRemoveVm().getVm();
+        var others =
+                roster.getVmsList().stream().filter(entry -> !entry.getVm().equals(vm)).toList();
+        if (others.size() == roster.getVmsCount()) {
+            throw notFound("VM " + vm);
+        }
+        roster.clearVms().addAllVms(others);
+        AuditTrail.append(roster, audit);
+        return roster.build().toByteArray();
+    }
+
+    private static byte[] require(Optional<byte[]> present) throws RefusalException {
+        if (present.isEmpty()) {
+            throw notFound("object");
+        }
+        return present.get();
+    }
+
+    private static String name(String name) throws RefusalException {
+        if (name.length() > MAXIMUM_NAME || !name.matches("[a-z0-9][a-z0-9-]*")) {
+            throw bad("met the name \"" + name + "\"", "use a-z, 0-9 and -, at most 63");
+        }
+        return name;
+    }
+
+    private static RefusalException bad(String message, String remedy) {
+        return RefusalException.notRun(ProblemCode.BAD_REQUEST, message, remedy, 0);
+    }
+
+    private static RefusalException notFound(String what) {
+        return RefusalException.notRun(
+                ProblemCode.NOT_FOUND, "there is no such " + what, "see `bronzelug status`", 0);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/OperatorCalls.java
@@ -0,0 +1,68 @@
+package org.bronzelug.daemon.operator;
+
+import io.grpc.stub.StreamObserver;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.bronzelug.api.AuditAnswer;
+import org.bronzelug.api.AuditRequest;
+import org.bronzelug.api.ChangeAnswer;
+import org.bronzelug.api.ChangeRequest;
+import org.bronzelug.api.OperatorGrpc;
+import org.bronzelug.api.StatusAnswer;
+import org.bronzelug.api.StatusRequest;
+import org.bronzelug.daemon.caller.Problems;
+import org.bronzelug.daemon.generate.RefusalException;
+
+/** The calls of operators; each needs the operators' secret. Thread-safe. */
+@Singleton
+public final class OperatorCalls extends OperatorGrpc.OperatorImplBase {
+    private final OperatorSecret secret;
+    private final ChangeService changes;
+    private final StatusReporter reporter;
+
+    @Inject
+    public OperatorCalls(OperatorSecret secret, ChangeService changes, StatusReporter reporter) {
+        this.secret = secret;
+        this.changes = changes;
+        this.reporter = reporter;
+    }
+
+    @Override
+    public void change(ChangeRequest request, StreamObserver<ChangeAnswer> observer) {
+        try {
+            secret.check();
+            finish(observer, changes.change(request));
+        } catch (RefusalException refused) {
+            finish(observer, ChangeAnswer.newBuilder().setProblem(refused.problem()).build());
+        }
+    }
+
+    @Override
+    public void audit(AuditRequest request, StreamObserver<AuditAnswer> observer) {
+        try {
+            secret.check();
+            finish(
+                    observer,
+                    AuditAnswer.newBuilder()
+                            .addAllEntries(changes.audit(request.getObject()))
+                            .build());
+        } catch (RefusalException refused) {
+            finish(observer, AuditAnswer.newBuilder().setProblem(refused.problem()).build());
+        }
+    }
+
+    @Override
+    public void status(StatusRequest request, StreamObserver<StatusAnswer> observer) {
+        try {
+            secret.check();
+            finish(observer, reporter.status());
+        } catch (RefusalException refused) {
+            observer.onError(Problems.toStatus(refused.problem()));
+        }
+    }
+
+    private static <T> void finish(StreamObserver<T> observer, T answer) {
+        observer.onNext(answer);
+        observer.onCompleted();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/OperatorSecret.java
@@ -0,0 +1,61 @@
+package org.bronzelug.daemon.operator;
+
+import io.grpc.Context;
+import io.grpc.Metadata;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.Optional;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.bronzelug.core.key.KeyDigest;
+import org.bronzelug.daemon.generate.ProblemCode;
+import org.bronzelug.daemon.generate.RefusalException;
+import org.bronzelug.daemon.settings.Settings;
+
+/** Checks the operators' secret; without one in the settings, no operator's call is taken. */
+@Singleton
+public final class OperatorSecret {
+    /** The digest of the secret that came with the present call. */
+    public static final Context.Key<KeyDigest> PRESENT = Context.key("bronzelug-operator-digest");
+
+    /** The header that carries the secret. */
+    public static final Metadata.Key<String> HEADER =
+            Metadata.Key.of("bronzelug-operator", Metadata.ASCII_STRING_MARSHALLER);
+
+    private final Optional<KeyDigest> expected;
+
+    @Inject
+    public OperatorSecret(Settings settings) {
+        expected = read(settings.operatorSecretFile());
+    }
+
+    private static Optional<KeyDigest> read(String file) {
+        if (file.isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(KeyDigest.of(Files.readString(Path.of(file)).strip()));
+        } catch (IOException unreadable) {
+            return Optional.empty();
+        }
+    }
+
+    /** Checks the present call. */
+    public void check() throws RefusalException {
+        KeyDigest met = PRESENT.get();
+        boolean right =
+                expected.isPresent()
+                        && met != null
+                        && MessageDigest.isEqual(expected.get().bytes(), met.bytes());
+        if (!right) {
+            throw RefusalException.notRun(
+                    ProblemCode.OPERATOR_REFUSED,
+                    "the operators' secret is wrong or missing",
+                    "set BRONZELUG_OPERATOR_SECRET_FILE, and operatorSecretFile in the daemon's"
+                            + " settings",
+                    0);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/StatusReporter.java
@@ -0,0 +1,138 @@
+package org.bronzelug.daemon.operator;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.bronzelug.api.EndpointStatus;
+import org.bronzelug.api.RosterEntry;
+import org.bronzelug.api.StatusAnswer;
+import org.bronzelug.api.TeamStatus;
+import org.bronzelug.api.VmStatus;
+import org.bronzelug.core.limit.RateShares;
+import org.bronzelug.core.limit.TeamRate;
+import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.daemon.control.ControlState;
+import org.bronzelug.daemon.control.ControlThread;
+import org.bronzelug.daemon.control.ControlView;
+import org.bronzelug.daemon.control.PlatformWatch;
+import org.bronzelug.daemon.monitor.Measures;
+import org.bronzelug.daemon.platform.PlatformClient;
+import org.bronzelug.daemon.runner.Endpoint;
+import org.bronzelug.daemon.runner.EndpointDirectory;
+import org.bronzelug.daemon.settings.Settings;
+
+/** Tells what this VM knows and does. Thread-safe. */
+@Singleton
+public final class StatusReporter {
+    private final Settings settings;
+    private final ControlThread control;
+    private final ControlState state;
+    private final PlatformWatch watch;
+    private final PlatformClient platform;
+    private final EndpointDirectory directory;
+    private final Measures measures;
+
+    @Inject
+    public StatusReporter(
+            Settings settings,
+            ControlThread control,
+            ControlState state,
+            PlatformWatch watch,
+            PlatformClient platform,
+            EndpointDirectory directory,
+            Measures measures) {
+        this.settings = settings;
+        this.control = control;
+        this.state = state;
+        this.watch = watch;
+        this.platform = platform;
+        this.directory = directory;
+        this.measures = measures;
+    }
+
+    /** The status of this moment. */
+    public StatusAnswer status() {
+        ControlView view = state.view();
+        long now = System.nanoTime();
+        StatusAnswer.Builder answer =
+                StatusAnswer.newBuilder()
+                        .setVm(settings.vm())
+                        .setIncarnation(state.self().incarnation())
+                        .setServing(view.isFresh(now) && !state.isDraining())
+                        .setFreshnessMs(freshness(view, now))
+                        .setPlatformCalls(platform.calls())
+                        .setPlatformReachable(watch.isReachable());
+        view.catalog().roster().values().stream()
+                .sorted(java.util.Comparator.comparing(RosterEntry::getVm))
+                .forEach(entry -> answer.addVms(vm(entry, view, now)));
+        for (Endpoint endpoint : directory.all()) {
+            answer.addEndpoints(endpoint(endpoint));
+        }
+        addTeams(answer, view, now);
+        return answer.build();
+    }
+
+    private static long freshness(ControlView view, long now) {
+        if (view.settledSingle()) {
+            return 0;
+        }
+        return view.freshAsOfNanos().isPresent()
+                ? TimeUnit.NANOSECONDS.toMillis(now - view.freshAsOfNanos().getAsLong())
+                : -1;
+    }
+
+    private VmStatus vm(RosterEntry entry, ControlView view, long now) {
+        VmStatus.Builder status =
+                VmStatus.newBuilder()
+                        .setVm(entry.getVm())
+                        .setAvailabilityZone(entry.getAvailabilityZone())
+                        .setAddress(entry.getCallerAddress());
+        if (entry.getVm().equals(settings.vm())) {
+            return status.setState(state.isDraining() ? "stopping" : "live")
+                    .setIncarnation(state.self().incarnation())
+                    .build();
+        }
+        ControlView.PeerView peer = view.peers().get(entry.getVm());
+        String name = peer.live() ? (peer.draining() ? "stopping" : "live") : "unheard";
+        return status.setState(name)
+                .setIncarnation(peer.identity().map(MemberIdentity::incarnation).orElse(""))
+                .setHeardMsAgo(TimeUnit.NANOSECONDS.toMillis(now - peer.heardAsOfNanos()))
+                .build();
+    }
+
+    private static EndpointStatus endpoint(Endpoint endpoint) {
+        String live = endpoint.isLive() ? "live" : "down";
+        return EndpointStatus.newBuilder()
+                .setPool(endpoint.pool())
+                .setEndpoint(endpoint.name())
+                .setState(endpoint.isLeaving() ? "leaving" : live)
+                .setIncarnation(endpoint.report().incarnation())
+                .setInFlight(endpoint.inFlight())
+                .setServed(endpoint.served())
+                .setWeightsVersion(endpoint.report().weightsVersion())
+                .build();
+    }
+
+    private void addTeams(StatusAnswer.Builder answer, ControlView view, long now) {
+        for (Map.Entry<String, TeamRate> team : view.catalog().rates().entrySet()) {
+            String name = team.getKey();
+            TeamStatus.Builder status =
+                    TeamStatus.newBuilder()
+                            .setTeam(name)
+                            .setTokensPerSecond(team.getValue().tokensPerSecond())
+                            .setBurstTokens(team.getValue().burstTokens())
+                            .setTokensHere(tokensHere(name, now))
+                            .setAdmitted(measures.admittedCount(name))
+                            .setRefused(measures.overRateCount(name));
+            view.catalog()
+                    .share(RateShares.groupOf(name))
+                    .ifPresent(claim -> status.addHolders(claim.holder().vm()));
+            answer.addTeams(status);
+        }
+    }
+
+    private double tokensHere(String team, long now) {
+        return control.ask(() -> state.shares().tokens(team, now).orElse(0.0)).join();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -0,0 +1,109 @@
+package org.bronzelug.daemon.peer;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.bronzelug.api.peer.Envelope;
+import org.bronzelug.daemon.kernel.Service;
+import org.bronzelug.daemon.kernel.ServiceException;
+import org.bronzelug.daemon.settings.Addresses;
+import org.bronzelug.daemon.settings.Settings;
+
+/**
+ * The exchanges with other daemons, in both directions.
+ *
+ * <p>Thread-safe. A lost connection fails its exchanges at once; the next one connects anew.
+ */
+@Singleton
+public final class PeerNetwork implements Service {
+    /** Under which the kernel knows this service. */
+    public static final String NAME = "peers";
+
+    private static final int EVENT_LOOPS = 2;
+
+    private final Settings settings;
+    private final EventLoopGroup group;
+    private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final Map<Envelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+    private PeerSecret secret;
+    private PeerServer server;
+
+    @Inject
+    public PeerNetwork(Settings settings) {
+        this.settings = settings;
+        this.group = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** Sets who answers requests of one kind; before the start. */
+    public void handle(Envelope.BodyCase kind, PeerHandler handler) {
+        handlers.put(kind, handler);
+    }
+
+    @Override
+    public void start() throws ServiceException {
+        try {
+            secret = PeerSecret.read(Path.of(settings.peerSecretFile()));
+            int maximum = settings.limits().maximumPeerFrameBytes();
+            server = new PeerServer(group, secret, this::dispatch, maximum);
+            server.start(Addresses.parse(settings.listen().peers()));
+        } catch (IOException unreadable) {
+            throw new ServiceException("peerSecretFile: " + unreadable.getMessage(), unreadable);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new ServiceException("interrupted while listening for peers", interrupted);
+        }
+    }
+
+    /** The address that other daemons reach this one at. */
+    public String address() {
+        return Addresses.withPort(settings.listen().peers(), server.port());
+    }
+
+    /** Sends a request to the daemon at an address and awaits the answer, at most so long. */
+    public CompletableFuture<Envelope> exchange(
+            String address, Envelope.Builder request, long timeoutMillis) {
+        PeerConnection connection =
+                connections.compute(
+                        address,
+                        (ignored, present) ->
+                                present == null || present.isClosed() ? connect(address) : present);
+        return connection.exchange(group, request, timeoutMillis);
+    }
+
+    private PeerConnection connect(String address) {
+        InetSocketAddress remote = Addresses.parse(address);
+        int maximum = settings.limits().maximumPeerFrameBytes();
+        return PeerConnection.open(group, remote, secret, maximum);
+    }
+
+    private CompletableFuture<Envelope.Builder> dispatch(Envelope request) {
+        PeerHandler handler = handlers.get(request.getBodyCase());
+        if (handler == null) {
+            return CompletableFuture.failedFuture(
+                    new PeerException("unknown message " + request.getBodyCase(), false));
+        }
+        return handler.handle(request);
+    }
+
+    @Override
+    public void stop() {
+        if (server != null) {
+            server.stop();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerSecret.java
@@ -0,0 +1,77 @@
+package org.bronzelug.daemon.peer;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * The secret that daemons prove to each other, in both directions, without sending it.
+ *
+ * <p>Each side answers a nonce of the other with an HMAC-SHA-256 over both nonces and its role, so
+ * a proof can be neither replayed nor reflected. Immutable and thread-safe.
+ */
+public final class PeerSecret {
+    private static final String ALGORITHM = "HmacSHA256";
+    private static final int NONCE_BYTES = 16;
+    private static final int LEAST_SECRET_CHARACTERS = 16;
+
+    private final SecretKeySpec key;
+    private final SecureRandom random = new SecureRandom();
+
+    public PeerSecret(String secret) {
+        key = new SecretKeySpec(secret.getBytes(StandardCharsets.UTF_8), ALGORITHM);
+    }
+
+    /** Reads the secret from a file. */
+    public static PeerSecret read(Path file) throws IOException {
+        String secret = Files.readString(file).strip();
+        if (secret.length() < LEAST_SECRET_CHARACTERS) {
+            throw new IOException(
+                    file
+                            + " holds "
+                            + secret.length()
+                            + " characters, expected "
+                            + LEAST_SECRET_CHARACTERS
+                            + " or more");
+        }
+        return new PeerSecret(secret);
+    }
+
+    /** The two ends of a connection. */
+    public enum Role {
+        CONNECTING,
+        ACCEPTING
+    }
+
+    public ByteString newNonce() {
+        byte[] nonce = new byte[NONCE_BYTES];
+        random.nextBytes(nonce);
+        return ByteString.copyFrom(nonce);
+    }
+
+    /** The proof of one end. */
+    public ByteString proof(Role role, ByteString acceptorNonce, ByteString connectorNonce) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(key);
+            mac.update((byte) role.ordinal());
+            mac.update(acceptorNonce.toByteArray());
+            mac.update(connectorNonce.toByteArray());
+            return ByteString.copyFrom(mac.doFinal());
+        } catch (GeneralSecurityException missing) {
+            throw new IllegalStateException("every Java platform has " + ALGORITHM, missing);
+        }
+    }
+
+    /** Compares two proofs in constant time. */
+    public static boolean matches(ByteString expected, ByteString met) {
+        return MessageDigest.isEqual(expected.toByteArray(), met.toByteArray());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's object API (docs/PROTOCOL.md "Platform"). */
+package org.bronzelug.daemon.platform;
--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/settings/LimitField.java
@@ -0,0 +1,44 @@
+package org.bronzelug.daemon.settings;
+
+/** The fields under "limits", with their range and default. Immutable. */
+public enum LimitField {
+    FRESHNESS_MILLIS("freshnessMillis", 200, 10_000, 2_000),
+    PROBE_MILLIS("probeMillis", 20, 2_000, 200),
+    REQUEST_DEADLINE_MILLIS("requestDeadlineMillis", 100, 600_000, 30_000),
+    RUNNER_SILENCE_MILLIS("runnerSilenceMillis", 50, 60_000, 1_500),
+    DRAIN_MILLIS("drainMillis", 0, 600_000, 30_000),
+    STEER_MILLIS("steerMillis", 0, 30_000, 500),
+    STREAMS_PER_RUNNER("streamsPerRunner", 1, 10_000, 16),
+    WAITING_REQUESTS("waitingRequests", 1, 1_000_000, 2_000),
+    MAXIMUM_REQUEST_BYTES("maximumRequestBytes", 1_024, 67_108_864, 4_194_304),
+    MAXIMUM_PEER_FRAME_BYTES("maximumPeerFrameBytes", 65_536, 67_108_864, 8_388_608);
+
+    private final String fieldName;
+    private final long least;
+    private final long most;
+    private final long usual;
+
+    LimitField(String fieldName, long least, long most, long usual) {
+        this.fieldName = fieldName;
+        this.least = least;
+        this.most = most;
+        this.usual = usual;
+    }
+
+    public String fieldName() {
+        return fieldName;
+    }
+
+    public long least() {
+        return least;
+    }
+
+    public long most() {
+        return most;
+    }
+
+    /** The default. */
+    public long usual() {
+        return usual;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bronzelug/standin/PrefixCache.java
@@ -0,0 +1,59 @@
+package org.bronzelug.standin;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * An engine's cache of prompt prefixes: bounded by tokens, the least recently used goes first.
+ *
+ * <p>Thread-safe.
+ */
+final class PrefixCache {
+    private final int capacityTokens;
+    private final Map<String, Integer> tokensByPrefix = new LinkedHashMap<>(16, 0.75f, true);
+    private int usedTokens;
+
+    PrefixCache(int capacityTokens) {
+        this.capacityTokens = capacityTokens;
+    }
+
+    /**
+     * Looks a prompt up, and keeps its levels.
+     *
+     * @return the tokens that were cached
+     */
+    synchronized int useAndFill(String salt, List<String> segments) {
+        int cached = 0;
+        int before = 0;
+        boolean hit = true;
+        StringBuilder prefix = new StringBuilder(salt);
+        for (String segment : segments) {
+            prefix.append('\u0000').append(segment);
+            int tokens = StandinTokens.count(segment);
+            String key = StandinTokens.digest(prefix.toString());
+            hit = hit && tokensByPrefix.get(key) != null;
+            if (hit) {
+                cached = before + tokens;
+            } else if (tokensByPrefix.put(key, tokens) == null) {
+                usedTokens += tokens;
+            }
+            before += tokens;
+        }
+        evict();
+        return cached;
+    }
+
+    synchronized void clear() {
+        tokensByPrefix.clear();
+        usedTokens = 0;
+    }
+
+    private void evict() {
+        var eldest = tokensByPrefix.entrySet().iterator();
+        while (usedTokens > capacityTokens && eldest.hasNext()) {
+            usedTokens -= eldest.next().getValue();
+            eldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/bronzelug/standin/StandinMain.java
@@ -0,0 +1,83 @@
+package org.bronzelug.standin;
+
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** The stand-ins as a program. Thread-safe: stateless. */
+public final class StandinMain {
+    private static final int USAGE_ERROR = 64;
+
+    private StandinMain() {}
+
+    /** Starts one stand-in and serves until the process is stopped. */
+    public static void main(String[] arguments) {
+        ArgumentParser parser = parser();
+        try {
+            Namespace options = parser.parseArgs(arguments);
+            HttpStandin standin = create(options);
+            standin.start();
+            System.out.println(options.getString("program") + " ready at " + standin.url());
+        } catch (ArgumentParserException wrong) {
+            parser.handleError(wrong);
+            System.exit(USAGE_ERROR);
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("bronzelug-standin")
+                        .build()
+                        .description("Stand-ins for outside systems, for tests and demonstrations");
+        Subparsers programs = parser.addSubparsers().dest("program");
+        addProgram(programs, "platform", "the platform's object API");
+        Subparser model = addProgram(programs, "model-runner", "a model engine");
+        model.addArgument("--checks-fencing").action(storeTrue()).help("refuse old fencing");
+        model.addArgument("--cache-tokens")
+                .type(Integer.class)
+                .setDefault(RunnerTimes.defaults().cacheTokens())
+                .help("tokens that the prefix cache holds");
+        Subparser application = addProgram(programs, "application-runner", "a plain service");
+        application
+                .addArgument("--deduplicates")
+                .action(storeTrue())
+                .help("run each action id once");
+        return parser;
+    }
+
+    private static net.sourceforge.argparse4j.inf.ArgumentAction storeTrue() {
+        return net.sourceforge.argparse4j.impl.Arguments.storeTrue();
+    }
+
+    private static Subparser addProgram(Subparsers programs, String name, String help) {
+        Subparser program = programs.addParser(name).help(help);
+        program.addArgument("--host").setDefault("127.0.0.1").help("IP number to listen on");
+        program.addArgument("--port").type(Integer.class).setDefault(0).help("0: any free port");
+        return program;
+    }
+
+    private static HttpStandin create(Namespace options) {
+        String host = options.getString("host");
+        int port = options.getInt("port");
+        return switch (options.getString("program")) {
+            case "platform" -> new PlatformStandin(host, port);
+            case "model-runner" -> {
+                RunnerTimes usual = RunnerTimes.defaults();
+                RunnerTimes times =
+                        new RunnerTimes(
+                                usual.prefillNanosPerToken(),
+                                usual.decodeNanosPerToken(),
+                                usual.weightsLoadMillis(),
+                                options.getInt("cache_tokens"));
+                boolean fencing = options.getBoolean("checks_fencing");
+                yield new ModelRunnerStandin(host, port, times, fencing);
+            }
+            case "application-runner" ->
+                    new ApplicationRunnerStandin(host, port, options.getBoolean("deduplicates"));
+            default -> throw new IllegalArgumentException(options.getString("program"));
+        };
+    }
+}
--- a/tools/jdk.sh
+++ b/tools/jdk.sh
@@ -1,6 +1,6 @@
 # Sourced by the scripts: finds a JDK of 21 or later and exports JAVA_HOME.
 java_major() {
-    "$1/bin/java" -version 2>&1 | sed -n 's/.*version "\([0-9]*\).*/\1/p' | head -n 1
+    sed -n 's/^JAVA_VERSION="\([0-9]*\).*/\1/p' "$1/release" 2>/dev/null
 }
 
 choose_jdk() {
