Failures through the real transports, and four faults found by them

Cause, each found by a test that failed first: (1) a VM that had just started had heard of nobody and took the holders of all shares for gone ("one central bucket decides otherwise at 2352 ms"); (2) a VM took its own former incarnation for living, so after a restart of all VMs nobody took its shares ("never came true: vm-1 serves again"); (3) after a restart of all VMs the roster could not be changed, as its former addresses had to confirm first; (4) the stand-in runner's answers were held back by the HTTP library's own buffer, so streams were not streams. Ruled out: the model's own delays, by focused tests in FreshnessTest.

--- a/core/src/main/java/org/bronzelug/core/membership/Freshness.java
+++ b/core/src/main/java/org/bronzelug/core/membership/Freshness.java
@@ -203,6 +203,34 @@
                         .isPresent();
     }
 
+    /**
+     * Whether an incarnation may be taken for gone: replaced, or not heard of for so long.
+     *
+     * <p>Two things guard against taking a living VM for gone. One that started lately has heard of
+     * nobody yet, so it judges nobody before it has listened for the time given; without that, each
+     * restart takes the claims of all others over. And one that is cut off hears nobody, so it
+     * judges only while it hears a majority.
+     */
+    public boolean isGone(MemberIdentity identity, long nowNanos, long deadAfterNanos) {
+        boolean listenedLongEnough = nowNanos - startNanos >= deadAfterNanos;
+        if (identity.equals(self) || !listenedLongEnough) {
+            return false;
+        }
+        if (!hearsMajority(nowNanos, deadAfterNanos)) {
+            return false;
+        }
+        Optional<MemberKnowledge> known = member(identity.vm());
+        boolean replaced =
+                identity.vm().equals(self.vm())
+                        || known.filter(held -> !held.identity().equals(identity)).isPresent();
+        return replaced || !heardWithin(identity.vm(), nowNanos, deadAfterNanos);
+    }
+
+    private boolean hearsMajority(long nowNanos, long withinNanos) {
+        long heard = roster.stream().filter(vm -> heardWithin(vm, nowNanos, withinNanos)).count();
+        return heard >= majority();
+    }
+
     /** This VM's own report, to answer a probe with. */
     public ProbeReport report(long nowNanos, boolean draining) {
         List<ProbeReport.MemberAge> ages = new ArrayList<>();
--- a/core/src/test/java/org/bronzelug/core/membership/FleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/membership/FleetModel.java
@@ -403,11 +403,7 @@
             ExclusiveClaim claim = shares.claim(GROUP);
             boolean gone =
                     claim.holder()
-                            .filter(holder -> !holder.equals(identity))
-                            .filter(
-                                    holder ->
-                                            freshness.heardWithin(
-                                                    holder.vm(), clock(), 1_500 * MILLI))
+                            .filter(holder -> !freshness.isGone(holder, clock(), 1_500 * MILLI))
                             .isEmpty();
             boolean unconfirmed = claim.heldBySelf() && claim.usableFrom().isEmpty();
             if (taking || !platformReachable || !freshness.isFresh(clock())) {
--- a/daemon/src/main/java/org/bronzelug/daemon/Daemon.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/Daemon.java
@@ -2,10 +2,12 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.daemon.control.ControlView;
 import org.bronzelug.daemon.kernel.Kernel;
 import org.bronzelug.daemon.kernel.ServiceException;
 import org.bronzelug.daemon.log.EventLog;
 import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.daemon.runner.Endpoint;
 import org.bronzelug.daemon.settings.Settings;
 
 /**
@@ -72,7 +74,7 @@
     }
 
     public String peerAddress() {
-        return component.peerNetwork().address();
+        return component.peerNetwork().listenAddress();
     }
 
     public String monitorAddress() {
@@ -84,6 +86,29 @@
         return component.controlState().view().isFresh(System.nanoTime());
     }
 
+    /** What the traffic threads see now. */
+    public ControlView view() {
+        return component.controlState().view();
+    }
+
+    /** Whether the platform answered the last call. */
+    public boolean isPlatformUp() {
+        return component.platformWatch().isReachable();
+    }
+
+    /** Equal for daemons that have the same configuration in force. */
+    public long digest() {
+        return component
+                .controlThread()
+                .ask(() -> component.controlState().configuration().digest())
+                .join();
+    }
+
+    /** The endpoints that answer this VM. */
+    public long liveEndpoints() {
+        return component.endpointDirectory().all().stream().filter(Endpoint::isLive).count();
+    }
+
     /** A service by its name, as the services themselves find each other. */
     public Kernel kernel() {
         return kernel;
--- a/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
@@ -68,6 +68,9 @@
 
     /** The address that callers reach this VM at. */
     public String address() {
+        if (settings.advertise().callers().isPresent()) {
+            return settings.advertise().callers().get();
+        }
         Server running = server;
         return running == null
                 ? settings.listen().callers()
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
@@ -32,7 +32,9 @@
  *
  * <p>Invariant: one write changes the roster by one VM, and only after the roster before it was
  * confirmed by a majority. So the majorities of any two rosters in use share a VM, which the
- * freshness argument needs. Thread-safe: one attempt at a time.
+ * freshness argument needs. New addresses of a VM that is in the roster need no confirmation: the
+ * majorities stay the same, and after a restart of all VMs nobody is at the old addresses.
+ * Thread-safe: one attempt at a time.
  */
 @Singleton
 public final class RosterKeeper implements Service {
@@ -95,14 +97,14 @@
 
     private void join(RosterEntry own, Optional<VersionedObject> present) {
         try {
-            if (present.isPresent() && !announcer.announce(List.of(present.get()))) {
-                return;
-            }
             RosterObject.Builder next =
                     present.isPresent()
                             ? RosterObject.parseFrom(present.get().value()).toBuilder()
                             : RosterObject.newBuilder();
-            replaceEntry(next, own);
+            boolean joins = replaceEntry(next, own);
+            if (joins && present.isPresent() && !announcer.announce(List.of(present.get()))) {
+                return;
+            }
             String mark = UUID.randomUUID().toString();
             long version = present.map(VersionedObject::version).orElse(0L);
             AuditTrail.append(next, entry(own, mark, version));
@@ -134,14 +136,16 @@
         }
     }
 
-    private static void replaceEntry(RosterObject.Builder roster, RosterEntry own) {
+    /** Puts this VM's entry in; whether the roster had none of its name. */
+    private static boolean replaceEntry(RosterObject.Builder roster, RosterEntry own) {
         for (int index = 0; index < roster.getVmsCount(); index++) {
             if (roster.getVms(index).getVm().equals(own.getVm())) {
                 roster.setVms(index, own);
-                return;
+                return false;
             }
         }
         roster.addVms(own);
+        return true;
     }
 
     private RosterEntry ownEntry() {
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
@@ -142,20 +142,13 @@
         publish();
     }
 
-    /** Whether the incarnation given answers no more: dead, replaced, and without an heir. */
+    /** Whether the incarnation given answers no more, and has no heir that does. */
     public boolean isGone(MemberIdentity identity, long nowNanos) {
-        if (identity.equals(self)) {
-            return false;
-        }
         String heir = heirs.get(identity);
-        if (heir != null) {
-            return !freshness.heardWithin(heir, nowNanos, DEAD_AFTER_NANOS);
-        }
-        Optional<MemberKnowledge> known = freshness.member(identity.vm());
-        if (known.isEmpty() || !known.get().identity().equals(identity)) {
-            return true;
+        if (heir != null && freshness.heardWithin(heir, nowNanos, DEAD_AFTER_NANOS)) {
+            return false;
         }
-        return !freshness.heardWithin(identity.vm(), nowNanos, DEAD_AFTER_NANOS);
+        return freshness.isGone(identity, nowNanos, DEAD_AFTER_NANOS);
     }
 
     /** The VMs, this one included, that live and are not about to stop. */
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -36,6 +36,7 @@
     private final Map<Envelope.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
     private PeerSecret secret;
     private PeerServer server;
+    private volatile boolean stopped;
 
     @Inject
     public PeerNetwork(Settings settings) {
@@ -70,12 +71,23 @@
 
     /** The address that other daemons reach this one at. */
     public String address() {
+        if (settings.advertise().peers().isPresent()) {
+            return settings.advertise().peers().get();
+        }
+        return listenAddress();
+    }
+
+    /** The address that this daemon listens at for others. */
+    public String listenAddress() {
         return Addresses.withPort(settings.listen().peers(), server.port());
     }
 
     /** Sends a request to the daemon at an address and awaits the answer, at most so long. */
     public CompletableFuture<Envelope> exchange(
             String address, Envelope.Builder request, long timeoutMillis) {
+        if (stopped) {
+            return CompletableFuture.failedFuture(new PeerException("this VM stops", false));
+        }
         PeerConnection connection =
                 connections.compute(
                         address,
@@ -101,6 +113,7 @@
 
     @Override
     public void stop() {
+        stopped = true;
         if (server != null) {
             server.stop();
         }
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
@@ -68,7 +68,10 @@
     public void complete(Endpoint endpoint, CompletionRequest request, CompletionListener listener)
             throws RunnerException, StreamGapException {
         RequestBody body = RequestBody.create(toJson(request).toString(), JSON_TYPE);
-        Call call = http.newCall(post(endpoint, "/v1/completions", body).build());
+        // A compressing server may hold chunks back until its buffer is full.
+        Request.Builder post =
+                post(endpoint, "/v1/completions", body).header("Accept-Encoding", "identity");
+        Call call = http.newCall(post.build());
         endpoint.register(call);
         try (Response response = call.execute()) {
             requireSuccess(endpoint, response);
--- a/daemon/src/main/java/org/bronzelug/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/settings/Settings.java
@@ -1,6 +1,7 @@
 package org.bronzelug.daemon.settings;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The checked settings of one daemon (docs/SETTINGS.md). Immutable.
@@ -8,6 +9,7 @@
  * @param vm this VM's name
  * @param availabilityZone where it runs
  * @param listen the addresses it serves on
+ * @param advertise where others reach this VM, if not where it listens
  * @param platformUrl of the platform's object API
  * @param seedPeers addresses asked while the platform does not answer
  * @param peerSecretFile with the secret that daemons prove to each other
@@ -18,6 +20,7 @@
         String vm,
         String availabilityZone,
         Listen listen,
+        Advertise advertise,
         String platformUrl,
         List<String> seedPeers,
         String peerSecretFile,
@@ -33,6 +36,14 @@
      */
     public record Listen(String callers, String peers, String monitor) {}
 
+    /**
+     * Where others reach this VM, as IP number and port; empty: where it listens.
+     *
+     * @param callers for callers and operators
+     * @param peers for the other daemons
+     */
+    public record Advertise(Optional<String> callers, Optional<String> peers) {}
+
     /**
      * Sizes and times.
      *
--- a/daemon/src/main/java/org/bronzelug/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/settings/SettingsReader.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Pattern;
@@ -56,7 +57,7 @@
                 root,
                 "",
                 Set.of("vm", "availabilityZone", "listen", "platformUrl", "peerSecretFile"),
-                Set.of("seedPeers", "operatorSecretFile", "limits"));
+                Set.of("advertise", "seedPeers", "operatorSecretFile", "limits"));
         JsonNode listen = root.get("listen");
         requireFields(listen, "listen", Set.of("callers", "peers", "monitor"), Set.of());
         return new Settings(
@@ -66,6 +67,7 @@
                         address(listen, "callers"),
                         address(listen, "peers"),
                         address(listen, "monitor")),
+                advertise(root.path("advertise")),
                 text(root, "platformUrl", Pattern.compile("https?://.+"), "an http URL"),
                 addresses(root),
                 text(root, "peerSecretFile", Pattern.compile(".+"), "a file's path"),
@@ -75,6 +77,16 @@
                 limits(root.path("limits")));
     }
 
+    private Settings.Advertise advertise(JsonNode node) throws SettingsException {
+        if (node.isMissingNode()) {
+            return new Settings.Advertise(Optional.empty(), Optional.empty());
+        }
+        requireFields(node, "advertise", Set.of(), Set.of("callers", "peers"));
+        return new Settings.Advertise(
+                node.has("callers") ? Optional.of(address(node, "callers")) : Optional.empty(),
+                node.has("peers") ? Optional.of(address(node, "peers")) : Optional.empty());
+    }
+
     private JsonNode readTree(String text) throws SettingsException {
         try {
             JsonNode root = JSON.readTree(text);
--- /dev/null
+++ b/daemon/src/test/java/org/bronzelug/daemon/CuttableLink.java
@@ -0,0 +1,101 @@
+package org.bronzelug.daemon;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A TCP forwarder that a test can cut: open connections break, new ones fail. Thread-safe. */
+final class CuttableLink implements AutoCloseable {
+    private final ServerSocket listener;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private volatile int targetPort;
+    private volatile boolean cut;
+
+    CuttableLink() throws IOException {
+        listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::acceptAll);
+    }
+
+    String address() {
+        return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    void connectTo(int port) {
+        targetPort = port;
+    }
+
+    void cut() {
+        cut = true;
+        sockets.forEach(CuttableLink::closeQuietly);
+        sockets.clear();
+    }
+
+    void heal() {
+        cut = false;
+    }
+
+    private void acceptAll() {
+        try {
+            while (true) {
+                Socket incoming = listener.accept();
+                Thread.ofVirtual().start(() -> connect(incoming));
+            }
+        } catch (IOException closed) {
+            cut();
+        }
+    }
+
+    private void connect(Socket incoming) {
+        if (cut) {
+            closeQuietly(incoming);
+            return;
+        }
+        try {
+            Socket outgoing = new Socket(InetAddress.getLoopbackAddress(), targetPort);
+            sockets.add(incoming);
+            sockets.add(outgoing);
+            Thread.ofVirtual().start(() -> pump(incoming, outgoing));
+            Thread.ofVirtual().start(() -> pump(outgoing, incoming));
+        } catch (IOException unreachable) {
+            closeQuietly(incoming);
+        }
+    }
+
+    private void pump(Socket from, Socket to) {
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            byte[] buffer = new byte[16_384];
+            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                out.write(buffer, 0, count);
+                out.flush();
+            }
+        } catch (IOException broken) {
+            // Both ends are closed below.
+        } finally {
+            closeQuietly(from);
+            closeQuietly(to);
+            sockets.remove(from);
+            sockets.remove(to);
+        }
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException alreadyClosed) {
+            // Nothing is left to free.
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        cut();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bronzelug/daemon/DrainTest.java
@@ -0,0 +1,90 @@
+package org.bronzelug.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.concurrent.CompletableFuture;
+import org.bronzelug.api.GenerateEvent;
+import org.bronzelug.api.LocateAnswer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * A graceful stop cuts no request.
+ *
+ * <p>What the caller would see: a stream that breaks off in the middle of a rolling restart. The
+ * order: the stream runs, the VM is told to stop, new callers are steered elsewhere, the stream
+ * ends, the VM stops. Why: a stop that does not wait ends the stream with the process.
+ */
+class DrainTest {
+    @TempDir Path folder;
+    private TestFleet fleet;
+    private String key;
+
+    @BeforeEach
+    void start() throws Exception {
+        fleet = new TestFleet(folder).startDaemons(2);
+        key = fleet.setUp(1, 0);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fleet.close();
+    }
+
+    @Test
+    void aStreamInProgressEndsWholeAndCallersAreSteeredAway() throws Exception {
+        Iterator<GenerateEvent> events =
+                fleet.router("vm-1", key).generate(TestFleet.prompt("long", 400));
+        events.next();
+        Daemon stopping = fleet.daemons.get("vm-1");
+        CompletableFuture<Void> stopped =
+                CompletableFuture.runAsync(
+                        () -> {
+                            try {
+                                stopping.stop();
+                            } catch (InterruptedException interrupted) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        Await.until(
+                "vm-2 steers callers away from vm-1",
+                () -> fleet.locate("vm-2", key).getVms(0).getVm().equals("vm-2"));
+        LocateAnswer answer = fleet.locate("vm-2", key);
+        assertThat(answer.getVms(0).getVm()).isEqualTo("vm-2");
+        TestFleet.Received received = TestFleet.receive(events);
+        assertThat(received.offsets()).hasSize(399);
+        assertThat(received.last().hasFinished()).isTrue();
+        stopped.join();
+    }
+
+    @Test
+    void aNewRequestAtAStoppingVmIsRefusedAsNotRun() throws Exception {
+        Iterator<GenerateEvent> events =
+                fleet.router("vm-1", key).generate(TestFleet.prompt("long", 600));
+        events.next();
+        var router = fleet.router("vm-1", key);
+        CompletableFuture<Void> stopped =
+                CompletableFuture.runAsync(
+                        () -> {
+                            try {
+                                fleet.daemons.get("vm-1").stop();
+                            } catch (InterruptedException interrupted) {
+                                Thread.currentThread().interrupt();
+                            }
+                        });
+        Await.until(
+                "vm-1 refuses new requests",
+                () ->
+                        TestFleet.receive(router.generate(TestFleet.prompt("new", 1)))
+                                .last()
+                                .getProblem()
+                                .getCode()
+                                .equals("STOPPING"));
+        assertThat(TestFleet.receive(events).last().hasFinished()).isTrue();
+        stopped.join();
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/bronzelug/daemon/TestFleet.java
@@ -0,0 +1,312 @@
+package org.bronzelug.daemon;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Channel;
+import io.grpc.ClientInterceptors;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.MetadataUtils;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzelug.api.ChangeAnswer;
+import org.bronzelug.api.ChangeRequest;
+import org.bronzelug.api.GenerateEvent;
+import org.bronzelug.api.GenerateRequest;
+import org.bronzelug.api.IssueKey;
+import org.bronzelug.api.JoinEndpoint;
+import org.bronzelug.api.LeaveEndpoint;
+import org.bronzelug.api.LocateAnswer;
+import org.bronzelug.api.LocateRequest;
+import org.bronzelug.api.OperatorGrpc;
+import org.bronzelug.api.PoolKind;
+import org.bronzelug.api.RouterGrpc;
+import org.bronzelug.api.RunActionAnswer;
+import org.bronzelug.api.RunActionRequest;
+import org.bronzelug.api.SetPool;
+import org.bronzelug.api.SetTeam;
+import org.bronzelug.api.WithdrawKey;
+import org.bronzelug.daemon.kernel.ServiceException;
+import org.bronzelug.daemon.settings.LimitField;
+import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.standin.ApplicationRunnerStandin;
+import org.bronzelug.standin.ModelRunnerStandin;
+import org.bronzelug.standin.PlatformStandin;
+import org.bronzelug.standin.RunnerTimes;
+
+/**
+ * Daemons, platform and endpoints of a focused test, joined by real transports on loopback.
+ *
+ * <p>Used by one test at a time; closing it stops everything.
+ */
+final class TestFleet implements AutoCloseable {
+    static final String TEAM = "buchhandel";
+    static final String MODEL = "faq";
+    static final String MODEL_POOL = "textwerk";
+    static final String APPLICATION_POOL = "mitglieder-shop";
+    private static final String HOST = "127.0.0.1";
+    private static final String SECRET = "a-secret-of-the-operators";
+
+    final PlatformStandin platform = new PlatformStandin(HOST, 0);
+    final List<ModelRunnerStandin> models = new ArrayList<>();
+    final List<ApplicationRunnerStandin> applications = new ArrayList<>();
+    final Map<String, Daemon> daemons = new HashMap<>();
+    final Map<String, CuttableLink> peerLinks = new HashMap<>();
+    final Map<String, CuttableLink> platformLinks = new HashMap<>();
+    private final List<ManagedChannel> channels = new ArrayList<>();
+    private final Path folder;
+    private final Path secretFile;
+
+    TestFleet(Path folder) throws IOException {
+        this.folder = folder;
+        secretFile = Files.writeString(folder.resolve("operator-secret"), SECRET);
+        Files.writeString(folder.resolve("peer-secret"), "a-secret-of-the-daemons");
+        platform.start();
+    }
+
+    /** Starts daemons vm-1 … vm-n, and waits until they serve and know each other. */
+    TestFleet startDaemons(int count) throws Exception {
+        for (int number = 1; number <= count; number++) {
+            startDaemon("vm-" + number);
+        }
+        Await.until(
+                "all VMs know each other",
+                () -> daemons.values().stream().allMatch(daemon -> knowsAll(daemon, count)));
+        return this;
+    }
+
+    private static boolean knowsAll(Daemon daemon, int count) {
+        var view = daemon.view();
+        long live = view.peers().values().stream().filter(peer -> peer.live()).count();
+        return daemon.isServing() && view.catalog().roster().size() == count && live == count - 1;
+    }
+
+    Daemon startDaemon(String vm) throws IOException, ServiceException {
+        CuttableLink peers = new CuttableLink();
+        CuttableLink toPlatform = new CuttableLink();
+        toPlatform.connectTo(platform.port());
+        List<String> seeds = peerLinks.values().stream().map(CuttableLink::address).toList();
+        Daemon daemon = new Daemon(settings(vm, peers, toPlatform, seeds));
+        daemon.start();
+        String address = daemon.peerAddress();
+        peers.connectTo(Integer.parseInt(address.substring(address.indexOf(':') + 1)));
+        daemons.put(vm, daemon);
+        Optional.ofNullable(peerLinks.put(vm, peers)).ifPresent(CuttableLink::cut);
+        platformLinks.put(vm, toPlatform);
+        return daemon;
+    }
+
+    private Settings settings(
+            String vm, CuttableLink peers, CuttableLink toPlatform, List<String> seeds) {
+        String any = HOST + ":0";
+        return new Settings(
+                vm,
+                "zone-a",
+                new Settings.Listen(any, any, any),
+                new Settings.Advertise(Optional.empty(), Optional.of(peers.address())),
+                "http://" + toPlatform.address(),
+                seeds,
+                folder.resolve("peer-secret").toString(),
+                secretFile.toString(),
+                new Settings.Limits(
+                        LimitField.FRESHNESS_MILLIS.usual(),
+                        50,
+                        LimitField.REQUEST_DEADLINE_MILLIS.usual(),
+                        700,
+                        LimitField.DRAIN_MILLIS.usual(),
+                        100,
+                        (int) LimitField.STREAMS_PER_RUNNER.usual(),
+                        (int) LimitField.WAITING_REQUESTS.usual(),
+                        (int) LimitField.MAXIMUM_REQUEST_BYTES.usual(),
+                        (int) LimitField.MAXIMUM_PEER_FRAME_BYTES.usual()));
+    }
+
+    /** Sets up the team, a pool of model runners and one of application runners; gives the key. */
+    String setUp(int modelRunners, int applicationRunners) throws Exception {
+        change(r -> r.setSetTeam(team(TEAM, 1_000_000, 1_000_000)));
+        change(r -> r.setSetPool(pool(MODEL_POOL, PoolKind.MODEL, MODEL)));
+        change(r -> r.setSetPool(pool(APPLICATION_POOL, PoolKind.APPLICATION, "")));
+        for (int number = 1; number <= modelRunners; number++) {
+            joinModel("model-" + number);
+        }
+        for (int number = 1; number <= applicationRunners; number++) {
+            ApplicationRunnerStandin runner = new ApplicationRunnerStandin(HOST, 0, false);
+            runner.start();
+            applications.add(runner);
+            join(APPLICATION_POOL, "application-" + number, runner.url());
+        }
+        String key = issueKey(TEAM, "first");
+        awaitEndpoints(modelRunners + applicationRunners);
+        return key;
+    }
+
+    ModelRunnerStandin joinModel(String name) throws Exception {
+        RunnerTimes times = new RunnerTimes(10_000, 2_000_000, 100, 200_000);
+        ModelRunnerStandin runner = new ModelRunnerStandin(HOST, 0, times, true);
+        runner.start();
+        models.add(runner);
+        join(MODEL_POOL, name, runner.url());
+        return runner;
+    }
+
+    void awaitEndpoints(int count) throws Exception {
+        Await.until(
+                "all VMs find all endpoints up",
+                () -> daemons.values().stream().allMatch(d -> d.liveEndpoints() == count));
+    }
+
+    static SetTeam team(String name, double rate, double burst) {
+        return SetTeam.newBuilder()
+                .setTeam(name)
+                .setTokensPerSecond(rate)
+                .setBurstTokens(burst)
+                .build();
+    }
+
+    private static SetPool pool(String name, PoolKind kind, String model) {
+        return SetPool.newBuilder()
+                .setPool(name)
+                .setKind(kind)
+                .setModel(model)
+                .setConcurrentLoads(2)
+                .build();
+    }
+
+    private void join(String pool, String endpoint, String url) throws Exception {
+        change(
+                r ->
+                        r.setJoinEndpoint(
+                                JoinEndpoint.newBuilder()
+                                        .setPool(pool)
+                                        .setEndpoint(endpoint)
+                                        .setUrl(url)));
+    }
+
+    ChangeAnswer leave(String endpoint) throws Exception {
+        return change(
+                r ->
+                        r.setLeaveEndpoint(
+                                LeaveEndpoint.newBuilder()
+                                        .setPool(MODEL_POOL)
+                                        .setEndpoint(endpoint)));
+    }
+
+    String issueKey(String team, String name) throws Exception {
+        return change(r -> r.setIssueKey(IssueKey.newBuilder().setTeam(team).setKeyName(name)))
+                .getKey();
+    }
+
+    ChangeAnswer withdraw(String team, String name) throws Exception {
+        return change(
+                r -> r.setWithdrawKey(WithdrawKey.newBuilder().setTeam(team).setKeyName(name)));
+    }
+
+    /** Fills in a change. */
+    interface Change {
+        ChangeRequest.Builder fill(ChangeRequest.Builder request);
+    }
+
+    ChangeAnswer change(Change change) {
+        return change("vm-1", change);
+    }
+
+    ChangeAnswer change(String vm, Change change) {
+        ChangeRequest.Builder request =
+                ChangeRequest.newBuilder().setOperatorName("tester").setReason("test");
+        return operator(vm).change(change.fill(request).build());
+    }
+
+    OperatorGrpc.OperatorBlockingStub operator(String vm) {
+        return OperatorGrpc.newBlockingStub(channel(vm, "bronzelug-operator", SECRET));
+    }
+
+    RouterGrpc.RouterBlockingStub router(String vm, String key) {
+        return RouterGrpc.newBlockingStub(channel(vm, "bronzelug-key", key));
+    }
+
+    private Channel channel(String vm, String header, String value) {
+        ManagedChannel channel =
+                NettyChannelBuilder.forTarget("dns:///" + daemons.get(vm).callerAddress())
+                        .usePlaintext()
+                        .build();
+        channels.add(channel);
+        Metadata headers = new Metadata();
+        headers.put(Metadata.Key.of(header, Metadata.ASCII_STRING_MARSHALLER), value);
+        return ClientInterceptors.intercept(
+                channel, MetadataUtils.newAttachHeadersInterceptor(headers));
+    }
+
+    static GenerateRequest prompt(String id, int tokens) {
+        return GenerateRequest.newBuilder()
+                .setRequestId(id)
+                .setModel(MODEL)
+                .addSegments("rules ".repeat(100))
+                .addSegments("sheet ".repeat(50))
+                .addSegments("question")
+                .setMaxTokens(tokens)
+                .build();
+    }
+
+    /** A stream as its caller got it. */
+    record Received(List<Integer> offsets, String text, GenerateEvent last) {}
+
+    static Received receive(Iterator<GenerateEvent> events) {
+        List<Integer> offsets = new ArrayList<>();
+        StringBuilder text = new StringBuilder();
+        GenerateEvent last = GenerateEvent.getDefaultInstance();
+        while (events.hasNext()) {
+            last = events.next();
+            if (last.hasChunk()) {
+                offsets.add(last.getChunk().getOffset());
+                text.append(last.getChunk().getText());
+            }
+        }
+        return new Received(offsets, text.toString(), last);
+    }
+
+    LocateAnswer locate(String vm, String key) {
+        return router(vm, key).locate(LocateRequest.getDefaultInstance());
+    }
+
+    RunActionRequest refund(String vm, String key, String suffix) {
+        return RunActionRequest.newBuilder()
+                .setActionId(locate(vm, key).getActionPrefix() + suffix)
+                .setPool(APPLICATION_POOL)
+                .setMethod("refund")
+                .setBody(ByteString.copyFromUtf8("voucher 17"))
+                .build();
+    }
+
+    RunActionAnswer act(String vm, String key, RunActionRequest request) {
+        return router(vm, key).runAction(request);
+    }
+
+    long runsOf(String suffix) {
+        return applications.stream()
+                .flatMap(runner -> runner.log().stream())
+                .filter(line -> line.contains("." + suffix + " "))
+                .count();
+    }
+
+    @Override
+    public void close() throws IOException {
+        channels.forEach(ManagedChannel::shutdownNow);
+        daemons.values().forEach(Daemon::kill);
+        models.forEach(ModelRunnerStandin::stop);
+        applications.forEach(ApplicationRunnerStandin::stop);
+        platform.stop();
+        for (CuttableLink link : peerLinks.values()) {
+            link.close();
+        }
+        for (CuttableLink link : platformLinks.values()) {
+            link.close();
+        }
+    }
+}
--- a/standin/src/main/java/org/bronzelug/standin/HttpStandin.java
+++ b/standin/src/main/java/org/bronzelug/standin/HttpStandin.java
@@ -1,6 +1,7 @@
 package org.bronzelug.standin;
 
 import io.javalin.Javalin;
+import io.javalin.compression.CompressionStrategy;
 import io.javalin.config.JavalinConfig;
 
 /**
@@ -33,6 +34,8 @@
                             config.startup.startupWatcherEnabled = false;
                             config.concurrency.useVirtualThreads = true;
                             config.jetty.host = host;
+                            // Compression would hold streamed chunks back.
+                            config.http.compressionStrategy = CompressionStrategy.NONE;
                             config.http.maxRequestSize = 16L * 1024 * 1024;
                             addRoutes(config);
                         });
--- a/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
+++ b/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
@@ -32,6 +32,11 @@
     private static final int CONFLICT = 409;
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    /** Loads of all runners of this process: the weight store is one for all. */
+    private static final AtomicInteger LOADS = new AtomicInteger();
+
+    private static final AtomicInteger MOST_LOADS = new AtomicInteger();
+
     private final RunnerTimes times;
     private final boolean checksFencing;
     private final PrefixCache cache;
@@ -90,7 +95,7 @@
         request.path("segments").forEach(segment -> segments.add(segment.asText()));
         int cached = prefill(request.path("cache_salt").asText(), segments);
         String digest = StandinTokens.digest(String.join("", segments));
-        OutputStream out = context.outputStream();
+        OutputStream out = context.res().getOutputStream();
         int maximum = request.path("max_tokens").asInt();
         for (int offset = request.path("start_offset").asInt(); offset < maximum; offset++) {
             awaitUnfrozen();
@@ -173,7 +178,10 @@
         }
         log.add("order " + fencing + " " + order.path("weights_version").asLong());
         loading = true;
-        Pause.millis(times.weightsLoadMillis());
+        int now = LOADS.incrementAndGet();
+        MOST_LOADS.accumulateAndGet(now, Math::max);
+        Pause.millis(times.weightsLoadMillis() * Math.max(1, now - 1));
+        LOADS.decrementAndGet();
         loading = false;
         weightsVersion = order.path("weights_version").asLong();
         cache.clear();
@@ -213,6 +221,11 @@
         return incarnation;
     }
 
+    /** The most loads of weights at once, over all runners of this process. */
+    public static int mostLoadsAtOnce() {
+        return MOST_LOADS.get();
+    }
+
     /** What this runner ran, in order. */
     public List<String> log() {
         return List.copyOf(log);
