--- a/core/src/main/java/org/bronzelug/core/placement/CacheBelief.java
+++ b/core/src/main/java/org/bronzelug/core/placement/CacheBelief.java
@@ -20,15 +20,18 @@
 public final class CacheBelief {
     private final int entriesPerRunner;
     private final long lifetimeNanos;
+    private final long startNanos;
     private final Map<String, RunnerEntries> runners = new HashMap<>();
 
     /**
      * @param entriesPerRunner prefixes remembered of one runner
      * @param lifetimeNanos an entry not used for so long is not believed any more
+     * @param startNanos when this VM began to remember
      */
-    public CacheBelief(int entriesPerRunner, long lifetimeNanos) {
+    public CacheBelief(int entriesPerRunner, long lifetimeNanos, long startNanos) {
         this.entriesPerRunner = entriesPerRunner;
         this.lifetimeNanos = lifetimeNanos;
+        this.startNanos = startNanos;
     }
 
     /** Notes that the runner's incarnation holds all levels that it prefilled for the prompt. */
@@ -77,6 +80,14 @@
         return cached;
     }
 
+    /**
+     * Whether a prefix not believed in is likely not to be cached: this VM has remembered for as
+     * long as an entry lives. Before that, just after a restart, it may well be cached.
+     */
+    public boolean isComplete(long nowNanos) {
+        return nowNanos - startNanos >= lifetimeNanos;
+    }
+
     /** Prefixes remembered over all runners. */
     public int size() {
         return runners.values().stream().mapToInt(entries -> entries.lastUse.size()).sum();
--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -10,7 +10,9 @@
  * <p>The cost of a runner is the prefill work that waits there plus that of the tokens missing in
  * its cache, plus the slowdown by the streams it generates for. Where the cache is not known, the
  * runner that rendezvous hashing names for the prompt's shared prefix is assumed to hold it. That
- * needs no memory, so a restarted VM, or all of them at once, place as before the restart.
+ * needs no memory, so a restarted VM, or all of them at once, place as before the restart. A VM
+ * that has remembered for long enough, and knows who holds the prompt's root, trusts that instead:
+ * a runner without the root would have to compute all of it.
  *
  * <p>Stateless and thread-safe.
  */
@@ -29,7 +31,10 @@
     public Optional<Placement> choose(
             PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
         Optional<String> home = homeRunner(chain, runners);
-        boolean known = anyKnown(chain, runners, belief, nowNanos);
+        boolean known =
+                anyKnown(chain.deepestShared(), chain, runners, belief, nowNanos)
+                        || belief.isComplete(nowNanos)
+                                && anyKnown(chain.root(), chain, runners, belief, nowNanos);
         Optional<Placement> best = Optional.empty();
         for (RunnerLoad runner : runners) {
             boolean assumeHome = !known && home.filter(runner.name()::equals).isPresent();
@@ -50,7 +55,8 @@
         int cached = belief.cachedTokens(runner.name(), runner.incarnation(), chain, nowNanos);
         int assumed = assumeHome ? chain.deepestShared().tokens() : 0;
         int missing = chain.tokens() - Math.max(cached, assumed);
-        double prefill = (runner.queuedPrefillTokens() + missing) * settings.nanosPerPrefillToken();
+        double weighted = runner.queuedPrefillTokens() + missing * settings.missingTokenWeight();
+        double prefill = weighted * settings.nanosPerPrefillToken();
         double decode = runner.runningStreams() * settings.nanosPerRunningStream();
         return new Placement(runner.name(), runner.incarnation(), cached, prefill + decode);
     }
@@ -70,8 +76,11 @@
     }
 
     private static boolean anyKnown(
-            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
-        int wanted = chain.deepestShared().tokens();
+            PrefixLevel level,
+            PrefixChain chain,
+            Collection<RunnerLoad> runners,
+            CacheBelief belief,
+            long nowNanos) {
         return runners.stream()
                 .anyMatch(
                         runner ->
@@ -80,6 +89,6 @@
                                                 runner.incarnation(),
                                                 chain,
                                                 nowNanos)
-                                        >= wanted);
+                                        >= level.tokens());
     }
 }
--- a/core/src/main/java/org/bronzelug/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementSettings.java
@@ -5,10 +5,13 @@
  *
  * @param nanosPerPrefillToken time to prefill one missing token
  * @param nanosPerRunningStream what a stream in generation adds to the time to a first token
+ * @param missingTokenWeight how much a token missing in the cache counts, against one that waits:
+ *     above 1, since a second copy of a prefix also pushes another one out
  */
-public record PlacementSettings(double nanosPerPrefillToken, double nanosPerRunningStream) {
-    /** As measured against the stand-in: docs/MEASUREMENTS.md. */
+public record PlacementSettings(
+        double nanosPerPrefillToken, double nanosPerRunningStream, double missingTokenWeight) {
+    /** As found best by {@code ./measure}: docs/MEASUREMENTS.md. */
     public static PlacementSettings defaults() {
-        return new PlacementSettings(100_000, 1_000_000);
+        return new PlacementSettings(100_000, 1_000_000, 2);
     }
 }
--- a/core/src/test/java/org/bronzelug/core/placement/CacheBeliefTest.java
+++ b/core/src/test/java/org/bronzelug/core/placement/CacheBeliefTest.java
@@ -23,7 +23,7 @@
     private static final List<String> TEXT = List.of("rules ".repeat(50), "sheet ".repeat(50), "q");
     private static final long LIFETIME = 1_000;
 
-    private final CacheBelief belief = new CacheBelief(100, LIFETIME);
+    private final CacheBelief belief = new CacheBelief(100, LIFETIME, 0);
     private final PrefixChain chain = PrefixChain.of("team", "model", 1, TEXT);
 
     @Test
@@ -88,12 +88,13 @@
                 PrefixChain.of("team", "model", 1, List.of("rules " + prompt, "question"));
         List<RunnerLoad> runners =
                 List.of(load("r1", 0), load("r2", 0), load("r3", 0), load("r4", 0));
-        Optional<Placement> one = policy.choose(asked, runners, new CacheBelief(10, LIFETIME), 0);
+        Optional<Placement> one =
+                policy.choose(asked, runners, new CacheBelief(10, LIFETIME, 0), 0);
         Optional<Placement> other =
                 policy.choose(
                         PrefixChain.of("team", "model", 1, List.of("rules " + prompt, "another")),
                         runners.reversed(),
-                        new CacheBelief(10, LIFETIME),
+                        new CacheBelief(10, LIFETIME, 0),
                         99);
         assertThat(one.map(Placement::runner)).isEqualTo(other.map(Placement::runner));
     }
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -41,6 +43,8 @@
     private ConfigurationState configuration = ConfigurationState.empty();
     private Catalog catalog = Catalog.of(configuration);
     private boolean draining;
+    private final Set<String> unheard = new HashSet<>();
+    private boolean wasFresh;
     private volatile ControlView view;
 
     @Inject
@@ -185,6 +189,29 @@
                         freshness.limitNanos(),
                         Map.copyOf(peers),
                         Map.copyOf(heirs));
+        logChanges(now);
+    }
+
+    private void logChanges(long now) {
+        boolean fresh = view.isFresh(now);
+        if (fresh != wasFresh) {
+            wasFresh = fresh;
+            String age = "configuration known as of " + view.freshAsOfNanos() + ", now " + now;
+            if (fresh) {
+                EventLog.info(LogEvent.FRESHNESS_REGAINED, age);
+            } else {
+                EventLog.warn(LogEvent.FRESHNESS_LOST, age);
+            }
+        }
+        view.peers()
+                .forEach(
+                        (vm, peer) -> {
+                            if (peer.live()) {
+                                unheard.remove(vm);
+                            } else if (unheard.add(vm)) {
+                                EventLog.warn(LogEvent.PEER_UNREACHABLE, "vm " + vm);
+                            }
+                        });
     }
 
     private ControlView.PeerView peerView(RosterEntry entry, long now) {
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
@@ -35,7 +35,8 @@
     private final EndpointDirectory directory;
     private final PlacementPolicy policy;
     private final FairQueue<Waiter> queue;
-    private final CacheBelief belief = new CacheBelief(BELIEVED_PREFIXES_PER_RUNNER, BELIEF_NANOS);
+    private final CacheBelief belief =
+            new CacheBelief(BELIEVED_PREFIXES_PER_RUNNER, BELIEF_NANOS, System.nanoTime());
     private final Map<Endpoint, Integer> used = new HashMap<>();
     private double recentWaitNanos;
 
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/Endpoint.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/Endpoint.java
@@ -2,9 +2,9 @@
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import okhttp3.Call;
+import org.bronzelug.core.placement.LoadEstimate;
 import org.bronzelug.core.placement.RunnerLoad;
 
 /**
@@ -18,8 +18,7 @@
     private final String pool;
     private final String url;
     private final Set<Call> calls = ConcurrentHashMap.newKeySet();
-    private final AtomicInteger inFlight = new AtomicInteger();
-    private final AtomicInteger ownQueuedTokens = new AtomicInteger();
+    private final LoadEstimate estimate = new LoadEstimate();
     private final AtomicLong served = new AtomicLong();
     private volatile EndpointReport report = EndpointReport.unknown();
     private volatile boolean live;
@@ -66,6 +65,7 @@
         boolean replaced =
                 !report.incarnation().isEmpty() && !report.incarnation().equals(next.incarnation());
         report = next;
+        estimate.report(next.queuedPrefillTokens(), next.running());
         live = true;
         return replaced;
     }
@@ -77,24 +77,23 @@
     }
 
     /** Counts a request in. */
-    public void begin(int queuedTokens) {
-        inFlight.incrementAndGet();
-        ownQueuedTokens.addAndGet(queuedTokens);
+    public synchronized void begin(int queuedTokens) {
+        estimate.begin(queuedTokens);
     }
 
     /** Notes that a request's prefill is done. */
-    public void prefilled(int queuedTokens) {
-        ownQueuedTokens.addAndGet(-queuedTokens);
+    public synchronized void prefilled(int queuedTokens) {
+        estimate.prefilled(queuedTokens);
     }
 
     /** Counts a request out. */
-    public void end() {
-        inFlight.decrementAndGet();
+    public synchronized void end() {
+        estimate.end();
         served.incrementAndGet();
     }
 
-    public int inFlight() {
-        return inFlight.get();
+    public synchronized int inFlight() {
+        return estimate.ownStreams();
     }
 
     public long served() {
@@ -109,13 +108,8 @@
         calls.remove(call);
     }
 
-    /** The load for a placement: the greater of what this VM sent and what the runner reported. */
-    public RunnerLoad load() {
-        EndpointReport last = report;
-        return new RunnerLoad(
-                name,
-                last.incarnation(),
-                Math.max(ownQueuedTokens.get(), last.queuedPrefillTokens()),
-                Math.max(inFlight.get(), last.running()));
+    /** The load for a placement. */
+    public synchronized RunnerLoad load() {
+        return estimate.load(name, report.incarnation());
     }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/bronzelug/daemon/PagesTest.java
@@ -0,0 +1,77 @@
+package org.bronzelug.daemon;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.bronzelug.daemon.generate.ProblemCode;
+import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.daemon.settings.LimitField;
+import org.junit.jupiter.api.Test;
+
+/** The pages say what the code does. */
+class PagesTest {
+    private static final Path ROOT = Path.of(System.getProperty("bronzelug.root"));
+
+    private static String page(String name) throws IOException {
+        return Files.readString(ROOT.resolve("docs").resolve(name));
+    }
+
+    private static List<String> matches(String regex, String text) {
+        List<String> found = new ArrayList<>();
+        Matcher matcher = Pattern.compile(regex, Pattern.MULTILINE).matcher(text);
+        while (matcher.find()) {
+            found.add(matcher.group(1));
+        }
+        return found;
+    }
+
+    @Test
+    void theCatalogueHasExactlyTheEventsOfTheCode() throws Exception {
+        List<String> expected = new ArrayList<>();
+        for (LogEvent event : LogEvent.values()) {
+            expected.add(event.number() + " | " + event.name());
+        }
+        assertThat(matches("^\\| (\\d+ \\| [A-Z_]+) \\|", page("EVENTS.md")))
+                .containsExactlyElementsIn(expected);
+    }
+
+    @Test
+    void everyEventIsLoggedSomewhere() throws Exception {
+        StringBuilder sources = new StringBuilder();
+        try (var files = Files.walk(ROOT.resolve("daemon/src/main/java"))) {
+            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                sources.append(Files.readString(file));
+            }
+        }
+        for (LogEvent event : LogEvent.values()) {
+            assertThat(sources.toString()).contains("LogEvent." + event.name());
+        }
+    }
+
+    @Test
+    void theSettingsPageHasExactlyTheLimitsOfTheCode() throws Exception {
+        List<String> expected = new ArrayList<>();
+        for (LimitField field : LimitField.values()) {
+            expected.add(
+                    String.format(
+                            "`limits.%s` | %,d–%,d; %,d",
+                            field.fieldName(), field.least(), field.most(), field.usual()));
+        }
+        assertThat(matches("^\\| (`limits\\.\\w+` \\| [\\d,–; ]+) \\|", page("SETTINGS.md")))
+                .containsExactlyElementsIn(expected);
+    }
+
+    @Test
+    void theSchemaPageExplainsEveryProblemCode() throws Exception {
+        String page = page("SCHEMA.md");
+        for (ProblemCode code : ProblemCode.values()) {
+            assertThat(page).contains(code.name());
+        }
+    }
+}
--- /dev/null
+++ b/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
@@ -0,0 +1,116 @@
+package org.bronzelug.measure;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.ArgumentParserException;
+import net.sourceforge.argparse4j.inf.Namespace;
+
+/** The measuring tool as a program. Stateless. */
+public final class MeasureMain {
+    private static final int USAGE_ERROR = 64;
+
+    private MeasureMain() {}
+
+    public static void main(String[] arguments) throws IOException {
+        ArgumentParser parser = parser();
+        try {
+            run(parser.parseArgs(arguments));
+        } catch (ArgumentParserException wrong) {
+            parser.handleError(wrong);
+            System.exit(USAGE_ERROR);
+        }
+    }
+
+    private static ArgumentParser parser() {
+        ArgumentParser parser =
+                ArgumentParsers.newFor("measure")
+                        .build()
+                        .description("Measures the shipped decisions against baselines.");
+        parser.addArgument("--profile")
+                .choices("association", "taploen", "both")
+                .setDefault("both")
+                .help("deployment of the brief");
+        parser.addArgument("--fault")
+                .choices(Arrays.stream(Fault.values()).map(Fault::label).toList())
+                .setDefault(Fault.NONE.label());
+        parser.addArgument("--flood")
+                .action(Arguments.storeTrue())
+                .help("one team sends several times its rate");
+        parser.addArgument("--seeds").type(Integer.class).setDefault(5);
+        parser.addArgument("--seconds")
+                .type(Integer.class)
+                .setDefault(120)
+                .help("virtual seconds of a run");
+        parser.addArgument("--policy")
+                .choices(Arrays.stream(Policy.values()).map(Policy::label).toList())
+                .help("one policy only");
+        parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON lines too");
+        parser.addArgument("--plot").help("draw the tail time to first token into this PNG file");
+        parser.addArgument("--slopes")
+                .action(Arguments.storeTrue())
+                .help("bytes and nanoseconds of one more of each thing kept");
+        parser.addArgument("--spreading")
+                .action(Arguments.storeTrue())
+                .help("how a change of the configuration spreads, at 7, 35 and 350 VMs");
+        return parser;
+    }
+
+    private static void run(Namespace options) throws IOException {
+        PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
+        if (options.getBoolean("slopes")) {
+            new SlopeMeasurement(out).run();
+            return;
+        }
+        if (options.getBoolean("spreading")) {
+            SpreadingMeasurement.run(out, options.getInt("seeds"));
+            return;
+        }
+        String name = options.getString("profile");
+        List<Profile> profiles =
+                name.equals("both")
+                        ? List.of(Profile.association(), Profile.taploen())
+                        : List.of(Profile.named(name));
+        for (Profile profile : profiles) {
+            compare(profile, options, out);
+        }
+    }
+
+    private static void compare(Profile profile, Namespace options, PrintStream out)
+            throws IOException {
+        PolicyComparison comparison =
+                new PolicyComparison(
+                        profile,
+                        fault(options.getString("fault")),
+                        options.getBoolean("flood"),
+                        options.getInt("seeds"),
+                        options.getInt("seconds"));
+        comparison.run(policies(options.getString("policy")));
+        comparison.print(out);
+        if (options.getBoolean("json")) {
+            comparison.printJson(out);
+        }
+        if (options.getString("plot") != null) {
+            comparison.plot(Path.of(options.getString("plot")));
+        }
+    }
+
+    private static Fault fault(String label) {
+        return Arrays.stream(Fault.values())
+                .filter(fault -> fault.label().equals(label))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static List<Policy> policies(String label) {
+        return Arrays.stream(Policy.values())
+                .filter(policy -> label == null || policy.label().equals(label))
+                .toList();
+    }
+}
--- /dev/null
+++ b/measurement/src/test/java/org/bronzelug/measure/SimulationTest.java
@@ -0,0 +1,45 @@
+package org.bronzelug.measure;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The measuring tool itself: the same seed gives the same figures, and the line is the line. */
+class SimulationTest {
+    private static RunResult run(Policy policy, Fault fault, long seed) {
+        return new Simulation(Profile.association(), policy, fault, false, 40, seed).run();
+    }
+
+    @Test
+    void aSeedGivesTheSameRunAgain() {
+        assertThat(run(Policy.BRONZELUG, Fault.NONE, 1))
+                .isEqualTo(run(Policy.BRONZELUG, Fault.NONE, 1));
+        assertThat(run(Policy.BRONZELUG, Fault.NONE, 1))
+                .isNotEqualTo(run(Policy.BRONZELUG, Fault.NONE, 2));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Fault.class)
+    void noRequestIsRefusedThatIsWithinItsTeamsRate(Fault fault) {
+        RunResult result = run(Policy.BRONZELUG, fault, 3);
+        assertThat(result.refusedWithinRate()).isEqualTo(0.0);
+        assertThat(result.requests()).isGreaterThan(500.0);
+    }
+
+    @Test
+    void theLeastSquaresLineGoesThroughPointsOnALine() {
+        Slope slope =
+                Slope.fit(
+                        "line",
+                        List.of(
+                                new Slope.Point(1, 12),
+                                new Slope.Point(2, 14),
+                                new Slope.Point(10, 30)));
+        assertThat(slope.perItem()).isWithin(1e-9).of(2);
+        assertThat(slope.fixed()).isWithin(1e-9).of(10);
+        assertThat(slope.error()).isWithin(1e-9).of(0);
+    }
+}
