Lost runners no longer drive the tail to half a minute

All queues were long; their differences, seen 250 ms late, outweighed every cached prefix, so prefixes were copied and pushed each other out; and 16 streams a runner bound at the VM that a large team is steered to, so any runner with a free slot was taken, cached or not. Ruled out: the queues' lag alone (adding own and others' load changed nothing here); queueing at the VM with a bound on a runner's queued tokens (tried 800 to 6,000: p99 and recomputation got worse at every bound; reverted).

--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -35,10 +35,11 @@
                 anyKnown(chain.deepestShared(), chain, runners, belief, nowNanos)
                         || belief.isComplete(nowNanos)
                                 && anyKnown(chain.root(), chain, runners, belief, nowNanos);
+        double weight = missingTokenWeight(runners);
         Optional<Placement> best = Optional.empty();
         for (RunnerLoad runner : runners) {
             boolean assumeHome = !known && home.filter(runner.name()::equals).isPresent();
-            Placement candidate = evaluate(chain, runner, assumeHome, belief, nowNanos);
+            Placement candidate = evaluate(chain, runner, assumeHome, weight, belief, nowNanos);
             if (best.isEmpty() || better(chain, candidate, best.get())) {
                 best = Optional.of(candidate);
             }
@@ -46,16 +47,31 @@
         return best;
     }
 
+    /**
+     * What a missing token counts, against one that waits.
+     *
+     * <p>It grows with the queues. The failure this guards against: half of the runners leave, all
+     * queues get long, and their differences, known late, outweigh every cached prefix; prefixes
+     * are copied everywhere, push each other out, and the misses make the queues longer still. A
+     * token computed again delays all who wait behind it, so that is what it counts.
+     */
+    private double missingTokenWeight(Collection<RunnerLoad> runners) {
+        double queued =
+                runners.stream().mapToDouble(RunnerLoad::queuedPrefillTokens).average().orElse(0);
+        return settings.missingTokenWeight() + queued / settings.tokensPerWaitingRequest();
+    }
+
     private Placement evaluate(
             PrefixChain chain,
             RunnerLoad runner,
             boolean assumeHome,
+            double missingTokenWeight,
             CacheBelief belief,
             long nowNanos) {
         int cached = belief.cachedTokens(runner.name(), runner.incarnation(), chain, nowNanos);
         int assumed = assumeHome ? chain.deepestShared().tokens() : 0;
         int missing = chain.tokens() - Math.max(cached, assumed);
-        double weighted = runner.queuedPrefillTokens() + missing * settings.missingTokenWeight();
+        double weighted = runner.queuedPrefillTokens() + missing * missingTokenWeight;
         double prefill = weighted * settings.nanosPerPrefillToken();
         double decode = runner.runningStreams() * settings.nanosPerRunningStream();
         return new Placement(runner.name(), runner.incarnation(), cached, prefill + decode);
--- a/daemon/src/main/java/org/bronzelug/daemon/settings/LimitField.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/settings/LimitField.java
@@ -8,7 +8,7 @@
     RUNNER_SILENCE_MILLIS("runnerSilenceMillis", 50, 60_000, 1_500),
     DRAIN_MILLIS("drainMillis", 0, 600_000, 30_000),
     STEER_MILLIS("steerMillis", 0, 30_000, 500),
-    STREAMS_PER_RUNNER("streamsPerRunner", 1, 10_000, 16),
+    STREAMS_PER_RUNNER("streamsPerRunner", 1, 10_000, 64),
     WAITING_REQUESTS("waitingRequests", 1, 1_000_000, 2_000),
     MAXIMUM_REQUEST_BYTES("maximumRequestBytes", 1_024, 67_108_864, 4_194_304),
     MAXIMUM_PEER_FRAME_BYTES("maximumPeerFrameBytes", 65_536, 67_108_864, 8_388_608);
--- a/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
+++ b/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
@@ -23,7 +23,7 @@
     private static final long REPORT_LAG = Simulation.SECOND / 4;
     private static final int BELIEVED = 20_000;
     private static final long BELIEF_LIFETIME = 30 * Simulation.SECOND;
-    private static final int SLOTS_PER_RUNNER = 16;
+    private static final int SLOTS_PER_RUNNER = 64;
     private static final int WAITING = 2_000;
 
     private final Simulation simulation;
