A stream is whole though its VM dies; the fleet model looks closer

Cause: a test that kills the VM of a stream got 157 of 300 chunks and a finish. The dying VM cancelled its attempt at the runner by the caller's request id, and the cancel met the attempt that the caller had meanwhile resumed through another VM. Ruled out: a client that stops early (it got a finish), a gap (none). Change: each attempt has an id of its own at the runner, and a cancelled end is no end.

--- a/core/src/test/java/org/bronzelug/core/membership/FleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/membership/FleetModel.java
@@ -8,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import org.bronzelug.core.claim.ExclusiveClaim;
 import org.bronzelug.core.configuration.ConfigurationState;
 import org.bronzelug.core.configuration.VersionedObject;
@@ -44,8 +45,10 @@
     private long now;
     private long sequence;
     private long revision;
-    private long inForceVersion;
-    private long inForceSince = Long.MAX_VALUE;
+
+    /** When each version of the key object came into force; a later one excuses no earlier one. */
+    private final TreeMap<Long, Long> inForceSince = new TreeMap<>();
+
     private int served;
     private TokenBucket central;
 
@@ -101,8 +104,11 @@
         boolean fresh = node.freshness.isFresh(local);
         if (fresh) {
             served++;
-            boolean stale = node.configuration.version(KEY_OBJECT) < inForceVersion;
-            if (stale && now > inForceSince + LIMIT * 1.02) {
+            long version = node.configuration.version(KEY_OBJECT);
+            boolean stale =
+                    inForceSince.tailMap(version, false).values().stream()
+                            .anyMatch(since -> now > since + LIMIT * 1.02);
+            if (stale) {
                 violations.add(node.identity + " serves an old key at " + now / MILLI + " ms");
             }
         }
@@ -152,21 +158,18 @@
     }
 
     private void change() {
-        at(now + (1_500 + random.nextInt(2_500)) * MILLI, this::change);
+        int pause = faults.frequent() ? 100 : 1_500;
+        at(now + (pause + random.nextInt(2_500)) * MILLI, this::change);
         Node writer = nodes.get(random.nextInt(nodes.size()));
         if (!writer.isPaused() && writer.reachesPlatform()) {
             VersionedObject object = commit(KEY_OBJECT);
-            writer.announce(
-                    object,
-                    () -> {
-                        inForceVersion = object.version();
-                        inForceSince = now;
-                    });
+            writer.announce(object, () -> inForceSince.put(object.version(), now));
         }
     }
 
     private void injectFault() {
-        at(now + (200 + random.nextInt(800)) * MILLI, this::injectFault);
+        int pause = faults.frequent() ? 100 : 800;
+        at(now + (pause / 4 + random.nextInt(pause)) * MILLI, this::injectFault);
         Node node = nodes.get(random.nextInt(nodes.size()));
         switch (random.nextInt(8)) {
             case 0 -> {
@@ -188,7 +191,8 @@
             case 5 -> nodes.forEach(each -> each.platformReachable = true);
             default -> {
                 if (faults.platformOutages()) {
-                    nodes.forEach(each -> each.platformReachable = random.nextInt(3) == 0);
+                    int reachable = faults.frequent() ? 2 * nodes.size() : 3;
+                    nodes.forEach(each -> each.platformReachable = random.nextInt(reachable) == 0);
                 }
             }
         }
--- a/core/src/test/java/org/bronzelug/core/membership/FleetPropertyTest.java
+++ b/core/src/test/java/org/bronzelug/core/membership/FleetPropertyTest.java
@@ -24,13 +24,21 @@
 
     @Property(seed = "7102")
     void restartsThatForget(@ForAll long seed, @ForAll @IntRange(min = 3, max = 7) int size) {
-        FleetFaults faults = new FleetFaults(true, false, true, true, 5);
+        FleetFaults faults = new FleetFaults(true, false, true, true, 5, false);
+        assertThat(new FleetModel(size, seed, faults).run(DURATION)).isEmpty();
+    }
+
+    /** VMs confirm a change, restart, and settle from others that have not heard of it yet. */
+    @Property(seed = "7106")
+    void confirmationsThatAreForgotten(
+            @ForAll long seed, @ForAll @IntRange(min = 3, max = 5) int size) {
+        FleetFaults faults = FleetFaults.frequentRestarts();
         assertThat(new FleetModel(size, seed, faults).run(DURATION)).isEmpty();
     }
 
     @Property(seed = "7103")
     void pausedHoldersThatWake(@ForAll long seed, @ForAll @IntRange(min = 2, max = 5) int size) {
-        FleetFaults faults = new FleetFaults(false, true, false, false, 0);
+        FleetFaults faults = new FleetFaults(false, true, false, false, 0, false);
         assertThat(new FleetModel(size, seed, faults).run(DURATION)).isEmpty();
     }
 
@@ -49,7 +57,7 @@
     /** A platform outage alone stops nobody: the majority vouches for the configuration. */
     @Property(seed = "7105")
     void servesThroughPlatformOutages(@ForAll long seed) {
-        FleetFaults faults = new FleetFaults(false, false, false, true, 0);
+        FleetFaults faults = new FleetFaults(false, false, false, true, 0, false);
         FleetModel model = new FleetModel(5, seed, faults);
         assertThat(model.run(20_000 * FleetModel.MILLI)).isEmpty();
         assertThat(model.served()).isAtLeast(1_450);
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
@@ -282,6 +282,13 @@
         private final ModelQueue.Slot slot;
         private final long arrivedNanos;
         private final int queuedTokens;
+
+        /**
+         * What the runner knows this attempt by. Not the caller's id: the caller may go on at
+         * another VM with the same id, and a cancel sent for the broken attempt would end that one.
+         */
+        private final String runnerRequestId;
+
         private StreamProgress.Attempt attempt;
         private boolean prefilled;
         private boolean ended;
@@ -293,6 +300,7 @@
             this.queue = queue;
             this.slot = slot;
             this.arrivedNanos = arrivedNanos;
+            this.runnerRequestId = generation.requestId() + "." + UUID.randomUUID();
             this.queuedTokens = ModelQueue.missingTokens(generation.chain(), slot.placement());
         }
 
@@ -309,7 +317,7 @@
                 notePrefilled();
             }
             if (generation.isCancelled()) {
-                client.cancel(slot.endpoint(), generation.requestId());
+                client.cancel(slot.endpoint(), runnerRequestId);
                 return Optional.empty();
             }
             return ended ? Optional.of(result()) : Optional.empty();
@@ -317,7 +325,7 @@
 
         private CompletionRequest toCompletion(GenerateRequest request) {
             return new CompletionRequest(
-                    request.getRequestId(),
+                    runnerRequestId,
                     slot.placement().incarnation(),
                     generation.chain().salt(),
                     List.copyOf(request.getSegmentsList()),
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -86,14 +87,25 @@
     public CompletableFuture<Envelope> exchange(
             String address, Envelope.Builder request, long timeoutMillis) {
         if (stopped) {
-            return CompletableFuture.failedFuture(new PeerException("this VM stops", false));
+            return stopping();
         }
-        PeerConnection connection =
-                connections.compute(
-                        address,
-                        (ignored, present) ->
-                                present == null || present.isClosed() ? connect(address) : present);
-        return connection.exchange(group, request, timeoutMillis);
+        try {
+            return connected(address).exchange(group, request, timeoutMillis);
+        } catch (RejectedExecutionException ended) {
+            return stopping();
+        }
+    }
+
+    private PeerConnection connected(String address) {
+        return connections.compute(
+                address,
+                (ignored, present) ->
+                        present == null || present.isClosed() ? connect(address) : present);
+    }
+
+    /** The event loops may end between the look at {@code stopped} and their use. */
+    private static CompletableFuture<Envelope> stopping() {
+        return CompletableFuture.failedFuture(new PeerException("this VM stops", false));
     }
 
     private PeerConnection connect(String address) {
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
@@ -94,6 +94,9 @@
             // From the first chunk on, silence means that the engine stands still.
             source.timeout().timeout(silenceMillis, TimeUnit.MILLISECONDS);
             JsonNode node = JSON.readTree(line);
+            if (node.path("cancelled").asBoolean(false)) {
+                throw new RunnerException(endpoint.name() + " was told to stop", false);
+            }
             if (node.path("end").asBoolean(false)) {
                 listener.end(node.path("cached_tokens").asInt(), toReport(node));
                 return;
--- a/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
+++ b/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
@@ -103,7 +103,8 @@
                 throw new IOException("the engine is gone");
             }
             if (cancelled.remove(requestId)) {
-                break;
+                writeLine(out, JSON.createObjectNode().put("cancelled", true));
+                return;
             }
             Pause.nanos(times.decodeNanosPerToken());
             writeLine(out, chunk(offset, StandinTokens.output(digest, offset)));
