--- a/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
@@ -61,6 +61,8 @@
     private static void stop(Daemon daemon) {
         try {
             daemon.stop();
+            // A process ended by a signal would report 143, as if it had been killed.
+            Runtime.getRuntime().halt(0);
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
         }
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
@@ -10,8 +10,10 @@
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
 import javax.inject.Singleton;
+import org.bronzelug.api.Execution;
 import org.bronzelug.api.GenerateRequest;
 import org.bronzelug.api.PoolObject;
+import org.bronzelug.api.Problem;
 import org.bronzelug.core.key.KeyDigest;
 import org.bronzelug.core.limit.Admission;
 import org.bronzelug.core.placement.PlacementPolicy;
@@ -235,7 +237,7 @@
     private static RefusalException failed(
             Generation generation, String message, ProblemCode code) {
         return new RefusalException(
-                org.bronzelug.api.Problem.newBuilder()
+                Problem.newBuilder()
                         .setCode(code.name())
                         .setMessage(
                                 message
@@ -243,7 +245,7 @@
                                         + generation.progress().nextOffset()
                                         + " chunks were generated")
                         .setRemedy("ask again with start_offset at the chunks received")
-                        .setExecution(org.bronzelug.api.Execution.FAILED)
+                        .setExecution(Execution.FAILED)
                         .setRetryAfterMs(RETRY_AFTER_MILLIS)
                         .build());
     }
--- a/daemon/src/test/java/org/bronzelug/daemon/PagesTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/PagesTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.io.IOException;
+import java.lang.reflect.RecordComponent;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import org.bronzelug.daemon.generate.ProblemCode;
 import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.settings.LimitField;
+import org.bronzelug.daemon.settings.Settings;
 import org.junit.jupiter.api.Test;
 
 /** The pages say what the code does. */
@@ -67,6 +69,20 @@
                 .containsExactlyElementsIn(expected);
     }
 
+    @Test
+    void theSettingsPageNamesEveryOtherField() throws Exception {
+        String page = page("SETTINGS.md");
+        for (RecordComponent field : Settings.class.getRecordComponents()) {
+            if (!field.getType().isRecord()) {
+                assertThat(page).contains("| `" + field.getName() + "` |");
+                continue;
+            }
+            for (RecordComponent inner : field.getType().getRecordComponents()) {
+                assertThat(page).contains("`" + field.getName() + "." + inner.getName() + "`");
+            }
+        }
+    }
+
     @Test
     void theSchemaPageExplainsEveryProblemCode() throws Exception {
         String page = page("SCHEMA.md");
--- a/daemon/src/test/java/org/bronzelug/daemon/RateFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/RateFailureTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.GenerateRequest;
+import org.bronzelug.core.limit.RateShares;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -112,7 +113,7 @@
     }
 
     private String holder() {
-        int group = org.bronzelug.core.limit.RateShares.groupOf("small");
+        int group = RateShares.groupOf("small");
         return fleet.daemons
                 .values()
                 .iterator()
--- a/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
+++ b/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
@@ -42,6 +42,7 @@
 
     void run() {
         measureBeliefs();
+        measureEvents();
         measurePeers();
         measureConfiguration();
         measureRequests();
@@ -64,6 +65,26 @@
                 });
     }
 
+    /** What reading the runners' cache events would cost: the daemon does not, docs/CAPACITY.md. */
+    private void measureEvents() {
+        nanos(
+                "ns: cache events applied, a block stored and evicted again",
+                sizes(5_000, 20_000, 80_000),
+                n -> {
+                    List<PrefixChain> chains = new ArrayList<>();
+                    for (int index = 0; index < n; index++) {
+                        chains.add(chain(index));
+                    }
+                    CacheBelief belief = belief(n);
+                    return time(() -> chains.forEach(each -> applyEvents(belief, each)), 1);
+                });
+    }
+
+    private static void applyEvents(CacheBelief belief, PrefixChain chain) {
+        belief.recordCached("r", "i", chain, 1);
+        belief.recordEvicted("r", "i", chain.root().hash());
+    }
+
     private void measurePeers() {
         bytes("bytes: peer known", sizes(7, 35, 350), this::freshness);
         nanos(
