A VM replaced in an outage tells its new address after it

Cause: a VM that starts in an outage hears the configuration from its peers, is fresh, and if it is none of the VMs that watch the platform it never asked the platform again; so it never wrote its new address into the roster, and never took a share over. Found by reading PlatformWatch as a newcomer. Ruled out: three VMs (all of them watch). The test, with five VMs, failed first: "never came true: its address is known"; after: passes. Change: a VM that has not reached the platform goes on asking, with the same random pauses.

--- a/daemon/src/main/java/org/bronzelug/daemon/control/PlatformWatch.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/PlatformWatch.java
@@ -78,8 +78,9 @@
         }
     }
 
+    /** A VM that has not reached the platform goes on asking: it may have an address to tell. */
     private boolean shouldAsk() {
-        return control.ask(this::isWatcherOrGettingOld).join();
+        return !reachable || control.ask(this::isWatcherOrGettingOld).join();
     }
 
     private boolean isWatcherOrGettingOld() {
--- a/daemon/src/test/java/org/bronzelug/daemon/ConfigurationFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/ConfigurationFailureTest.java
@@ -13,6 +13,7 @@
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.RemoveVm;
 import org.bronzelug.core.limit.TeamRate;
+import org.bronzelug.core.membership.Rendezvous;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -164,6 +165,40 @@
         assertThat(key).isNotEmpty();
     }
 
+    /**
+     * A VM replaced in an outage hears the configuration from its peers, and so does not watch the
+     * platform itself; it must ask all the same once the platform is back, or nobody learns its new
+     * address.
+     */
+    @Test
+    void aVmReplacedInAnOutageEntersTheRosterAfterIt() throws Exception {
+        fleet.startDaemon("vm-4");
+        fleet.startDaemon("vm-5");
+        Await.until(
+                "five VMs know each other",
+                () ->
+                        fleet.daemons.values().stream()
+                                .allMatch(d -> d.view().catalog().roster().size() == 5));
+        String replaced = Rendezvous.order("platform-watchers", fleet.daemons.keySet()).get(4);
+        fleet.platform.setFaults(true, 0, 0);
+        fleet.daemons.remove(replaced).kill();
+        fleet.startDaemon(replaced);
+        Await.until("it serves", () -> fleet.daemons.get(replaced).isServing());
+        fleet.platform.setFaults(false, 0, 0);
+        String address = fleet.peerLinks.get(replaced).address();
+        for (Daemon daemon : fleet.daemons.values()) {
+            Await.until(
+                    "its address is known",
+                    () ->
+                            daemon.view()
+                                    .catalog()
+                                    .roster()
+                                    .get(replaced)
+                                    .getPeerAddress()
+                                    .equals(address));
+        }
+    }
+
     /** All VMs are replaced at once, platform up: the herd serves with the configuration kept. */
     @Test
     void aHerdOfAllVmsComesBackWithTheConfiguration() throws Exception {
