What nothing calls is gone; a rate's holder is looked up in one way

Cause: read once more as a whole, the change held FairQueue.workAhead, TokenBucket.burst and openReservations, which nothing calls; reserving and settling looked the holder of a team's rate up in two ways; an edit's replacement took an Optional that was always there. Ruled out: a change of behaviour (a claim held here has no peer address, so it is reserved here, as before).

--- a/core/src/main/java/org/bronzelug/core/fairness/FairQueue.java
+++ b/core/src/main/java/org/bronzelug/core/fairness/FairQueue.java
@@ -86,19 +86,6 @@
         return size;
     }
 
-    /** Work that waits in front of a new request of the team. */
-    public double workAhead(String team) {
-        TeamBacklog<T> own = teams.get(team);
-        double ownWork = own == null ? 0 : own.work();
-        double ahead = ownWork;
-        for (Map.Entry<String, TeamBacklog<T>> other : teams.entrySet()) {
-            if (!other.getKey().equals(team)) {
-                ahead += Math.min(other.getValue().work(), ownWork);
-            }
-        }
-        return ahead;
-    }
-
     private int longestBacklog() {
         return teams.values().stream().mapToInt(b -> b.waiting.size()).max().orElse(0);
     }
@@ -111,10 +98,6 @@
     private static final class TeamBacklog<T> {
         private final Deque<Waiting<T>> waiting = new ArrayDeque<>();
         private double served;
-
-        private double work() {
-            return waiting.stream().mapToDouble(item -> item.work).sum();
-        }
     }
 
     /** A request and its work. */
--- a/core/src/main/java/org/bronzelug/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/TokenBucket.java
@@ -95,14 +95,6 @@
         return tokens;
     }
 
-    public double burst() {
-        return burst;
-    }
-
-    public int openReservations() {
-        return open.size();
-    }
-
     private void accrue(long nowNanos) {
         long elapsed = nowNanos - lastNanos;
         if (elapsed <= 0) {
--- a/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
@@ -13,7 +13,6 @@
 import org.bronzelug.core.limit.Admission;
 import org.bronzelug.core.limit.RateShares;
 import org.bronzelug.core.limit.TeamRate;
-import org.bronzelug.core.membership.MemberIdentity;
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
@@ -60,11 +59,7 @@
     }
 
     private Admission tryReserve(String id, String team, double tokens) {
-        Optional<MemberIdentity> holder = holder(team);
-        if (holder.isEmpty() || holder.get().equals(state.self())) {
-            return control.ask(() -> reserveHere(id, team, tokens)).join();
-        }
-        Optional<String> address = addressOfHolder(holder.get());
+        Optional<String> address = addressOfHolder(team);
         if (address.isEmpty()) {
             return control.ask(() -> reserveHere(id, team, tokens)).join();
         }
@@ -79,14 +74,15 @@
                 .join();
     }
 
-    private Optional<MemberIdentity> holder(String team) {
-        return state.view().catalog().share(RateShares.groupOf(team)).map(Catalog.Claim::holder);
-    }
-
-    /** Empty where this VM itself answers for the holder, or nobody does. */
-    private Optional<String> addressOfHolder(MemberIdentity holder) {
+    /**
+     * Empty where this VM itself holds the team's rate or answers for its holder, or nobody does.
+     */
+    private Optional<String> addressOfHolder(String team) {
         ControlView view = state.view();
-        return view.addressOf(holder);
+        return view.catalog()
+                .share(RateShares.groupOf(team))
+                .map(Catalog.Claim::holder)
+                .flatMap(view::addressOf);
     }
 
     private Admission reserveHere(String id, String team, double tokens) {
@@ -101,7 +97,7 @@
 
     /** Ends a reservation at the amount used; a lost message leaves the rest unused, never more. */
     public void settle(String id, String team, double used) {
-        Optional<String> address = holder(team).flatMap(this::addressOfHolder);
+        Optional<String> address = addressOfHolder(team);
         if (address.isEmpty()) {
             control.run(() -> state.shares().settle(id, team, used, System.nanoTime()));
             return;
--- a/daemon/src/main/java/org/bronzelug/daemon/operator/ConfigurationEdit.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/ConfigurationEdit.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.security.SecureRandom;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.bronzelug.api.AuditEntry;
 import org.bronzelug.api.ChangeRequest;
 import org.bronzelug.api.EndpointEntry;
@@ -166,7 +165,7 @@
                         .setEndpoint(name(change.getEndpoint()))
                         .setUrl(change.getUrl())
                         .build();
-        replaceEndpoint(pool, change.getEndpoint(), Optional.of(entry));
+        replaceEndpoint(pool, entry);
     }
 
     private static void leave(PoolObject.Builder pool, LeaveEndpoint change)
@@ -179,18 +178,15 @@
             throw notFound("endpoint " + change.getEndpoint());
         }
         EndpointEntry leaving = present.get().toBuilder().setLeaving(true).build();
-        replaceEndpoint(pool, change.getEndpoint(), Optional.of(leaving));
+        replaceEndpoint(pool, leaving);
     }
 
-    private static void replaceEndpoint(
-            PoolObject.Builder pool, String endpoint, Optional<EndpointEntry> next) {
-        Consumer<EndpointEntry> add = pool::addEndpoints;
+    private static void replaceEndpoint(PoolObject.Builder pool, EndpointEntry next) {
         var others =
                 pool.getEndpointsList().stream()
-                        .filter(entry -> !entry.getEndpoint().equals(endpoint))
+                        .filter(entry -> !entry.getEndpoint().equals(next.getEndpoint()))
                         .toList();
-        pool.clearEndpoints().addAllEndpoints(others);
-        next.ifPresent(add);
+        pool.clearEndpoints().addAllEndpoints(others).addEndpoints(next);
     }
 
     private static void orderWeights(PoolObject.Builder pool, OrderWeights change)
