A peer that falls silent fails its exchanges at once

The acceptor's event loops close their connections first and run the tasks left over afterwards, among them the registration of a connection just accepted. In the field the same wait comes from a VM that freezes or a network that drops everything: only the end of the connection or of the time ended a forwarded call. Change: an acceptor notes each connection and ends all of them when it stops; one that becomes active later ends itself. A connection that owes answers and heard nothing sends a keepalive each 500 ms and ends after three in vain. Failed first: ActionFailureTest.aHomeThatFallsSilentIsAnsweredForAtOnce ("never came true: the caller has its answer"), PeerNetworkTest.aPeerThatNeverSaysAWordFailsTheExchange (60 s, then still open).

--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerConnection.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -15,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.peer.Envelope;
+import org.bronzelug.api.peer.Keepalive;
 import org.bronzelug.api.peer.Proof;
 
 /**
@@ -25,12 +28,24 @@
  * Numbers are never used twice on a connection, so a late answer finds no exchange and is dropped.
  * The number of open exchanges is bounded.
  *
- * <p>Thread-safe: all state belongs to the connection's event loop.
+ * <p>Invariant: no exchange outlasts its peer. The failure: the peer freezes, or a network drops
+ * all without a word, and the caller waits for its whole deadline though the peer is long gone.
+ * While answers are awaited and nothing comes, keepalives are sent; {@link #SILENT_LOOKS} looks in
+ * vain end the connection. A peer answers them on its event loop, however long its handlers take;
+ * and a pause of this process counts as one look at most, so it condemns no peer.
+ *
+ * <p>Thread-safe: state is changed under this object's lock.
  */
 final class PeerConnection extends SimpleChannelInboundHandler<Envelope> {
     private static final int MAXIMUM_OPEN_EXCHANGES = 4_096;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** How often a connection that nothing came on is looked at. */
+    static final int SILENT_LOOK_MILLIS = 500;
+
+    /** So many looks in a row with nothing heard end a connection that owes answers. */
+    static final int SILENT_LOOKS = 3;
+
     private final PeerSecret secret;
     private final ByteString nonce;
     private final Map<Long, CompletableFuture<Envelope>> open = new HashMap<>();
@@ -38,6 +53,8 @@
     private ByteString acceptorNonce = ByteString.EMPTY;
     private boolean proved;
     private long lastExchange;
+    private int silentLooks;
+    private long keepalivesSent;
     private ChannelHandlerContext context;
     private volatile boolean closed;
 
@@ -74,6 +91,22 @@
         return closed;
     }
 
+    /** Ends the connection and fails its exchanges. */
+    void close() {
+        failAll("this VM stops");
+        ChannelHandlerContext channel;
+        synchronized (this) {
+            channel = context;
+        }
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    synchronized long keepalivesSent() {
+        return keepalivesSent;
+    }
+
     /** Sends a request and awaits its answer, at most so long. */
     CompletableFuture<Envelope> exchange(
             EventLoopGroup group, Envelope.Builder request, long timeoutMillis) {
@@ -103,12 +136,59 @@
         open.remove(exchange);
     }
 
+    @Override
+    public void handlerAdded(ChannelHandlerContext channel) {
+        IdleStateHandler looks =
+                new IdleStateHandler(SILENT_LOOK_MILLIS, 0, 0, TimeUnit.MILLISECONDS);
+        channel.pipeline().addFirst(looks);
+        synchronized (this) {
+            context = channel;
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext channel) {
+        if (closed) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext channel, Object event) {
+        if (event instanceof IdleStateEvent && isSilentTooLong(channel)) {
+            failAll("the peer fell silent");
+            channel.close();
+        }
+    }
+
+    private synchronized boolean isSilentTooLong(ChannelHandlerContext channel) {
+        if (open.isEmpty()) {
+            silentLooks = 0;
+            return false;
+        }
+        silentLooks++;
+        if (proved) {
+            keepalivesSent++;
+            channel.writeAndFlush(
+                    Envelope.newBuilder().setKeepalive(Keepalive.getDefaultInstance()).build());
+        }
+        return silentLooks >= SILENT_LOOKS;
+    }
+
+    private synchronized void noteHeard() {
+        silentLooks = 0;
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext channel, Envelope envelope)
             throws PeerException {
+        noteHeard();
         switch (envelope.getBodyCase()) {
             case CHALLENGE -> prove(channel, envelope);
             case PROOF -> checkProof(channel, envelope.getProof());
+            case KEEPALIVE -> {
+                // It said all by coming.
+            }
             default -> complete(envelope);
         }
     }
@@ -127,7 +207,6 @@
             throw new PeerException("the peer does not know the peer secret", false);
         }
         proved = true;
-        context = channel;
         untilProved.forEach(channel::write);
         untilProved.clear();
         channel.flush();
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -129,6 +129,7 @@
         if (server != null) {
             server.stop();
         }
+        connections.values().forEach(PeerConnection::close);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerServer.java
@@ -7,7 +7,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import org.bronzelug.api.peer.Challenge;
 import org.bronzelug.api.peer.Envelope;
@@ -25,6 +28,8 @@
     private final PeerSecret secret;
     private final PeerHandler handler;
     private final int maximumFrameBytes;
+    private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile boolean stopped;
     private Channel channel;
 
     public PeerServer(
@@ -54,11 +59,20 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
-    /** Stops to listen; connections end with the event loops. */
+    /**
+     * Stops to listen and ends all connections.
+     *
+     * <p>The failure: a connection accepted in the last moment is registered after the event loops
+     * have closed theirs, and stays open with nobody to read it; its peer waits for its whole
+     * deadline. A connection is noted before it looks at {@code stopped}, so either it is closed
+     * here or it closes itself.
+     */
     public synchronized void stop() {
+        stopped = true;
         if (channel != null) {
             channel.close().awaitUninterruptibly();
         }
+        accepted.close().awaitUninterruptibly();
     }
 
     /** One accepted connection; used by its event loop only. */
@@ -68,13 +82,20 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
+            accepted.add(context.channel());
+            if (stopped) {
+                context.close();
+                return;
+            }
             Challenge challenge = Challenge.newBuilder().setNonce(nonce).build();
             context.writeAndFlush(Envelope.newBuilder().setChallenge(challenge).build());
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
-            if (proved) {
+            if (proved && envelope.hasKeepalive()) {
+                context.writeAndFlush(envelope);
+            } else if (proved) {
                 answer(context, envelope);
             } else {
                 prove(context, envelope.getProof());
--- a/daemon/src/test/java/org/bronzelug/daemon/ActionFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/ActionFailureTest.java
@@ -26,6 +26,8 @@
  * nothing of the first run would run it again.
  */
 class ActionFailureTest {
+    private static final int HOUR_MILLIS = 3_600_000;
+
     @TempDir Path folder;
     private TestFleet fleet;
     private String key;
@@ -105,6 +107,29 @@
         assertThat(fleet.runsOf("died")).isEqualTo(1);
     }
 
+    /**
+     * The caller would wait for its whole deadline. The order: the home falls silent (frozen, or
+     * behind a network that drops everything), no connection breaks, and a call is forwarded to it.
+     * Why: only the end of a connection or of the time ended a forwarded call.
+     */
+    @Test
+    void aHomeThatFallsSilentIsAnsweredForAtOnce() throws Exception {
+        RunActionRequest request =
+                fleet.refund("vm-1", key, "silent").toBuilder().setDeadlineMs(HOUR_MILLIS).build();
+        assertThat(fleet.act("vm-2", key, request).getExecution()).isEqualTo(Execution.RAN);
+        fleet.peerLinks.get("vm-1").silence();
+        CompletableFuture<RunActionAnswer> answer =
+                CompletableFuture.supplyAsync(() -> fleet.act("vm-2", key, request));
+        Await.until("the caller has its answer", answer::isDone);
+        assertThat(answer.get().getExecution()).isEqualTo(Execution.IN_DOUBT);
+        assertThat(answer.get().getProblem().getRetryAfterMs()).isGreaterThan(0);
+        fleet.peerLinks.get("vm-1").heal();
+        Await.until(
+                "the home is reached again",
+                () -> fleet.act("vm-2", key, request).getExecution() == Execution.RAN);
+        assertThat(fleet.runsOf("silent")).isEqualTo(1);
+    }
+
     @Test
     void anHeirAnswersForAVmThatStoppedGracefully() throws Exception {
         RunActionRequest ran = fleet.refund("vm-1", key, "ran");
--- a/daemon/src/test/java/org/bronzelug/daemon/CuttableLink.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/CuttableLink.java
@@ -9,12 +9,17 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** A TCP forwarder that a test can cut: open connections break, new ones fail. Thread-safe. */
+/**
+ * A TCP forwarder that a test can cut (open connections break, new ones fail) or silence (open
+ * connections stay, but nothing passes until it is healed). Thread-safe.
+ */
 final class CuttableLink implements AutoCloseable {
     private final ServerSocket listener;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private volatile int targetPort;
+    private final Object passage = new Object();
     private volatile boolean cut;
+    private boolean silent;
 
     CuttableLink() throws IOException {
         listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -35,8 +40,31 @@
         sockets.clear();
     }
 
+    /** Lets nothing through, but breaks nothing: a frozen VM, or a network that drops all. */
+    void silence() {
+        synchronized (passage) {
+            silent = true;
+        }
+    }
+
     void heal() {
         cut = false;
+        synchronized (passage) {
+            silent = false;
+            passage.notifyAll();
+        }
+    }
+
+    private void awaitPassage() throws IOException {
+        synchronized (passage) {
+            while (silent) {
+                try {
+                    passage.wait();
+                } catch (InterruptedException stopped) {
+                    throw new IOException("interrupted", stopped);
+                }
+            }
+        }
     }
 
     private void acceptAll() {
@@ -72,6 +100,7 @@
             OutputStream out = to.getOutputStream();
             byte[] buffer = new byte[16_384];
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                awaitPassage();
                 out.write(buffer, 0, count);
                 out.flush();
             }
@@ -96,6 +125,7 @@
     @Override
     public void close() throws IOException {
         listener.close();
+        heal();
         cut();
     }
 }
--- a/daemon/src/test/java/org/bronzelug/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/peer/PeerNetworkTest.java
@@ -11,6 +11,7 @@
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -113,6 +114,34 @@
         assertThat(second.join().getProbeAnswer().getVm()).isEqualTo("second");
     }
 
+    /**
+     * The caller would wait for its whole deadline. The order: the peer's kernel accepts, but its
+     * process is frozen and never says a word; no connection breaks.
+     */
+    @Test
+    void aPeerThatNeverSaysAWordFailsTheExchange() throws Exception {
+        try (ServerSocket mute = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = (InetSocketAddress) mute.getLocalSocketAddress();
+            PeerConnection toMute = PeerConnection.open(group, address, secret, MAXIMUM_FRAME);
+            CompletableFuture<Envelope> answer =
+                    toMute.exchange(group, Envelope.newBuilder(), LONG_MILLIS);
+            assertThrows(CompletionException.class, answer::join);
+            assertThat(toMute.isClosed()).isTrue();
+        }
+    }
+
+    /** A peer that lives, but takes long over one answer, is not taken for silent. */
+    @Test
+    void aSlowAnswerOfALivePeerIsAwaited() {
+        CompletableFuture<Envelope> slow = ask("slow", LONG_MILLIS);
+        Held heldSlow = next();
+        while (connection.keepalivesSent() <= PeerConnection.SILENT_LOOKS) {
+            Thread.onSpinWait();
+        }
+        answer(heldSlow);
+        assertThat(slow.join().getProbeAnswer().getVm()).isEqualTo("slow");
+    }
+
     @Test
     void aPeerWithoutTheSecretIsNotHeard() {
         PeerConnection stranger = connect(new PeerSecret("another-secret-altogether"));
