A slot granted to a request that is given up is given back once, and whole

A request whose deadline passes while its slot is being granted gave the slot back without ending it at the endpoint, or not at all where the grant was not yet told; the runner then looked loaded from this VM for good. A request cancelled while it waits, or whose caller had gone, waited on for its slot, and was then sent to the runner. Ruled out: holding the lock over the grant: the future's dependents would run under it. Change: whoever comes second to the waiter's future, the grant or the giving up, gives the slot back with its work. A cancel ends the wait at once, with its final answer; an interrupt gives back likewise. Failed first: ModelQueueTest (inFlight expected 0, was 1; the two with a cancel ran into their guard of 15 s).

--- a/daemon/src/main/java/org/bronzelug/daemon/caller/GrpcChunkSink.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/GrpcChunkSink.java
@@ -1,6 +1,7 @@
 package org.bronzelug.daemon.caller;
 
 import io.grpc.stub.ServerCallStreamObserver;
+import java.util.concurrent.CompletableFuture;
 import org.bronzelug.api.Chunk;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.daemon.generate.ChunkSink;
@@ -14,11 +15,22 @@
     private static final long RECHECK_MILLIS = 1_000;
 
     private final ServerCallStreamObserver<GenerateEvent> observer;
+    private final CompletableFuture<Void> gone = new CompletableFuture<>();
 
     GrpcChunkSink(ServerCallStreamObserver<GenerateEvent> observer) {
         this.observer = observer;
         observer.setOnReadyHandler(this::wake);
-        observer.setOnCancelHandler(this::wake);
+        observer.setOnCancelHandler(this::goAway);
+    }
+
+    private void goAway() {
+        wake();
+        gone.complete(null);
+    }
+
+    @Override
+    public void onCancel(Runnable action) {
+        gone.thenRun(action);
     }
 
     private synchronized void wake() {
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/ChunkSink.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ChunkSink.java
@@ -9,6 +9,9 @@
      */
     boolean send(int offset, String text);
 
+    /** Sets what to do, once, when the caller goes; at once where it has gone already. */
+    void onCancel(Runnable action);
+
     /** Whether the caller has gone. */
     boolean isCancelled();
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
@@ -204,7 +204,8 @@
                             generation.team(),
                             generation.chain(),
                             avoided,
-                            generation.deadlineNanos());
+                            generation.deadlineNanos(),
+                            generation.cancelled());
             // The key may have been withdrawn, or this VM cut off, while the request waited.
             try {
                 keys.teamOf(key);
@@ -258,7 +259,7 @@
                                 pool,
                                 settings.limits().streamsPerRunner(),
                                 settings.limits().waitingRequests(),
-                                directory,
+                                () -> directory.usable(pool),
                                 policy));
     }
 
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/Generation.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/Generation.java
@@ -1,5 +1,6 @@
 package org.bronzelug.daemon.generate;
 
+import java.util.concurrent.CompletableFuture;
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.stream.StreamProgress;
 
@@ -16,7 +17,7 @@
     private final long deadlineNanos;
     private final StreamProgress progress;
     private final ChunkSink sink;
-    private volatile boolean cancelled;
+    private final CompletableFuture<Void> cancelled = new CompletableFuture<>();
 
     Generation(
             String team,
@@ -33,6 +34,7 @@
         this.deadlineNanos = deadlineNanos;
         this.progress = progress;
         this.sink = sink;
+        sink.onCancel(this::cancel);
     }
 
     String team() {
@@ -64,10 +66,15 @@
     }
 
     void cancel() {
-        cancelled = true;
+        cancelled.complete(null);
+    }
+
+    /** Completes when the caller cancels or goes away. */
+    CompletableFuture<Void> cancelled() {
+        return cancelled;
     }
 
     boolean isCancelled() {
-        return cancelled || sink.isCancelled();
+        return cancelled.isDone() || sink.isCancelled();
     }
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
 import org.bronzelug.core.fairness.FairQueue;
 import org.bronzelug.core.placement.CacheBelief;
 import org.bronzelug.core.placement.Placement;
@@ -17,7 +19,6 @@
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.placement.RunnerLoad;
 import org.bronzelug.daemon.runner.Endpoint;
-import org.bronzelug.daemon.runner.EndpointDirectory;
 
 /**
  * The requests for one pool that wait for a runner, and the placement of the next one.
@@ -32,7 +33,7 @@
 
     private final String pool;
     private final int slotsPerRunner;
-    private final EndpointDirectory directory;
+    private final Supplier<List<Endpoint>> usable;
     private final PlacementPolicy policy;
     private final FairQueue<Waiter> queue;
     private final CacheBelief belief =
@@ -44,11 +45,11 @@
             String pool,
             int slotsPerRunner,
             int capacity,
-            EndpointDirectory directory,
+            Supplier<List<Endpoint>> usable,
             PlacementPolicy policy) {
         this.pool = pool;
         this.slotsPerRunner = slotsPerRunner;
-        this.directory = directory;
+        this.usable = usable;
         this.policy = policy;
         this.queue = new FairQueue<>(capacity);
     }
@@ -63,12 +64,19 @@
      * Waits for a slot in fair order.
      *
      * @param avoided endpoints that failed this request; used only if there is no other
+     * @param cancelled completes when the caller gives the request up
      */
-    Slot acquire(String team, PrefixChain chain, Set<String> avoided, long untilNanos)
+    Slot acquire(
+            String team,
+            PrefixChain chain,
+            Set<String> avoided,
+            long untilNanos,
+            CompletableFuture<Void> cancelled)
             throws RefusalException, InterruptedException {
         long arrived = System.nanoTime();
         Waiter waiter = new Waiter(chain, Set.copyOf(avoided), new CompletableFuture<>());
         enqueue(team, waiter);
+        cancelled.thenRun(() -> waiter.slot.cancel(false));
         pump();
         try {
             long left = Math.max(0, untilNanos - System.nanoTime());
@@ -82,6 +90,13 @@
                     "no runner was free before the deadline",
                     "come back later, or allow a longer deadline",
                     retryAfterMillis());
+        } catch (CancellationException givenUp) {
+            giveUp(team, waiter);
+            throw RefusalException.notRun(
+                    ProblemCode.CANCELLED, "the caller cancelled", "ask again if need be", 0);
+        } catch (InterruptedException stopping) {
+            giveUp(team, waiter);
+            throw stopping;
         } catch (ExecutionException impossible) {
             throw new IllegalStateException(impossible);
         }
@@ -97,14 +112,31 @@
         }
     }
 
+    /**
+     * Ends a wait. The slot may be granted in this very moment: whoever comes second to the
+     * waiter's future, this or {@link #grant}, gives the slot back, so that it is done exactly
+     * once.
+     */
     private void giveUp(String team, Waiter waiter) {
-        Optional<Slot> tooLate = Optional.empty();
         synchronized (this) {
-            if (!queue.remove(team, waiter)) {
-                tooLate = Optional.ofNullable(waiter.slot.getNow(null));
-            }
+            queue.remove(team, waiter);
         }
-        tooLate.ifPresent(slot -> release(slot.endpoint));
+        boolean granted = !waiter.slot.cancel(false);
+        if (granted) {
+            giveBackUnused(waiter, waiter.slot.join());
+        }
+    }
+
+    private void grant(Waiter waiter, Slot slot) {
+        if (!waiter.slot.complete(slot)) {
+            giveBackUnused(waiter, slot);
+        }
+    }
+
+    private void giveBackUnused(Waiter waiter, Slot slot) {
+        slot.endpoint.prefilled(missingTokens(waiter, slot.placement));
+        slot.endpoint.end();
+        release(slot.endpoint);
     }
 
     /** Gives a slot back. */
@@ -127,7 +159,7 @@
                     break;
                 }
                 Slot slot = place(next.get(), free);
-                granted.add(() -> next.get().slot.complete(slot));
+                granted.add(() -> grant(next.get(), slot));
                 free = freeEndpoints();
             }
         }
@@ -136,7 +168,7 @@
 
     private Map<String, Endpoint> freeEndpoints() {
         Map<String, Endpoint> free = new HashMap<>();
-        for (Endpoint endpoint : directory.usable(pool)) {
+        for (Endpoint endpoint : usable.get()) {
             if (used.getOrDefault(endpoint, 0) < slotsPerRunner) {
                 free.put(endpoint.name(), endpoint);
             }
--- /dev/null
+++ b/daemon/src/test/java/org/bronzelug/daemon/generate/ModelQueueTest.java
@@ -0,0 +1,146 @@
+package org.bronzelug.daemon.generate;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.bronzelug.core.placement.PlacementPolicy;
+import org.bronzelug.core.placement.PlacementSettings;
+import org.bronzelug.core.placement.PrefixChain;
+import org.bronzelug.daemon.runner.Endpoint;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A runner's slot is given back once, whoever gives the request up.
+ *
+ * <p>What the callers would see: a runner that gets less and less work. The order: a request is
+ * given up (its time is over, its caller cancels) in the moment in which it is granted a slot. Why:
+ * the one who gives up and the one who grants each take the other to give the slot back.
+ */
+@Timeout(60)
+class ModelQueueTest {
+    private static final PrefixChain CHAIN =
+            PrefixChain.of("team", "model", 0, List.of("rules", "question"));
+
+    private final Endpoint endpoint = new Endpoint("runner", "pool", "http://127.0.0.1:1");
+    private final AtomicReference<Runnable> atLook = new AtomicReference<>(() -> {});
+    private final ModelQueue queue =
+            new ModelQueue(
+                    "pool", 1, 10, this::usable, new PlacementPolicy(PlacementSettings.defaults()));
+    private final CompletableFuture<Void> never = new CompletableFuture<>();
+
+    private List<Endpoint> usable() {
+        atLook.get().run();
+        return List.of(endpoint);
+    }
+
+    private ModelQueue.Slot acquire(long untilNanos, CompletableFuture<Void> cancelled)
+            throws RefusalException, InterruptedException {
+        return queue.acquire("team", CHAIN, Set.of(), untilNanos, cancelled);
+    }
+
+    private static long inSeconds(int seconds) {
+        return System.nanoTime() + seconds * 1_000_000_000L;
+    }
+
+    private static void awaitState(Thread thread, Thread.State state) {
+        while (thread.getState() != state) {
+            if (Thread.currentThread().isInterrupted()) {
+                throw new AssertionError("expected " + state + ", met " + thread.getState());
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Gives the one slot back, but holds the grant until the waiter has given up. */
+    private void releaseWhile(ModelQueue.Slot held, Thread waiter, Runnable givingUp) {
+        int[] looks = {0};
+        atLook.set(
+                () -> {
+                    if (++looks[0] == 2) {
+                        // The waiter's slot is chosen, and not yet told.
+                        givingUp.run();
+                        awaitState(waiter, Thread.State.BLOCKED);
+                    }
+                });
+        held.endpoint().end();
+        queue.release(held.endpoint());
+        atLook.set(() -> {});
+    }
+
+    private void assertAllGivenBack() throws Exception {
+        assertThat(endpoint.inFlight()).isEqualTo(0);
+        assertThat(endpoint.load().queuedPrefillTokens()).isEqualTo(0);
+        assertThat(acquire(inSeconds(30), never).endpoint()).isSameInstanceAs(endpoint);
+    }
+
+    @Test
+    void aSlotGrantedAtTheDeadlineIsGivenBackWhole() throws Exception {
+        ModelQueue.Slot held = first();
+        AtomicReference<RefusalException> refused = new AtomicReference<>();
+        long soon = System.nanoTime() + 300_000_000;
+        Thread waiter =
+                new Thread(
+                        () ->
+                                refused.set(
+                                        assertThrows(
+                                                RefusalException.class,
+                                                () -> acquire(soon, never))));
+        waiter.start();
+        awaitState(waiter, Thread.State.TIMED_WAITING);
+        releaseWhile(held, waiter, () -> {});
+        waiter.join();
+        assertThat(refused.get().problem().getCode()).isEqualTo("DEADLINE");
+        assertThat(refused.get().problem().getRetryAfterMs()).isGreaterThan(0L);
+        assertAllGivenBack();
+    }
+
+    @Test
+    void aRequestCancelledWhileItWaitsIsAnsweredAtOnce() throws Exception {
+        ModelQueue.Slot held = first();
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        AtomicReference<RefusalException> refused = new AtomicReference<>();
+        Thread waiter =
+                new Thread(
+                        () ->
+                                refused.set(
+                                        assertThrows(
+                                                RefusalException.class,
+                                                () -> acquire(inSeconds(3_600), cancelled))));
+        waiter.start();
+        awaitState(waiter, Thread.State.TIMED_WAITING);
+        cancelled.complete(null);
+        waiter.join();
+        assertThat(refused.get().problem().getCode()).isEqualTo("CANCELLED");
+        held.endpoint().end();
+        queue.release(held.endpoint());
+        assertAllGivenBack();
+    }
+
+    @Test
+    void aSlotGrantedWhileTheCallerCancelsIsGivenBackWhole() throws Exception {
+        ModelQueue.Slot held = first();
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        Thread waiter =
+                new Thread(
+                        () ->
+                                assertThrows(
+                                        RefusalException.class,
+                                        () -> acquire(inSeconds(3_600), cancelled)));
+        waiter.start();
+        awaitState(waiter, Thread.State.TIMED_WAITING);
+        releaseWhile(held, waiter, () -> cancelled.complete(null));
+        waiter.join();
+        assertAllGivenBack();
+    }
+
+    private ModelQueue.Slot first() throws Exception {
+        ModelQueue.Slot slot = acquire(inSeconds(30), never);
+        endpoint.prefilled(ModelQueue.missingTokens(CHAIN, slot.placement()));
+        return slot;
+    }
+}
