A caller whose VM falls silent goes on at another

Cause: the client's only guard against a frozen VM was a limit of 60 s on each call. It made a caller wait for a minute, and it cut a whole stream of more than 60 s in the middle (2,000 tokens at 32 ms take 64 s), to be computed again. Ruled out: gRPC's own keepalive (its client allows 10 s at the least); a limit between chunks (a request may wait long for a runner while its VM is well). Change: while nothing comes, the VM is asked where to go (Locate, 1 s) beside the call; two questions in vain end the call, and the next VM gets the rest. A refusal counts as a word. Locate and Cancel have 1.5 s.

--- a/tools/src/main/java/org/bronzelug/client/RouterClient.java
+++ b/tools/src/main/java/org/bronzelug/client/RouterClient.java
@@ -29,14 +29,14 @@
 /**
  * A caller's client.
  *
- * <p>Invariants: the chunks given on are numbered without a gap also when a VM is lost in between;
- * an action is retried only under the same id. Thread-safe but for one generation, which belongs to
- * one thread.
+ * <p>Invariants: the chunks given on are numbered without a gap also when a VM is lost, or falls
+ * silent, in between; an action is retried only under the same id. Thread-safe but for one
+ * generation, which belongs to one thread.
  */
 public final class RouterClient {
     private static final int ROUNDS = 3;
     private static final long PAUSE_MILLIS = 100;
-    private static final long CALL_SECONDS = 60;
+    private static final long SHORT_CALL_MILLIS = 1_500;
     private static final Metadata.Key<Problem> PROBLEM_TRAILER =
             ProtoUtils.keyForProto(Problem.getDefaultInstance());
     private static final Set<String> TRY_ANOTHER_VM = Set.of("STOPPING", "NOT_FRESH");
@@ -61,7 +61,7 @@
         StatusRuntimeException last = null;
         for (String vm : knownVms) {
             try {
-                return stub(vm).locate(request);
+                return shortStub(vm).locate(request);
             } catch (StatusRuntimeException failed) {
                 last = failed;
                 Optional<Problem> problem = problemOf(failed);
@@ -86,9 +86,12 @@
     }
 
     private RouterGrpc.RouterBlockingStub stub(String address) {
-        return RouterGrpc.newBlockingStub(channels.to(address))
-                .withCallCredentials(key)
-                .withDeadlineAfter(CALL_SECONDS, TimeUnit.SECONDS);
+        return RouterGrpc.newBlockingStub(channels.to(address)).withCallCredentials(key);
+    }
+
+    /** For calls that a VM answers by itself: one that takes longer has fallen silent. */
+    private RouterGrpc.RouterBlockingStub shortStub(String address) {
+        return stub(address).withDeadlineAfter(SHORT_CALL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -137,26 +140,31 @@
         }
 
         private Outcome run(RouterGrpc.RouterBlockingStub stub) {
+            WatchedCall call = new WatchedCall(stub);
             try {
-                Iterator<GenerateEvent> events = stub.generate(request);
-                while (events.hasNext()) {
-                    GenerateEvent event = events.next();
-                    switch (event.getEventCase()) {
-                        case CHUNK -> take(event.getChunk());
-                        case FINISHED -> {
-                            return new Outcome(event.getFinished(), null);
-                        }
-                        default -> {
-                            return new Outcome(null, event.getProblem());
-                        }
-                    }
-                }
-                return lost("the stream ended early");
+                return call.run(() -> readAll(stub.generate(request), call));
             } catch (StatusRuntimeException broken) {
                 return lost(broken.getStatus().toString());
             }
         }
 
+        private Outcome readAll(Iterator<GenerateEvent> events, WatchedCall call) {
+            while (events.hasNext()) {
+                GenerateEvent event = events.next();
+                call.heard();
+                switch (event.getEventCase()) {
+                    case CHUNK -> take(event.getChunk());
+                    case FINISHED -> {
+                        return new Outcome(event.getFinished(), null);
+                    }
+                    default -> {
+                        return new Outcome(null, event.getProblem());
+                    }
+                }
+            }
+            return lost("the stream ended early");
+        }
+
         private static Outcome lost(String reason) {
             Problem problem = Problem.newBuilder().setCode("STOPPING").setMessage(reason).build();
             return new Outcome(null, problem);
@@ -189,7 +197,9 @@
         for (int round = 0; round < ROUNDS; round++) {
             for (String address : actionAddresses(location)) {
                 try {
-                    RunActionAnswer answer = stub(address).runAction(request);
+                    RouterGrpc.RouterBlockingStub stub = stub(address);
+                    RunActionAnswer answer =
+                            new WatchedCall(stub).run(() -> stub.runAction(request));
                     boolean isFinal = !TRY_ANOTHER_VM.contains(answer.getProblem().getCode());
                     if (isFinal) {
                         return answer;
@@ -210,7 +220,7 @@
         for (String vm : knownVms) {
             try {
                 CancelRequest request = CancelRequest.newBuilder().setRequestId(requestId).build();
-                CancelAnswer answer = stub(vm).cancel(request);
+                CancelAnswer answer = shortStub(vm).cancel(request);
                 found |= answer.getFound();
             } catch (StatusRuntimeException unreachable) {
                 // Another VM may run it.
