--- a/core/src/main/java/org/bronzelug/core/fairness/FairQueue.java
+++ b/core/src/main/java/org/bronzelug/core/fairness/FairQueue.java
@@ -15,8 +15,9 @@
  * earns no credit. The failure this guards against: one team sends several times its share, and the
  * others wait behind its backlog; here they wait for one of its requests at most.
  *
- * <p>Bounded: an offer beyond the bound is refused, from the team with the longest backlog. Not
- * thread-safe: guarded by its owner.
+ * <p>Invariant: never more than the capacity waits. A full queue gives up a request of the team
+ * with the longest backlog, its newest, for one of another team. Not thread-safe: guarded by its
+ * owner.
  *
  * @param <T> what waits
  */
@@ -30,18 +31,29 @@
         this.capacity = capacity;
     }
 
-    /** Adds a request; false where the queue is full and this team has the longest backlog. */
-    public boolean offer(String team, T item, double work) {
+    /**
+     * Adds a request.
+     *
+     * @return the request that the full queue gives up for it, which is the offered one itself
+     *     where its own team has the longest backlog; empty where there was room
+     */
+    public Optional<T> offer(String team, T item, double work) {
         TeamBacklog<T> backlog = teams.computeIfAbsent(team, ignored -> new TeamBacklog<>());
-        if (size >= capacity && backlog.waiting.size() >= longestBacklog()) {
-            return false;
+        Optional<T> givenUp = Optional.empty();
+        if (size >= capacity) {
+            TeamBacklog<T> longest = longestBacklog(backlog);
+            if (longest == backlog) {
+                return Optional.of(item);
+            }
+            givenUp = Optional.of(longest.waiting.removeLast().item);
+            size--;
         }
         if (backlog.waiting.isEmpty()) {
             backlog.served = Math.max(backlog.served, floor);
         }
         backlog.waiting.addLast(new Waiting<>(item, work));
         size++;
-        return true;
+        return givenUp;
     }
 
     /** Takes the next request in fair order. */
@@ -86,8 +98,15 @@
         return size;
     }
 
-    private int longestBacklog() {
-        return teams.values().stream().mapToInt(b -> b.waiting.size()).max().orElse(0);
+    /** The team with the longest backlog; the one given where none has a longer one. */
+    private TeamBacklog<T> longestBacklog(TeamBacklog<T> own) {
+        TeamBacklog<T> longest = own;
+        for (TeamBacklog<T> backlog : teams.values()) {
+            if (backlog.waiting.size() > longest.waiting.size()) {
+                longest = backlog;
+            }
+        }
+        return longest;
     }
 
     private void forgetIdle() {
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
@@ -97,19 +97,26 @@
         } catch (InterruptedException stopping) {
             giveUp(team, waiter);
             throw stopping;
-        } catch (ExecutionException impossible) {
-            throw new IllegalStateException(impossible);
+        } catch (ExecutionException displaced) {
+            throw (RefusalException) displaced.getCause();
         }
     }
 
-    private synchronized void enqueue(String team, Waiter waiter) throws RefusalException {
-        if (!queue.offer(team, waiter, waiter.chain.tokens())) {
-            throw RefusalException.notRun(
-                    ProblemCode.OVERLOADED,
-                    "too many requests wait for pool " + pool,
-                    "come back later",
-                    retryAfterMillis());
+    private void enqueue(String team, Waiter waiter) {
+        Optional<Waiter> givenUp;
+        synchronized (this) {
+            givenUp = queue.offer(team, waiter, waiter.chain.tokens());
         }
+        givenUp.ifPresent(
+                displaced -> displaced.slot.completeExceptionally(tooMany(retryAfterMillis())));
+    }
+
+    private RefusalException tooMany(long retryAfterMillis) {
+        return RefusalException.notRun(
+                ProblemCode.OVERLOADED,
+                "too many requests wait for pool " + pool,
+                "come back later",
+                retryAfterMillis);
     }
 
     /**
--- a/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
+++ b/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
@@ -23,13 +23,13 @@
     private static final long REPORT_LAG = Simulation.SECOND / 4;
     private static final int BELIEVED = 20_000;
     private static final long BELIEF_LIFETIME = 30 * Simulation.SECOND;
-    private static final int SLOTS_PER_RUNNER = 64;
     private static final int WAITING = 2_000;
 
     private final Simulation simulation;
     private final Policy policy;
     private final List<ModelledRunner> runners;
     private final long delay;
+    private final int streamsPerRunner;
     private final PlacementPolicy placement = new PlacementPolicy(PlacementSettings.defaults());
     private final Map<String, Long> reportedAt = new HashMap<>();
     private final Map<String, LoadEstimate> estimates = new HashMap<>();
@@ -37,11 +37,16 @@
     private FairQueue<Request> queue = new FairQueue<>(WAITING);
     private int turn;
 
-    ModelledVm(Simulation simulation, Policy policy, List<ModelledRunner> runners, long delay) {
+    ModelledVm(
+            Simulation simulation,
+            Policy policy,
+            List<ModelledRunner> runners,
+            RunSettings settings) {
         this.simulation = simulation;
         this.policy = policy;
         this.runners = runners;
-        this.delay = delay;
+        this.delay = settings.profile().vmToRunnerNanos();
+        this.streamsPerRunner = settings.streamsPerRunner();
     }
 
     /** Forgets all, as a restarted daemon; callers ask again for what was waiting. */
@@ -57,7 +62,8 @@
 
     void take(Request request) {
         String team = policy == Policy.NO_FAIRNESS ? "all" : request.team();
-        queue.offer(team, request, request.chain().tokens());
+        queue.offer(team, request, request.chain().tokens())
+                .ifPresent(simulation::refuseForWantOfRoom);
         pump();
     }
 
@@ -75,7 +81,7 @@
     private List<ModelledRunner> free() {
         List<ModelledRunner> free = new ArrayList<>();
         for (ModelledRunner runner : runners) {
-            boolean slot = estimate(runner).ownStreams() < SLOTS_PER_RUNNER;
+            boolean slot = estimate(runner).ownStreams() < streamsPerRunner;
             if (!runner.isGone() && slot) {
                 free.add(runner);
             }
