Probe answers take a byte a member, and probes go where they are answered

Cause: at 350 VMs a probe answer had 12.4 KB of names and incarnations, 124 KB/s each way for a budget of 5 KB/s (docs/CAPACITY.md). Ruled out: members numbered by the roster's version alone (it does not tell one life of a VM from the next); fewer probes alone (knowledge gets too old). Change: a probe carries a digest of the incarnations its sender knows; where the answerer's is the same, one byte a member, rounded up, stands for both ages. Probes go to VMs heard of within 4.5 s, and each eighth round to another. Failed first: PackedAgesTest with ages rounded down, and with a roll without incarnations. Left: VMs count as dead after 1.5 s, too soon for 350.

--- a/core/src/main/java/org/bronzelug/core/membership/Freshness.java
+++ b/core/src/main/java/org/bronzelug/core/membership/Freshness.java
@@ -232,6 +232,14 @@
         return heard >= majority();
     }
 
+    /** The incarnations known here, this VM's own included. */
+    public MemberRoll roll() {
+        List<MemberIdentity> known = new ArrayList<>();
+        known.add(self);
+        members.values().forEach(member -> known.add(member.identity()));
+        return MemberRoll.of(known);
+    }
+
     /** This VM's own report, to answer a probe with. */
     public ProbeReport report(long nowNanos, boolean draining) {
         List<ProbeReport.MemberAge> ages = new ArrayList<>();
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
@@ -20,6 +20,7 @@
 import org.bronzelug.core.membership.MemberIdentity;
 import org.bronzelug.core.membership.MemberKnowledge;
 import org.bronzelug.core.membership.ProbeReport;
+import org.bronzelug.core.membership.ProbeTargets;
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.log.EventLog;
 import org.bronzelug.daemon.log.LogEvent;
@@ -221,7 +222,8 @@
                 entry.getAvailabilityZone(),
                 entry.getCallerAddress(),
                 entry.getPeerAddress(),
-                known.map(MemberKnowledge::heardAsOfNanos).orElse(now - DEAD_AFTER_NANOS * 2),
+                known.map(MemberKnowledge::heardAsOfNanos)
+                        .orElse(now - 2 * ProbeTargets.REMEMBERED_NANOS),
                 freshness.heardWithin(entry.getVm(), now, DEAD_AFTER_NANOS),
                 known.map(MemberKnowledge::draining).orElse(false));
     }
--- a/daemon/src/main/java/org/bronzelug/daemon/control/PeerMessages.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/PeerMessages.java
@@ -11,6 +11,8 @@
 import org.bronzelug.api.peer.ProbeAnswer;
 import org.bronzelug.core.configuration.VersionedObject;
 import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.core.membership.MemberRoll;
+import org.bronzelug.core.membership.PackedAges;
 import org.bronzelug.core.membership.ProbeReport;
 
 /**
@@ -22,6 +24,19 @@
 final class PeerMessages {
     private PeerMessages() {}
 
+    /** The answer to a peer that has the same roll: one byte a member. */
+    static ProbeAnswer.Builder packedAnswer(ProbeReport report, long digest, MemberRoll roll) {
+        PackedAges packed = PackedAges.pack(roll, report.members());
+        ProbeReport named =
+                new ProbeReport(
+                        report.peer(),
+                        report.settled(),
+                        report.draining(),
+                        report.platformAgeNanos(),
+                        packed.named());
+        return answer(named, digest).setPackedAges(ByteString.copyFrom(packed.ages()));
+    }
+
     static ProbeAnswer.Builder answer(ProbeReport report, long digest) {
         ProbeAnswer.Builder answer =
                 ProbeAnswer.newBuilder()
@@ -45,8 +60,14 @@
         return answer;
     }
 
-    static ProbeReport report(ProbeAnswer answer) {
-        List<ProbeReport.MemberAge> members = new ArrayList<>();
+    /**
+     * Reads a report.
+     *
+     * @param roll whose digest the probe carried
+     */
+    static ProbeReport report(ProbeAnswer answer, MemberRoll roll) {
+        List<ProbeReport.MemberAge> members =
+                PackedAges.unpack(roll, answer.getPackedAges().toByteArray());
         for (MemberAge member : answer.getMembersList()) {
             OptionalLong covered =
                     member.hasCoveredAgeMs()
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
@@ -17,13 +16,16 @@
 import org.bronzelug.api.peer.ProbeAnswer;
 import org.bronzelug.core.configuration.VersionedObject;
 import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.core.membership.MemberRoll;
+import org.bronzelug.core.membership.ProbeReport;
+import org.bronzelug.core.membership.ProbeTargets;
 import org.bronzelug.daemon.action.ActionBook;
 import org.bronzelug.daemon.kernel.Service;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.settings.Settings;
 
 /**
- * Probes other VMs at random, answers their probes, and brings the configuration level.
+ * Probes other VMs, answers their probes, and brings the configuration level.
  *
  * <p>One exchange carries liveness, freshness and, where the digests differ, the versions needed to
  * level the configuration; a round costs the same whatever the fleet's size. State is touched on
@@ -74,35 +76,42 @@
     }
 
     private void probeRound() {
-        List<String> addresses = new ArrayList<>();
-        state.view().peers().values().forEach(peer -> addresses.add(peer.peerAddress()));
-        if (addresses.isEmpty()) {
-            addresses.addAll(settings.seedPeers());
+        long now = System.nanoTime();
+        List<String> heard = new ArrayList<>();
+        List<String> unheard = new ArrayList<>();
+        for (ControlView.PeerView peer : state.view().peers().values()) {
+            long silence = now - peer.heardAsOfNanos();
+            boolean lately = silence <= ProbeTargets.REMEMBERED_NANOS;
+            (lately ? heard : unheard).add(peer.peerAddress());
         }
-        Collections.shuffle(addresses, new java.util.Random(random.nextLong()));
-        addresses.stream().limit(PROBES_A_ROUND).forEach(this::probe);
+        if (heard.isEmpty() && unheard.isEmpty()) {
+            unheard.addAll(settings.seedPeers());
+        }
+        ProbeTargets.choose(heard, unheard, PROBES_A_ROUND, random).forEach(this::probe);
         state.publish();
     }
 
     private void probe(String address) {
+        MemberRoll roll = state.freshness().roll();
         long sent = System.nanoTime();
         Probe probe =
                 Probe.newBuilder()
                         .setVm(state.self().vm())
                         .setIncarnation(state.self().incarnation())
                         .setDigest(state.configuration().digest())
+                        .setRollDigest(roll.digest())
                         .build();
         peers.exchange(address, Envelope.newBuilder().setProbe(probe), TIMEOUT_MILLIS)
                 .whenComplete(
                         (envelope, failure) -> {
                             if (failure == null) {
-                                control.run(
-                                        () -> takeAnswer(address, envelope.getProbeAnswer(), sent));
+                                ProbeAnswer answer = envelope.getProbeAnswer();
+                                control.run(() -> takeAnswer(address, answer, roll, sent));
                             }
                         });
     }
 
-    private void takeAnswer(String address, ProbeAnswer answer, long sent) {
+    private void takeAnswer(String address, ProbeAnswer answer, MemberRoll roll, long sent) {
         List<String> missing = new ArrayList<>();
         for (ObjectVersion version : answer.getVersionsList()) {
             if (state.configuration().version(version.getKey()) < version.getVersion()) {
@@ -110,7 +119,7 @@
             }
         }
         if (missing.isEmpty()) {
-            state.recordReport(PeerMessages.report(answer), answer.getHeirOfList(), sent);
+            state.recordReport(PeerMessages.report(answer, roll), answer.getHeirOfList(), sent);
             return;
         }
         FetchObjects fetch = FetchObjects.newBuilder().addAllKeys(missing).build();
@@ -118,12 +127,13 @@
                 .whenComplete(
                         (envelope, failure) -> {
                             if (failure == null) {
-                                control.run(() -> takeObjects(envelope.getObjects(), answer, sent));
+                                Objects objects = envelope.getObjects();
+                                control.run(() -> takeObjects(objects, answer, roll, sent));
                             }
                         });
     }
 
-    private void takeObjects(Objects objects, ProbeAnswer answer, long sent) {
+    private void takeObjects(Objects objects, ProbeAnswer answer, MemberRoll roll, long sent) {
         state.install(PeerMessages.toObjects(objects.getObjectsList()));
         // The report counts only where all that it was based on has arrived.
         boolean covered =
@@ -133,7 +143,7 @@
                                         state.configuration().version(version.getKey())
                                                 >= version.getVersion());
         if (covered) {
-            state.recordReport(PeerMessages.report(answer), answer.getHeirOfList(), sent);
+            state.recordReport(PeerMessages.report(answer, roll), answer.getHeirOfList(), sent);
         }
     }
 
@@ -142,9 +152,12 @@
                 () -> {
                     long now = System.nanoTime();
                     long digest = state.configuration().digest();
+                    MemberRoll roll = state.freshness().roll();
+                    ProbeReport report = state.freshness().report(now, state.isDraining());
                     ProbeAnswer.Builder answer =
-                            PeerMessages.answer(
-                                    state.freshness().report(now, state.isDraining()), digest);
+                            roll.digest() == request.getProbe().getRollDigest()
+                                    ? PeerMessages.packedAnswer(report, digest, roll)
+                                    : PeerMessages.answer(report, digest);
                     if (digest != request.getProbe().getDigest()) {
                         answer.addAllVersions(versions(state.configuration().objects()));
                     }
--- a/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
+++ b/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
@@ -63,6 +63,9 @@
         parser.addArgument("--spreading")
                 .action(Arguments.storeTrue())
                 .help("how a change of the configuration spreads, at 7, 35 and 350 VMs");
+        parser.addArgument("--freshness")
+                .action(Arguments.storeTrue())
+                .help("how old the VMs' knowledge gets in an outage, at 7, 35 and 350 VMs");
         return parser;
     }
 
@@ -76,6 +79,10 @@
             SpreadingMeasurement.run(out, options.getInt("seeds"));
             return;
         }
+        if (options.getBoolean("freshness")) {
+            FreshnessMeasurement.run(out, options.getInt("seeds"));
+            return;
+        }
         String name = options.getString("profile");
         List<Profile> profiles =
                 name.equals("both")
--- a/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
+++ b/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
@@ -1,5 +1,6 @@
 package org.bronzelug.measure;
 
+import com.google.protobuf.ByteString;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,6 +19,8 @@
 import org.bronzelug.core.limit.TokenBucket;
 import org.bronzelug.core.membership.Freshness;
 import org.bronzelug.core.membership.MemberIdentity;
+import org.bronzelug.core.membership.MemberRoll;
+import org.bronzelug.core.membership.PackedAges;
 import org.bronzelug.core.membership.ProbeReport;
 import org.bronzelug.core.placement.CacheBelief;
 import org.bronzelug.core.placement.PlacementPolicy;
@@ -102,7 +105,26 @@
                     Freshness freshness = freshness(n);
                     return time(() -> freshness.report(3_000 * MILLI, false), 200);
                 });
-        nanos("message bytes: probe answer", sizes(7, 35, 350), n -> answer(n).getSerializedSize());
+        nanos(
+                "ns: report of all peers packed",
+                sizes(7, 35, 350),
+                n -> {
+                    MemberRoll roll = freshness(n).roll();
+                    ProbeReport report = report(n, 2_000 * MILLI);
+                    return time(() -> PackedAges.pack(roll, report.members()), 200);
+                });
+        nanos(
+                "ns: roll of all peers made",
+                sizes(7, 35, 350),
+                n -> {
+                    Freshness freshness = freshness(n);
+                    return time(freshness::roll, 200);
+                });
+        nanos("message bytes: probe answer", sizes(7, 35, 350), n -> packed(n).getSerializedSize());
+        nanos(
+                "message bytes: probe answer with names",
+                sizes(7, 35, 350),
+                n -> answer(n).getSerializedSize());
     }
 
     private void measureConfiguration() {
@@ -249,6 +271,16 @@
         return new ProbeReport(member(1), true, false, OptionalLong.of(platformAge), ages);
     }
 
+    private ProbeAnswer packed(int peers) {
+        MemberRoll roll = freshness(peers).roll();
+        PackedAges packed = PackedAges.pack(roll, report(peers, 2_000 * MILLI).members());
+        return ProbeAnswer.newBuilder()
+                .setVm("zone-a-1")
+                .setIncarnation(member(1).incarnation())
+                .setPackedAges(ByteString.copyFrom(packed.ages()))
+                .build();
+    }
+
     private static ProbeAnswer answer(int peers) {
         ProbeAnswer.Builder answer =
                 ProbeAnswer.newBuilder().setVm("zone-a-1").setIncarnation(member(1).incarnation());
