--- a/daemon/src/main/java/org/bronzelug/daemon/action/ActionService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/action/ActionService.java
@@ -32,6 +32,7 @@
 import org.bronzelug.daemon.generate.RefusalException;
 import org.bronzelug.daemon.log.EventLog;
 import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.daemon.monitor.Measures;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.runner.Endpoint;
 import org.bronzelug.daemon.runner.EndpointDirectory;
@@ -58,6 +59,7 @@
     private final RunnerClient client;
     private final PeerNetwork peers;
     private final DrainGate gate;
+    private final Measures measures;
     private final ExecutorService traffic = Executors.newVirtualThreadPerTaskExecutor();
 
     @Inject
@@ -68,7 +70,8 @@
             EndpointDirectory directory,
             RunnerClient client,
             PeerNetwork peers,
-            DrainGate gate) {
+            DrainGate gate,
+            Measures measures) {
         this.settings = settings;
         this.state = state;
         this.book = book;
@@ -76,6 +79,7 @@
         this.client = client;
         this.peers = peers;
         this.gate = gate;
+        this.measures = measures;
         peers.handle(Envelope.BodyCase.FORWARD_ACTION, this::answerForward);
     }
 
@@ -98,7 +102,11 @@
                                                         + " suffix",
                                                 "ask with Locate for a prefix",
                                                 0));
-        return runOnce(team, id, pool, request);
+        RunActionAnswer answer = runOnce(team, id, pool, request);
+        if (answer.getExecution() == Execution.IN_DOUBT) {
+            measures.inDoubt(team);
+        }
+        return answer;
     }
 
     private PoolObject pool(String name) throws RefusalException {
--- a/daemon/src/main/java/org/bronzelug/daemon/monitor/Measures.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/monitor/Measures.java
@@ -48,6 +48,11 @@
         registry.counter("refused_within_rate." + team).inc();
     }
 
+    /** A caller was told that its call may or may not have run. */
+    public void inDoubt(String team) {
+        registry.counter("actions_in_doubt." + team).inc();
+    }
+
     public long admittedCount(String team) {
         return registry.counter("admitted." + team).getCount();
     }
--- a/daemon/src/test/java/org/bronzelug/daemon/ActionFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/ActionFailureTest.java
@@ -77,6 +77,7 @@
             assertThat(answer.getExecution()).isEqualTo(Execution.IN_DOUBT);
         }
         assertThat(fleet.runsOf("lost")).isEqualTo(1);
+        assertThat(fleet.metrics("vm-1")).contains("actions_in_doubt." + TestFleet.TEAM);
     }
 
     @Test
--- a/daemon/src/test/java/org/bronzelug/daemon/EndpointFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/EndpointFailureTest.java
@@ -10,6 +10,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Leaving endpoints get no new work, and a pool's orders come from one VM at a time.
@@ -96,20 +98,72 @@
         assertThat(ModelRunnerStandin.mostLoadsAtOnce()).isAtMost(2);
     }
 
+    /**
+     * The holder is out of the others' reach and of the platform's, so another takes over and gives
+     * a new order; then it is back. Also endpoints that ignore fencing numbers must not see its old
+     * order again.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aFormerHolderThatComesBackGivesNoOldOrder(boolean checksFencing) throws Exception {
+        fleet.models.forEach(runner -> runner.setChecksFencing(checksFencing));
+        order(2);
+        Await.until("all have loaded", () -> allLoaded(2));
+        String former = holder("vm-1");
+        cutOff(former, true);
+        String survivor =
+                fleet.daemons.keySet().stream()
+                        .filter(vm -> !vm.equals(former))
+                        .findFirst()
+                        .orElseThrow();
+        fleet.change(
+                survivor,
+                r ->
+                        r.setOrderWeights(
+                                OrderWeights.newBuilder()
+                                        .setPool(TestFleet.MODEL_POOL)
+                                        .setWeightsVersion(3)));
+        Await.until("all have loaded again", () -> allLoaded(3));
+        cutOff(former, false);
+        Await.until(
+                "the former holder knows the next one",
+                () -> holder(former).equals(holder(survivor)));
+        for (ModelRunnerStandin runner : fleet.models) {
+            List<String> orders =
+                    runner.log().stream().filter(line -> line.startsWith("order ")).toList();
+            assertThat(orders).hasSize(2);
+            assertThat(lastOrder(runner)).isEqualTo("3");
+        }
+    }
+
+    private String holder(String vm) {
+        return fleet.daemons
+                .get(vm)
+                .view()
+                .catalog()
+                .order(TestFleet.MODEL_POOL)
+                .orElseThrow()
+                .holder()
+                .vm();
+    }
+
+    /** Cuts a VM off from the platform, and the others from it, or heals it. */
+    private void cutOff(String vm, boolean cut) {
+        if (cut) {
+            fleet.peerLinks.get(vm).cut();
+            fleet.platformLinks.get(vm).cut();
+        } else {
+            fleet.peerLinks.get(vm).heal();
+            fleet.platformLinks.get(vm).heal();
+        }
+    }
+
     /** The holder dies; the next one waits until it has surely stopped, with a higher number. */
     @Test
     void theNextHolderGoesOnWithAHigherFencingNumber() throws Exception {
         order(2);
         Await.until("all have loaded", () -> allLoaded(2));
-        String holder =
-                fleet.daemons
-                        .get("vm-1")
-                        .view()
-                        .catalog()
-                        .order(TestFleet.MODEL_POOL)
-                        .orElseThrow()
-                        .holder()
-                        .vm();
+        String holder = holder("vm-1");
         fleet.daemons.remove(holder).kill();
         String survivor = fleet.daemons.keySet().iterator().next();
         fleet.change(
--- a/daemon/src/test/java/org/bronzelug/daemon/KeyFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/KeyFailureTest.java
@@ -5,10 +5,6 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.file.Path;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.RouterGrpc;
@@ -101,17 +97,10 @@
         assertThat(fleet.applications.get(0).log().toString()).doesNotContain(key);
         StringBuilder seen = new StringBuilder();
         log.list.forEach(event -> seen.append(event.getFormattedMessage()).append('\n'));
-        seen.append(get("http://" + fleet.daemons.get("vm-1").monitorAddress() + "/metrics"));
-        seen.append(get(fleet.platform.url() + "/v1/objects"));
+        seen.append(fleet.metrics("vm-1"));
+        seen.append(TestFleet.read(fleet.platform.url() + "/v1/objects"));
         assertThat(seen.toString()).contains("daemon started");
         assertThat(seen.toString()).doesNotContain(key);
         assertThat(seen.toString()).doesNotContain(key.substring(4, 30));
     }
-
-    private static String get(String url) throws Exception {
-        HttpRequest request = HttpRequest.newBuilder(URI.create(url)).build();
-        try (HttpClient client = HttpClient.newHttpClient()) {
-            return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
-        }
-    }
 }
--- a/daemon/src/test/java/org/bronzelug/daemon/StreamFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/StreamFailureTest.java
@@ -67,6 +67,28 @@
         assertThat(runner.log().toString()).contains("cut-again");
     }
 
+    /** Each chunk of a short stream, one after another: the runner that has the prefix is cut. */
+    @Test
+    void isWholeWhenItsRunnerIsCutAtEachChunk() {
+        int chunks = 16;
+        String wholeShort = TestFleet.receive(generate("short", chunks)).text();
+        int moved = 0;
+        for (int offset = 0; offset < chunks; offset++) {
+            ModelRunnerStandin first = fleet.models.get(offset % 2);
+            first.cutAt(offset);
+            for (int stream = 0; stream < 2; stream++) {
+                TestFleet.Received received =
+                        TestFleet.receive(generate("each-" + offset + "-" + stream, chunks));
+                assertThat(received.offsets())
+                        .isEqualTo(IntStream.range(0, chunks).boxed().toList());
+                assertThat(received.text()).isEqualTo(wholeShort);
+                moved += received.last().getFinished().getAttempts() > 1 ? 1 : 0;
+            }
+            first.cutAt(-1);
+        }
+        assertThat(moved).isGreaterThan(0);
+    }
+
     /** The runner that got the reference stream: the prompt's next stream goes there as well. */
     private ModelRunnerStandin preferredRunner() {
         return fleet.models.stream()
--- a/daemon/src/test/java/org/bronzelug/daemon/TestFleet.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/TestFleet.java
@@ -8,6 +8,10 @@
 import io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.MetadataUtils;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -288,6 +292,18 @@
         return router(vm, key).runAction(request);
     }
 
+    /** What a VM's monitor shows of its measures. */
+    String metrics(String vm) throws Exception {
+        return read("http://" + daemons.get(vm).monitorAddress() + "/metrics");
+    }
+
+    static String read(String url) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(url)).build();
+        try (HttpClient client = HttpClient.newHttpClient()) {
+            return client.send(request, HttpResponse.BodyHandlers.ofString()).body();
+        }
+    }
+
     long runsOf(String suffix) {
         return applications.stream()
                 .flatMap(runner -> runner.log().stream())
--- a/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
+++ b/standin/src/main/java/org/bronzelug/standin/ModelRunnerStandin.java
@@ -38,7 +38,7 @@
     private static final AtomicInteger MOST_LOADS = new AtomicInteger();
 
     private final RunnerTimes times;
-    private final boolean checksFencing;
+    private volatile boolean checksFencing;
     private final PrefixCache cache;
     private final ReentrantLock prefill = new ReentrantLock(true);
     private final AtomicInteger queuedPrefillTokens = new AtomicInteger();
@@ -167,6 +167,11 @@
         return state;
     }
 
+    /** Whether orders with a fencing number below the highest one seen are refused. */
+    public void setChecksFencing(boolean checks) {
+        checksFencing = checks;
+    }
+
     private void order(Context context) throws IOException {
         JsonNode order = JSON.readTree(context.bodyAsBytes());
         long fencing = order.path("fencing").asLong();
