--- a/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
+++ b/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
@@ -18,7 +18,7 @@
 
     private MeasureMain() {}
 
-    public static void main(String[] arguments) throws IOException {
+    public static void main(String[] arguments) throws IOException, InterruptedException {
         ArgumentParser parser = parser();
         try {
             run(parser.parseArgs(arguments));
@@ -63,13 +63,19 @@
         parser.addArgument("--spreading")
                 .action(Arguments.storeTrue())
                 .help("how a change of the configuration spreads, at 7, 35 and 350 VMs");
+        parser.addArgument("--live")
+                .action(Arguments.storeTrue())
+                .help("the time that the router adds, with real processes on loopback");
+        parser.addArgument("--live-vm").help(Arguments.SUPPRESS);
+        parser.addArgument("--live-operator-secret").help(Arguments.SUPPRESS);
+        parser.addArgument("--live-runner").help(Arguments.SUPPRESS);
         parser.addArgument("--freshness")
                 .action(Arguments.storeTrue())
                 .help("how old the VMs' knowledge gets in an outage, at 7, 35 and 350 VMs");
         return parser;
     }
 
-    private static void run(Namespace options) throws IOException {
+    private static void run(Namespace options) throws IOException, InterruptedException {
         PrintStream out = new PrintStream(System.out, true, StandardCharsets.UTF_8);
         if (options.getBoolean("slopes")) {
             new SlopeMeasurement(out).run();
@@ -79,6 +85,15 @@
             SpreadingMeasurement.run(out, options.getInt("seeds"));
             return;
         }
+        if (options.getBoolean("live")) {
+            LiveMeasurement.run(
+                    out,
+                    options.getString("live_vm"),
+                    Path.of(options.getString("live_operator_secret")),
+                    options.getString("live_runner"),
+                    options.getInt("seeds"));
+            return;
+        }
         if (options.getBoolean("freshness")) {
             FreshnessMeasurement.run(out, options.getInt("seeds"));
             return;
