Requests and reports no longer go through the whole configuration

Cause: found on reading the change once more. Each request and each report of an endpoint went through all endpoints of all pools and built a name for each, also where nothing waited; each Locate and each check copied the roster or all rates. Ruled out: refreshing at the installation of a configuration: the directory must read what is in force at the dispatch itself. Change: the directory applies a catalog once, under its lock; a pump with an empty queue looks at nothing; the catalog hands out its maps unmodifiable.

--- a/daemon/src/main/java/org/bronzelug/daemon/caller/VmChoice.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/VmChoice.java
@@ -1,7 +1,6 @@
 package org.bronzelug.daemon.caller;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import javax.inject.Inject;
@@ -34,7 +33,7 @@
     /** The VMs in the order to try them for a prompt root. */
     public List<VmAddress> order(String rootHash) {
         ControlView view = state.view();
-        Map<String, RosterEntry> roster = new HashMap<>(view.catalog().roster());
+        Map<String, RosterEntry> roster = view.catalog().roster();
         List<String> good = new ArrayList<>();
         List<String> last = new ArrayList<>();
         for (String vm : Rendezvous.order(rootHash, roster.keySet())) {
--- a/daemon/src/main/java/org/bronzelug/daemon/configuration/Catalog.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/configuration/Catalog.java
@@ -1,6 +1,7 @@
 package org.bronzelug.daemon.configuration;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -88,7 +89,7 @@
     }
 
     public Map<String, TeamRate> rates() {
-        return Map.copyOf(rates);
+        return Collections.unmodifiableMap(rates);
     }
 
     public Optional<TeamRate> rate(String team) {
@@ -111,7 +112,7 @@
     }
 
     public Map<String, RosterEntry> roster() {
-        return Map.copyOf(roster);
+        return Collections.unmodifiableMap(roster);
     }
 
     public Optional<Claim> share(int group) {
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/ModelQueue.java
@@ -155,10 +155,13 @@
         pump();
     }
 
-    /** Places requests as long as there are free slots. */
+    /** Places requests as long as there are free slots; called for each report of an endpoint. */
     void pump() {
         List<Runnable> granted = new ArrayList<>();
         synchronized (this) {
+            if (queue.size() == 0) {
+                return;
+            }
             Map<String, Endpoint> free = freeEndpoints();
             while (!free.isEmpty()) {
                 Optional<Waiter> next = queue.poll();
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/EndpointDirectory.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/EndpointDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutorService;
@@ -14,6 +15,7 @@
 import javax.inject.Singleton;
 import org.bronzelug.api.EndpointEntry;
 import org.bronzelug.api.PoolObject;
+import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.kernel.Service;
@@ -41,6 +43,7 @@
     private final Set<String> polling = ConcurrentHashMap.newKeySet();
     private final List<Consumer<Endpoint>> replacedListeners = new ArrayList<>();
     private volatile Runnable changedListener = () -> {};
+    private Optional<Catalog> applied = Optional.empty();
 
     @Inject
     public EndpointDirectory(ControlThread control, ControlState state, RunnerClient client) {
@@ -85,10 +88,24 @@
         return refresh();
     }
 
-    /** Brings the endpoints level with the configuration in force at this moment. */
-    private Collection<Endpoint> refresh() {
+    /**
+     * Brings the endpoints level with the configuration in force at this moment.
+     *
+     * <p>Called for each request and each report, so the same catalog is not gone through again.
+     * The catalog is read under the lock: an older one can't be applied after a newer one.
+     */
+    private synchronized Collection<Endpoint> refresh() {
+        Catalog catalog = state.view().catalog();
+        if (applied.isEmpty() || applied.get() != catalog) {
+            apply(catalog);
+            applied = Optional.of(catalog);
+        }
+        return endpoints.values();
+    }
+
+    private void apply(Catalog catalog) {
         Set<String> named = new HashSet<>();
-        for (PoolObject pool : state.view().catalog().pools()) {
+        for (PoolObject pool : catalog.pools()) {
             for (EndpointEntry entry : pool.getEndpointsList()) {
                 String id = pool.getPool() + "/" + entry.getEndpoint() + "/" + entry.getUrl();
                 named.add(id);
@@ -104,7 +121,6 @@
             }
         }
         endpoints.keySet().retainAll(named);
-        return endpoints.values();
     }
 
     private void pollAll() {
