An exchange with a peer is sent without a detour, and ends in one way

Cause: each exchange was handed to an event loop picked at random, only to be handed from there to its connection's; and three places failed the exchanges and closed the channel, each for itself. Ruled out: nothing depended on the detour: the state is under the lock. Change: it is enqueued by its caller; end() fails and closes. PeerNetworkTest passes one argument less, its assertions are the same.

--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerConnection.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerConnection.java
@@ -93,14 +93,7 @@
 
     /** Ends the connection and fails its exchanges. */
     void close() {
-        failAll("this VM stops");
-        ChannelHandlerContext channel;
-        synchronized (this) {
-            channel = context;
-        }
-        if (channel != null) {
-            channel.close();
-        }
+        end("this VM stops");
     }
 
     synchronized long keepalivesSent() {
@@ -108,10 +101,9 @@
     }
 
     /** Sends a request and awaits its answer, at most so long. */
-    CompletableFuture<Envelope> exchange(
-            EventLoopGroup group, Envelope.Builder request, long timeoutMillis) {
+    CompletableFuture<Envelope> exchange(Envelope.Builder request, long timeoutMillis) {
         CompletableFuture<Envelope> answer = new CompletableFuture<>();
-        group.next().execute(() -> enqueue(request, answer));
+        enqueue(request, answer);
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -156,8 +148,7 @@
     @Override
     public void userEventTriggered(ChannelHandlerContext channel, Object event) {
         if (event instanceof IdleStateEvent && isSilentTooLong(channel)) {
-            failAll("the peer fell silent");
-            channel.close();
+            end("the peer fell silent");
         }
     }
 
@@ -232,8 +223,18 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext channel, Throwable cause) {
-        failAll(String.valueOf(cause.getMessage()));
-        channel.close();
+        end(String.valueOf(cause.getMessage()));
+    }
+
+    private void end(String reason) {
+        failAll(reason);
+        ChannelHandlerContext channel;
+        synchronized (this) {
+            channel = context;
+        }
+        if (channel != null) {
+            channel.close();
+        }
     }
 
     private void failAll(String reason) {
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -90,7 +90,7 @@
             return stopping();
         }
         try {
-            return connected(address).exchange(group, request, timeoutMillis);
+            return connected(address).exchange(request, timeoutMillis);
         } catch (RejectedExecutionException ended) {
             return stopping();
         }
--- a/daemon/src/test/java/org/bronzelug/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/peer/PeerNetworkTest.java
@@ -72,7 +72,7 @@
 
     private CompletableFuture<Envelope> ask(String name, long timeoutMillis) {
         Envelope.Builder request = Envelope.newBuilder().setProbe(Probe.newBuilder().setVm(name));
-        return connection.exchange(group, request, timeoutMillis);
+        return connection.exchange(request, timeoutMillis);
     }
 
     private Held next() {
@@ -124,7 +124,7 @@
             InetSocketAddress address = (InetSocketAddress) mute.getLocalSocketAddress();
             PeerConnection toMute = PeerConnection.open(group, address, secret, MAXIMUM_FRAME);
             CompletableFuture<Envelope> answer =
-                    toMute.exchange(group, Envelope.newBuilder(), LONG_MILLIS);
+                    toMute.exchange(Envelope.newBuilder(), LONG_MILLIS);
             assertThrows(CompletionException.class, answer::join);
             assertThat(toMute.isClosed()).isTrue();
         }
@@ -146,7 +146,7 @@
     void aPeerWithoutTheSecretIsNotHeard() {
         PeerConnection stranger = connect(new PeerSecret("another-secret-altogether"));
         CompletableFuture<Envelope> answer =
-                stranger.exchange(group, Envelope.newBuilder().setProbe(Probe.newBuilder()), 5_000);
+                stranger.exchange(Envelope.newBuilder().setProbe(Probe.newBuilder()), 5_000);
         assertThrows(CompletionException.class, answer::join);
         assertThat(held).isEmpty();
     }
