What stood twice stands once: pauses, first choices, unconfirmed claims

Ruled out: one base class for the three keepers of claims: they share their constructors' shape, not their decisions.

--- a/core/src/main/java/org/bronzelug/core/claim/ExclusiveClaim.java
+++ b/core/src/main/java/org/bronzelug/core/claim/ExclusiveClaim.java
@@ -104,6 +104,11 @@
         return holder.filter(self::equals).isPresent();
     }
 
+    /** Whether this VM is the committed holder, but no majority has confirmed it yet. */
+    public boolean isUnconfirmed() {
+        return heldBySelf() && usableFrom.isEmpty();
+    }
+
     public Optional<MemberIdentity> holder() {
         return holder;
     }
--- a/core/src/main/java/org/bronzelug/core/membership/Rendezvous.java
+++ b/core/src/main/java/org/bronzelug/core/membership/Rendezvous.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import net.openhft.hashing.LongHashFunction;
 
 /**
@@ -23,6 +24,11 @@
                 .toList();
     }
 
+    /** The first choice for the key; empty where there are no names. */
+    public static Optional<String> first(String key, Collection<String> names) {
+        return names.stream().max(Comparator.comparingLong(name -> weight(key, name)));
+    }
+
     /** The weight of a name for a key: uniform over all longs. */
     public static long weight(String key, String name) {
         return HASH.hashChars(key + "\u0000" + name);
--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -30,15 +30,15 @@
      */
     public Optional<Placement> choose(
             PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
-        Optional<String> home = homeRunner(chain, runners);
         boolean known =
                 anyKnown(chain.deepestShared(), chain, runners, belief, nowNanos)
                         || belief.isComplete(nowNanos)
                                 && anyKnown(chain.root(), chain, runners, belief, nowNanos);
+        Optional<String> home = known ? Optional.empty() : homeRunner(chain, runners);
         double weight = missingTokenWeight(runners);
         Optional<Placement> best = Optional.empty();
         for (RunnerLoad runner : runners) {
-            boolean assumeHome = !known && home.filter(runner.name()::equals).isPresent();
+            boolean assumeHome = home.filter(runner.name()::equals).isPresent();
             Placement candidate = evaluate(chain, runner, assumeHome, weight, belief, nowNanos);
             if (best.isEmpty() || better(chain, candidate, best.get())) {
                 best = Optional.of(candidate);
@@ -87,8 +87,7 @@
 
     private static Optional<String> homeRunner(PrefixChain chain, Collection<RunnerLoad> runners) {
         String key = chain.deepestShared().hash().toString();
-        return Rendezvous.order(key, runners.stream().map(RunnerLoad::name).toList()).stream()
-                .findFirst();
+        return Rendezvous.first(key, runners.stream().map(RunnerLoad::name).toList());
     }
 
     private static boolean anyKnown(
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/OrderKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/OrderKeeper.java
@@ -3,7 +3,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -16,7 +15,6 @@
 import org.bronzelug.api.PoolObject;
 import org.bronzelug.core.claim.ExclusiveClaim;
 import org.bronzelug.core.claim.LoadPlan;
-import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.configuration.ObjectKeys;
 import org.bronzelug.daemon.control.ControlState;
@@ -98,19 +96,13 @@
             return;
         }
         boolean unheld = present.filter(held -> !state.isGone(held.holder(), now)).isEmpty();
-        boolean unconfirmed = claim.heldBySelf() && claim.usableFrom().isEmpty();
-        boolean first = isFirst(pool.getPool(), now);
-        boolean take = unconfirmed || unheld && first && watch.isReachable();
+        boolean first = state.isFirstChoice(ObjectKeys.order(pool.getPool()), now);
+        boolean take = claim.isUnconfirmed() || unheld && first && watch.isReachable();
         if (take && state.freshness().isFresh(now) && busy.add(pool.getPool())) {
             Thread.ofVirtual().name(NAME).start(() -> take(pool.getPool(), present));
         }
     }
 
-    private boolean isFirst(String pool, long now) {
-        List<String> order = Rendezvous.order(ObjectKeys.order(pool), state.availableVms(now));
-        return !order.isEmpty() && order.get(0).equals(state.self().vm());
-    }
-
     private ExclusiveClaim claim(String pool) {
         return claims.computeIfAbsent(
                 pool, ignored -> new ExclusiveClaim(state.self(), state.freshness().limitNanos()));
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -21,6 +20,7 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.PlatformWatch;
+import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.kernel.Service;
 import org.bronzelug.daemon.log.EventLog;
 import org.bronzelug.daemon.log.LogEvent;
@@ -129,11 +129,7 @@
             return;
         }
         // Others join too: wait at random, so that a herd's conflicts thin out.
-        try {
-            TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextLong(CHECK_MILLIS));
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
+        Pause.millis(ThreadLocalRandom.current().nextLong(CHECK_MILLIS));
     }
 
     /** Puts this VM's entry in; whether the roster had none of its name. */
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/ShareKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/ShareKeeper.java
@@ -14,7 +14,6 @@
 import org.bronzelug.api.ShareObject;
 import org.bronzelug.core.limit.RateShares;
 import org.bronzelug.core.membership.MemberIdentity;
-import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.configuration.ObjectKeys;
 import org.bronzelug.daemon.control.ControlState;
@@ -87,17 +86,9 @@
     private boolean shouldTake(int group, long now) {
         Optional<Catalog.Claim> present = state.catalog().share(group);
         boolean held = present.filter(claim -> !state.isGone(claim.holder(), now)).isPresent();
-        if (held) {
-            return unconfirmed(group);
-        }
-        List<String> order = Rendezvous.order(ObjectKeys.share(group), state.availableVms(now));
-        return !order.isEmpty() && order.get(0).equals(state.self().vm());
-    }
-
-    /** Whether this VM is the committed holder but a majority has not confirmed it yet. */
-    private boolean unconfirmed(int group) {
-        return state.shares().claim(group).heldBySelf()
-                && state.shares().claim(group).usableFrom().isEmpty();
+        return held
+                ? state.shares().claim(group).isUnconfirmed()
+                : state.isFirstChoice(ObjectKeys.share(group), now);
     }
 
     private void take(int group, Optional<Catalog.Claim> present) {
--- a/daemon/src/main/java/org/bronzelug/daemon/configuration/ObjectWriter.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/configuration/ObjectWriter.java
@@ -2,11 +2,11 @@
 
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.bronzelug.core.configuration.VersionedObject;
+import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.platform.PlatformClient;
 import org.bronzelug.daemon.platform.PlatformException;
 import org.bronzelug.daemon.platform.WriteResult;
@@ -62,7 +62,8 @@
                 };
             } catch (PlatformException failed) {
                 reason = failed.getMessage();
-                pause(attempt);
+                long longest = FIRST_PAUSE_MILLIS << attempt;
+                Pause.millis(ThreadLocalRandom.current().nextLong(longest) + 1);
             }
         }
         return new Outcome.Unknown(reason);
@@ -80,13 +81,4 @@
         }
         return new Outcome.Lost(presentVersion);
     }
-
-    private static void pause(int attempt) {
-        try {
-            long longest = FIRST_PAUSE_MILLIS << attempt;
-            TimeUnit.MILLISECONDS.sleep(ThreadLocalRandom.current().nextLong(longest) + 1);
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/control/Announcer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/Announcer.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
@@ -12,6 +12,7 @@
 import org.bronzelug.api.peer.PushObjects;
 import org.bronzelug.core.configuration.VersionedObject;
 import org.bronzelug.core.membership.Announcement;
+import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.peer.PeerNetwork;
 
 /**
@@ -53,7 +54,7 @@
                     return true;
                 }
             }
-            pause();
+            Pause.millis(PAUSE_MILLIS);
         }
         return false;
     }
@@ -75,6 +76,15 @@
             BooleanSupplier isEnough,
             Announcement announcement) {
         CompletableFuture<Boolean> enough = new CompletableFuture<>();
+        BiConsumer<String, Acknowledged> count =
+                (vm, answer) -> {
+                    synchronized (announcement) {
+                        confirmation.confirm(vm, answer.getIncarnation(), answer.getSettled());
+                        if (isEnough.getAsBoolean()) {
+                            enough.complete(true);
+                        }
+                    }
+                };
         List<CompletableFuture<?>> answers = new ArrayList<>();
         state.view()
                 .peers()
@@ -82,35 +92,15 @@
                         (vm, peer) ->
                                 answers.add(
                                         push(peer.peerAddress(), push)
-                                                .thenAccept(
-                                                        envelope -> {
-                                                            Acknowledged answer =
-                                                                    envelope.getAcknowledged();
-                                                            synchronized (announcement) {
-                                                                confirmation.confirm(
-                                                                        vm,
-                                                                        answer.getIncarnation(),
-                                                                        answer.getSettled());
-                                                                if (isEnough.getAsBoolean()) {
-                                                                    enough.complete(true);
-                                                                }
-                                                            }
-                                                        })
+                                                .thenAccept(answer -> count.accept(vm, answer))
                                                 .exceptionally(failure -> null)));
         CompletableFuture<?> all =
                 CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]));
         CompletableFuture.anyOf(all, enough).join();
     }
 
-    private CompletableFuture<Envelope> push(String address, PushObjects push) {
-        return peers.exchange(address, Envelope.newBuilder().setPushObjects(push), EXCHANGE_MILLIS);
-    }
-
-    private static void pause() {
-        try {
-            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
+    private CompletableFuture<Acknowledged> push(String address, PushObjects push) {
+        return peers.exchange(address, Envelope.newBuilder().setPushObjects(push), EXCHANGE_MILLIS)
+                .thenApply(Envelope::getAcknowledged);
     }
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
@@ -21,6 +21,7 @@
 import org.bronzelug.core.membership.MemberKnowledge;
 import org.bronzelug.core.membership.ProbeReport;
 import org.bronzelug.core.membership.ProbeTargets;
+import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.log.EventLog;
 import org.bronzelug.daemon.log.LogEvent;
@@ -171,6 +172,11 @@
         return available;
     }
 
+    /** Whether this VM is the available one that a key falls to: every VM decides it alike. */
+    public boolean isFirstChoice(String key, long nowNanos) {
+        return Rendezvous.first(key, availableVms(nowNanos)).filter(self.vm()::equals).isPresent();
+    }
+
     /** Publishes the state to the traffic threads. */
     public void publish() {
         long now = System.nanoTime();
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
@@ -87,12 +87,13 @@
         if (heard.isEmpty() && unheard.isEmpty()) {
             unheard.addAll(settings.seedPeers());
         }
-        ProbeTargets.choose(heard, unheard, PROBES_A_ROUND, random).forEach(this::probe);
+        MemberRoll roll = state.freshness().roll();
+        ProbeTargets.choose(heard, unheard, PROBES_A_ROUND, random)
+                .forEach(address -> probe(address, roll));
         state.publish();
     }
 
-    private void probe(String address) {
-        MemberRoll roll = state.freshness().roll();
+    private void probe(String address, MemberRoll roll) {
         long sent = System.nanoTime();
         Probe probe =
                 Probe.newBuilder()
@@ -112,12 +113,7 @@
     }
 
     private void takeAnswer(String address, ProbeAnswer answer, MemberRoll roll, long sent) {
-        List<String> missing = new ArrayList<>();
-        for (ObjectVersion version : answer.getVersionsList()) {
-            if (state.configuration().version(version.getKey()) < version.getVersion()) {
-                missing.add(version.getKey());
-            }
-        }
+        List<String> missing = missing(answer);
         if (missing.isEmpty()) {
             state.recordReport(PeerMessages.report(answer, roll), answer.getHeirOfList(), sent);
             return;
@@ -133,16 +129,21 @@
                         });
     }
 
+    /** The keys of which the peer has newer versions than are here. */
+    private List<String> missing(ProbeAnswer answer) {
+        List<String> missing = new ArrayList<>();
+        for (ObjectVersion version : answer.getVersionsList()) {
+            if (state.configuration().version(version.getKey()) < version.getVersion()) {
+                missing.add(version.getKey());
+            }
+        }
+        return missing;
+    }
+
     private void takeObjects(Objects objects, ProbeAnswer answer, MemberRoll roll, long sent) {
         state.install(PeerMessages.toObjects(objects.getObjectsList()));
         // The report counts only where all that it was based on has arrived.
-        boolean covered =
-                answer.getVersionsList().stream()
-                        .allMatch(
-                                version ->
-                                        state.configuration().version(version.getKey())
-                                                >= version.getVersion());
-        if (covered) {
+        if (missing(answer).isEmpty()) {
             state.recordReport(PeerMessages.report(answer, roll), answer.getHeirOfList(), sent);
         }
     }
--- a/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
@@ -17,6 +17,7 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.ControlView;
+import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.peer.PeerNetwork;
 
 /**
@@ -54,7 +55,7 @@
             if (!wait || System.nanoTime() >= untilNanos) {
                 return admission;
             }
-            pause();
+            Pause.millis(RETRY_MILLIS);
         }
     }
 
@@ -166,12 +167,4 @@
     private static long retryNanos() {
         return TimeUnit.SECONDS.toNanos(1);
     }
-
-    private static void pause() {
-        try {
-            TimeUnit.MILLISECONDS.sleep(RETRY_MILLIS);
-        } catch (InterruptedException stopped) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/measurement/src/main/java/org/bronzelug/measure/LiveMeasurement.java
+++ b/measurement/src/main/java/org/bronzelug/measure/LiveMeasurement.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.net.URI;
@@ -164,7 +165,7 @@
                         .POST(HttpRequest.BodyPublishers.ofByteArray(json.writeValueAsBytes(body)))
                         .build();
         long before = System.nanoTime();
-        HttpResponse<java.io.InputStream> response =
+        HttpResponse<InputStream> response =
                 http.send(request, HttpResponse.BodyHandlers.ofInputStream());
         try (BufferedReader lines =
                 new BufferedReader(
--- a/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
+++ b/measurement/src/main/java/org/bronzelug/measure/ModelledVm.java
@@ -111,7 +111,8 @@
 
     private static ModelledRunner byHash(PrefixChain chain, List<ModelledRunner> free) {
         List<String> names = free.stream().map(ModelledRunner::name).toList();
-        String first = Rendezvous.order(chain.deepestShared().hash().toString(), names).get(0);
+        String first =
+                Rendezvous.first(chain.deepestShared().hash().toString(), names).orElseThrow();
         return free.get(names.indexOf(first));
     }
 
--- a/measurement/src/main/java/org/bronzelug/measure/Simulation.java
+++ b/measurement/src/main/java/org/bronzelug/measure/Simulation.java
@@ -184,7 +184,7 @@
         for (int index = 0; index < vms.size(); index++) {
             names.add("vm-" + index);
         }
-        String first = Rendezvous.order(chain.root().hash().toString(), names).get(0);
+        String first = Rendezvous.first(chain.root().hash().toString(), names).orElseThrow();
         return names.indexOf(first);
     }
 
--- a/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
+++ b/measurement/src/main/java/org/bronzelug/measure/SlopeMeasurement.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.function.IntFunction;
 import java.util.function.IntToDoubleFunction;
+import java.util.stream.IntStream;
 import org.bronzelug.api.TeamObject;
 import org.bronzelug.api.peer.MemberAge;
 import org.bronzelug.api.peer.ObjectVersion;
@@ -57,10 +58,7 @@
                 "ns: prefixes recorded, all of them",
                 sizes(5_000, 20_000, 80_000),
                 n -> {
-                    List<PrefixChain> chains = new ArrayList<>();
-                    for (int index = 0; index < n; index++) {
-                        chains.add(chain(index));
-                    }
+                    List<PrefixChain> chains = chains(n);
                     CacheBelief belief = belief(n);
                     return time(
                             () -> chains.forEach(each -> belief.recordCached("r", "i", each, 1)),
@@ -74,10 +72,7 @@
                 "ns: cache events applied, a block stored and evicted again",
                 sizes(5_000, 20_000, 80_000),
                 n -> {
-                    List<PrefixChain> chains = new ArrayList<>();
-                    for (int index = 0; index < n; index++) {
-                        chains.add(chain(index));
-                    }
+                    List<PrefixChain> chains = chains(n);
                     CacheBelief belief = belief(n);
                     return time(() -> chains.forEach(each -> applyEvents(belief, each)), 1);
                 });
@@ -239,6 +234,10 @@
         return PrefixChain.of("team", "model", 1, List.of("sheet " + number));
     }
 
+    private static List<PrefixChain> chains(int count) {
+        return IntStream.range(0, count).mapToObj(SlopeMeasurement::chain).toList();
+    }
+
     private CacheBelief belief(int prefixes) {
         CacheBelief belief = new CacheBelief(prefixes + 1, Long.MAX_VALUE, 0);
         for (int index = 0; index < prefixes; index++) {
