--- a/core/src/main/java/org/bronzelug/core/placement/PrefixChain.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PrefixChain.java
@@ -42,6 +42,19 @@
         return new PrefixChain(salt, levels);
     }
 
+    /** Builds the chain of a prompt whose parts the caller names. */
+    public static PrefixChain ofParts(String salt, List<PromptPart> parts) {
+        List<PrefixLevel> levels = new ArrayList<>();
+        PrefixHash parent = hash(salt.getBytes(StandardCharsets.UTF_8));
+        int tokens = 0;
+        for (PromptPart part : parts) {
+            tokens += part.tokens();
+            parent = next(parent, part.id().getBytes(StandardCharsets.UTF_8));
+            levels.add(new PrefixLevel(parent, tokens));
+        }
+        return new PrefixChain(salt, levels);
+    }
+
     /** Keeps a team's blocks apart in the runner's own cache, by team, model and weights. */
     public static String salt(String team, String model, long weightsVersion) {
         String text = team.length() + ":" + team + model.length() + ":" + model + weightsVersion;
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/retry/package-info.java
@@ -0,0 +1,2 @@
+/** How many requests may be sent again. */
+package org.bronzelug.core.retry;
--- a/daemon/src/main/java/org/bronzelug/daemon/Daemon.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/Daemon.java
@@ -3,12 +3,12 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.bronzelug.core.membership.MemberIdentity;
 import org.bronzelug.daemon.control.ControlView;
-import org.bronzelug.daemon.kernel.Kernel;
-import org.bronzelug.daemon.kernel.ServiceException;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.runner.Endpoint;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Kernel;
+import org.bronzelug.kernel.ServiceException;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * One VM's daemon: the kernel with its services.
--- a/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
@@ -6,10 +6,10 @@
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
-import org.bronzelug.daemon.kernel.ServiceException;
 import org.bronzelug.daemon.settings.Settings;
 import org.bronzelug.daemon.settings.SettingsException;
 import org.bronzelug.daemon.settings.SettingsReader;
+import org.bronzelug.kernel.ServiceException;
 
 /** The daemon as a program. Stateless. */
 public final class DaemonMain {
--- a/daemon/src/main/java/org/bronzelug/daemon/Drain.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/Drain.java
@@ -17,10 +17,10 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.ControlView;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The graceful stop: callers are steered away, open requests end, and an heir takes over what only
--- a/daemon/src/main/java/org/bronzelug/daemon/action/ActionService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/action/ActionService.java
@@ -30,8 +30,6 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.generate.ProblemCode;
 import org.bronzelug.daemon.generate.RefusalException;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.monitor.Measures;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.runner.Endpoint;
@@ -39,6 +37,8 @@
 import org.bronzelug.daemon.runner.RunnerClient;
 import org.bronzelug.daemon.runner.RunnerException;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Runs calls of application runners.
--- a/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
@@ -8,11 +8,11 @@
 import javax.inject.Inject;
 import javax.inject.Provider;
 import javax.inject.Singleton;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.kernel.ServiceException;
 import org.bronzelug.daemon.operator.OperatorCalls;
 import org.bronzelug.daemon.settings.Addresses;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.kernel.ServiceException;
 
 /** The gRPC server for callers and operators. Thread-safe. */
 @Singleton
--- a/daemon/src/main/java/org/bronzelug/daemon/caller/RouterCalls.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/RouterCalls.java
@@ -26,9 +26,9 @@
 import org.bronzelug.daemon.generate.GenerateService;
 import org.bronzelug.daemon.generate.GenerationResult;
 import org.bronzelug.daemon.generate.RefusalException;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The calls of callers. Each runs on a thread of its own; refusals are answers, not gRPC errors.
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/OrderKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/OrderKeeper.java
@@ -20,13 +20,13 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.PlatformWatch;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.runner.Endpoint;
 import org.bronzelug.daemon.runner.EndpointDirectory;
 import org.bronzelug.daemon.runner.RunnerClient;
 import org.bronzelug.daemon.runner.RunnerException;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Orders a pool's runners to load the weights that the configuration names.
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/RosterKeeper.java
@@ -20,12 +20,12 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.PlatformWatch;
-import org.bronzelug.daemon.kernel.Pause;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Pause;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Keeps this VM's entry in the roster, with its present addresses.
--- a/daemon/src/main/java/org/bronzelug/daemon/claim/ShareKeeper.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/claim/ShareKeeper.java
@@ -19,9 +19,9 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.PlatformWatch;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Takes over the rate shares that no living VM holds.
--- a/daemon/src/main/java/org/bronzelug/daemon/configuration/Catalog.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/configuration/Catalog.java
@@ -18,8 +18,8 @@
 import org.bronzelug.core.key.KeyDigest;
 import org.bronzelug.core.limit.TeamRate;
 import org.bronzelug.core.membership.MemberIdentity;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The configuration in its own terms: teams, keys, pools, roster, claims.
--- a/daemon/src/main/java/org/bronzelug/daemon/configuration/ObjectWriter.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/configuration/ObjectWriter.java
@@ -6,10 +6,10 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.bronzelug.core.configuration.VersionedObject;
-import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.platform.PlatformClient;
 import org.bronzelug.daemon.platform.PlatformException;
 import org.bronzelug.daemon.platform.WriteResult;
+import org.bronzelug.kernel.Pause;
 
 /**
  * Commits one value by conditional update, and finds out what happened where an answer was lost.
--- a/daemon/src/main/java/org/bronzelug/daemon/control/Announcer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/Announcer.java
@@ -12,8 +12,8 @@
 import org.bronzelug.api.peer.PushObjects;
 import org.bronzelug.core.configuration.VersionedObject;
 import org.bronzelug.core.membership.Announcement;
-import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.peer.PeerNetwork;
+import org.bronzelug.kernel.Pause;
 
 /**
  * Brings committed objects into force: pushes them to all VMs until a majority holds them.
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlState.java
@@ -23,9 +23,9 @@
 import org.bronzelug.core.membership.ProbeTargets;
 import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.daemon.configuration.Catalog;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The daemon's control state: configuration, freshness, rate shares, heirs.
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ControlThread.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ControlThread.java
@@ -7,9 +7,9 @@
 import java.util.function.Supplier;
 import javax.inject.Inject;
 import javax.inject.Singleton;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The one thread that owns all control state: configuration, freshness, shares.
--- a/daemon/src/main/java/org/bronzelug/daemon/control/PlatformWatch.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/PlatformWatch.java
@@ -6,11 +6,11 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.bronzelug.core.membership.Rendezvous;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.platform.PlatformClient;
 import org.bronzelug.daemon.platform.PlatformException;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Reads the platform's objects: once whole, then by watches.
--- a/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/control/ProbeService.java
@@ -20,9 +20,9 @@
 import org.bronzelug.core.membership.ProbeReport;
 import org.bronzelug.core.membership.ProbeTargets;
 import org.bronzelug.daemon.action.ActionBook;
-import org.bronzelug.daemon.kernel.Service;
 import org.bronzelug.daemon.peer.PeerNetwork;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Service;
 
 /**
  * Probes other VMs, answers their probes, and brings the configuration level.
--- a/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
@@ -24,8 +24,6 @@
 import org.bronzelug.daemon.caller.CallerKeys;
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.limit.RateGate;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.monitor.Measures;
 import org.bronzelug.daemon.runner.CompletionListener;
 import org.bronzelug.daemon.runner.CompletionRequest;
@@ -34,6 +32,8 @@
 import org.bronzelug.daemon.runner.RunnerClient;
 import org.bronzelug.daemon.runner.RunnerException;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Serves generations: admits, queues, places, streams, and moves a stream whose runner fails.
--- a/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
@@ -17,8 +17,8 @@
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
 import org.bronzelug.daemon.control.ControlView;
-import org.bronzelug.daemon.kernel.Pause;
 import org.bronzelug.daemon.peer.PeerNetwork;
+import org.bronzelug.kernel.Pause;
 
 /**
  * Reserves metered tokens for requests, here or at the VM that holds the team's rate.
--- a/daemon/src/main/java/org/bronzelug/daemon/monitor/MonitorServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/monitor/MonitorServer.java
@@ -11,11 +11,11 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.bronzelug.daemon.control.ControlState;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.kernel.ServiceException;
 import org.bronzelug.daemon.platform.PlatformClient;
 import org.bronzelug.daemon.settings.Addresses;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.kernel.ServiceException;
 
 /** Serves /health and /metrics. Thread-safe. */
 @Singleton
--- a/daemon/src/main/java/org/bronzelug/daemon/operator/ChangeService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/operator/ChangeService.java
@@ -19,10 +19,10 @@
 import org.bronzelug.daemon.control.Announcer;
 import org.bronzelug.daemon.generate.ProblemCode;
 import org.bronzelug.daemon.generate.RefusalException;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.platform.PlatformClient;
 import org.bronzelug.daemon.platform.PlatformException;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Applies operators' changes: read, edit, commit if unchanged, announce.
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerNetwork.java
@@ -14,10 +14,10 @@
 import javax.inject.Inject;
 import javax.inject.Singleton;
 import org.bronzelug.api.peer.Envelope;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.kernel.ServiceException;
 import org.bronzelug.daemon.settings.Addresses;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.kernel.ServiceException;
 
 /**
  * The exchanges with other daemons, in both directions.
--- a/daemon/src/main/java/org/bronzelug/daemon/peer/PeerServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/peer/PeerServer.java
@@ -15,8 +15,8 @@
 import org.bronzelug.api.peer.Challenge;
 import org.bronzelug.api.peer.Envelope;
 import org.bronzelug.api.peer.Proof;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * Accepts connections of other daemons and answers their requests.
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/EndpointDirectory.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/EndpointDirectory.java
@@ -18,9 +18,9 @@
 import org.bronzelug.daemon.configuration.Catalog;
 import org.bronzelug.daemon.control.ControlState;
 import org.bronzelug.daemon.control.ControlThread;
-import org.bronzelug.daemon.kernel.Service;
-import org.bronzelug.daemon.log.EventLog;
-import org.bronzelug.daemon.log.LogEvent;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /**
  * The endpoints of the configuration, and their state as polled.
--- a/daemon/src/test/java/org/bronzelug/daemon/PagesTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/PagesTest.java
@@ -11,9 +11,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.bronzelug.daemon.generate.ProblemCode;
-import org.bronzelug.daemon.log.LogEvent;
 import org.bronzelug.daemon.settings.LimitField;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.log.LogEvent;
 import org.junit.jupiter.api.Test;
 
 /** The pages say what the code does. */
@@ -46,9 +46,11 @@
     @Test
     void everyEventIsLoggedSomewhere() throws Exception {
         StringBuilder sources = new StringBuilder();
-        try (var files = Files.walk(ROOT.resolve("daemon/src/main/java"))) {
-            for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
-                sources.append(Files.readString(file));
+        for (String module : List.of("daemon", "router", "platform")) {
+            try (var files = Files.walk(ROOT.resolve(module + "/src/main/java"))) {
+                for (Path file : files.filter(path -> path.toString().endsWith(".java")).toList()) {
+                    sources.append(Files.readString(file));
+                }
             }
         }
         for (LogEvent event : LogEvent.values()) {
--- a/daemon/src/main/java/org/bronzelug/daemon/kernel/Pause.java
+++ b/router/src/main/java/org/bronzelug/kernel/Pause.java
@@ -1,4 +1,4 @@
-package org.bronzelug.daemon.kernel;
+package org.bronzelug.kernel;
 
 import java.util.concurrent.TimeUnit;
 
--- a/daemon/src/main/java/org/bronzelug/daemon/kernel/Service.java
+++ b/router/src/main/java/org/bronzelug/kernel/Service.java
@@ -1,4 +1,4 @@
-package org.bronzelug.daemon.kernel;
+package org.bronzelug.kernel;
 
 /** A part of the daemon with a life of its own. Started and stopped by the {@link Kernel}. */
 public interface Service {
--- a/daemon/src/main/java/org/bronzelug/daemon/kernel/ServiceException.java
+++ b/router/src/main/java/org/bronzelug/kernel/ServiceException.java
@@ -1,4 +1,4 @@
-package org.bronzelug.daemon.kernel;
+package org.bronzelug.kernel;
 
 /** A service could not start; the message says what to mend. */
 public class ServiceException extends Exception {
--- a/daemon/src/main/java/org/bronzelug/daemon/kernel/package-info.java
+++ b/router/src/main/java/org/bronzelug/kernel/package-info.java
@@ -1,2 +1,2 @@
 /** The micro-kernel: services with start and stop that find each other by name. */
-package org.bronzelug.daemon.kernel;
+package org.bronzelug.kernel;
--- a/daemon/src/main/java/org/bronzelug/daemon/log/EventLog.java
+++ b/router/src/main/java/org/bronzelug/log/EventLog.java
@@ -1,4 +1,4 @@
-package org.bronzelug.daemon.log;
+package org.bronzelug.log;
 
 import com.google.common.flogger.FluentLogger;
 
@@ -18,6 +18,11 @@
         LOGGER.atInfo().log("%d %s: %s; %s", event.number(), event, event.text(), details);
     }
 
+    /** Logs an event that matters only while something is looked for. */
+    public static void debug(LogEvent event, String details) {
+        LOGGER.atFine().log("%d %s: %s; %s", event.number(), event, event.text(), details);
+    }
+
     /** Logs an event that an operator may have to act upon. */
     public static void warn(LogEvent event, String details) {
         LOGGER.atWarning().log("%d %s: %s; %s", event.number(), event, event.text(), details);
--- a/daemon/src/main/java/org/bronzelug/daemon/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -1,4 +1,4 @@
-package org.bronzelug.daemon.log;
+package org.bronzelug.log;
 
 /** The numbered log events; docs/EVENTS.md lists them with what an operator does. Immutable. */
 public enum LogEvent {
@@ -14,6 +14,9 @@
     CONFIGURATION_UNREADABLE(203, "a configuration object can't be read; the rest stays in force"),
     CHANGE_COMMITTED(204, "change committed"),
     CHANGE_REFUSED(205, "change refused"),
+    HISTORY_GONE(206, "the platform's history is gone; the kind is listed again"),
+    WEIGHTS_NAMED(207, "newer weights of a model are to be loaded"),
+    REGISTRATION_FAILED(208, "this VM's address could not be written to the platform yet"),
     FRESHNESS_LOST(300, "no word of the configuration for too long: requests are refused"),
     FRESHNESS_REGAINED(301, "the configuration is known to be current again"),
     PEER_UNREACHABLE(302, "peer does not answer"),
@@ -29,6 +32,14 @@
     ORDER_TAKEN(505, "orders of a pool taken over"),
     ORDER_GIVEN(506, "runner ordered to load weights"),
     ORDER_FAILED(507, "order was not carried out"),
+    ORDER_LEASE_NOT_TAKEN(508, "another VM has taken or renewed the right to give orders"),
+    ORDER_WEIGHED(509, "a runner told what it has; it is ordered if it lags and is free"),
+    REQUEST_ENDED(600, "request answered, or given up"),
+    REQUEST_REFUSED(601, "request refused before it was sent anywhere"),
+    REQUEST_MOVED(602, "request leaves an endpoint without an answer from it"),
+    SERVING(700, "this VM takes callers"),
+    NOT_SERVING(701, "this VM takes no callers"),
+    SETTINGS_RELOADED(702, "settings read again"),
     INTERNAL_ERROR(900, "unexpected error; please report it");
 
     private final int number;
--- a/daemon/src/main/java/org/bronzelug/daemon/log/package-info.java
+++ b/router/src/main/java/org/bronzelug/log/package-info.java
@@ -1,2 +1,2 @@
 /** Numbered log events (docs/EVENTS.md). */
-package org.bronzelug.daemon.log;
+package org.bronzelug.log;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -0,0 +1,330 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.api.fleet.v1.EndpointUse;
+import org.bronzelug.api.fleet.v1.EndpointWeights;
+import org.bronzelug.api.fleet.v1.KindRevision;
+import org.bronzelug.api.fleet.v1.OrderUnderWay;
+import org.bronzelug.api.fleet.v1.TeamUse;
+import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.fleet.FleetGossip;
+import org.bronzelug.router.fleet.Member;
+import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.http.HttpResponder.SmallAnswer;
+import org.bronzelug.router.order.OrderService;
+import org.bronzelug.router.settings.VmSettings;
+import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.traffic.PeerTeamUse;
+import org.bronzelug.router.traffic.PeerUse;
+import org.bronzelug.router.traffic.TrafficState;
+import org.bronzelug.router.traffic.TrafficUpdate;
+
+/**
+ * The control thread's work: watches the platform, exchanges state with peers, gives orders, and
+ * tells the traffic thread.
+ *
+ * <p>Confined to the control thread, but for start and stop.
+ */
+public final class ControlService implements Service, KindWatch.Listener {
+    public static final String NAME = "control";
+
+    /**
+     * Milliseconds between two datagrams to each peer. Counts of a team's tokens travel for at most
+     * one such period; at seven times a team's rate that is within the slack that rates allow.
+     */
+    private static final long ROUND_MILLIS = 150;
+
+    /** A peer's later revision is read from it if the own watch has not brought it by then. */
+    private static final int BEHIND_ROUNDS = 2;
+
+    /** After so many rounds behind a peer the own watch hangs on a dead connection. */
+    private static final int HANGING_ROUNDS = 6;
+
+    /** Rounds between two lists of VMs while no peer is heard. */
+    private static final int LIST_ROUNDS = 10;
+
+    private final EventLoop control;
+    private final EventLoop traffic;
+    private final VmSettings settings;
+    private final String incarnation;
+    private final ControlState state;
+    private final TrafficState trafficState;
+    private final MemberTable members;
+    private final FleetGossip gossip;
+    private final PeerReads peerReads;
+    private final VmRegistration registration;
+    private final OrderService orders;
+    private final Map<String, KindWatch> watches = new HashMap<>();
+    private TrafficReport report = new TrafficReport(List.of(), List.of(), List.of());
+    private long sequence;
+    private int rounds;
+    private int behindRounds;
+    private boolean wasServing;
+    private volatile boolean stopping;
+
+    public ControlService(
+            EventLoop control,
+            EventLoop traffic,
+            VmSettings settings,
+            String incarnation,
+            ObjectStore store,
+            ObjectDecoder decoder,
+            TrafficState trafficState,
+            OrderService.Runners runners) {
+        this.control = control;
+        this.traffic = traffic;
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.trafficState = trafficState;
+        this.state = new ControlState(decoder);
+        this.members = new MemberTable(settings.vm());
+        this.gossip = new FleetGossip(control, settings.peersAddress(), this::onPeer);
+        this.peerReads = new PeerReads(control, state);
+        this.registration = new VmRegistration(control, store, settings, members);
+        this.orders =
+                new OrderService(control, store, settings, incarnation, state, members, runners);
+        for (String kind : state.kinds()) {
+            watches.put(kind, new KindWatch(kind, control, store, state.mirror(kind), this));
+        }
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    /** The datagrams' service, which the kernel starts before this one. */
+    public FleetGossip gossip() {
+        return gossip;
+    }
+
+    @Override
+    public void start() {
+        settings.seedAddresses().forEach(members::addAddress);
+        control.execute(
+                () -> {
+                    watches.values().forEach(KindWatch::start);
+                    registration.start();
+                });
+        control.scheduleAtFixedRate(this::guardedRound, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        control.execute(() -> watches.values().forEach(KindWatch::stop));
+    }
+
+    /** From now on this VM is not named to callers and gives no orders. */
+    public void beginStop() {
+        stopping = true;
+        control.execute(this::guardedRound);
+    }
+
+    /** Whether this VM takes callers. */
+    public boolean isServing() {
+        return !stopping && state.isComplete();
+    }
+
+    /** Where callers may connect: the VMs that are heard and take callers. */
+    public List<FrontAddress> frontAddresses() {
+        List<FrontAddress> fronts = new ArrayList<>();
+        if (isServing()) {
+            fronts.add(new FrontAddress(settings.callersAddress(), settings.availabilityZone()));
+        }
+        for (Member member : members.live(System.nanoTime())) {
+            VmState peer = member.state();
+            if (peer.getServing() && !peer.getStopping()) {
+                fronts.add(new FrontAddress(peer.getCallersAddress(), peer.getAvailabilityZone()));
+            }
+        }
+        return fronts;
+    }
+
+    /**
+     * Where callers of one VM connect.
+     *
+     * @param address IP:PORT
+     * @param availabilityZone of the VM
+     */
+    public record FrontAddress(String address, String availabilityZone) {}
+
+    /** The answer to a peer that reads the platform's objects here. */
+    public SmallAnswer objectsAnswer() {
+        return peerReads.answer();
+    }
+
+    @Override
+    public void onChange(String kind) {
+        state.onChange(kind);
+        orders.onChange(kind);
+        orders.round(false);
+        updateTraffic();
+    }
+
+    @Override
+    public void onReachable(String kind, boolean reachable) {
+        boolean all = watches.values().stream().allMatch(KindWatch::isReachable);
+        if (reachable && all) {
+            state.endpointList().platformRegained(System.nanoTime());
+        }
+    }
+
+    private void guardedRound() {
+        try {
+            round();
+        } catch (RuntimeException fault) {
+            EventLog.warn(LogEvent.INTERNAL_ERROR, "in a round of the control thread", fault);
+        }
+    }
+
+    private void round() {
+        rounds++;
+        traffic.execute(
+                () -> {
+                    TrafficReport read = TrafficReport.of(trafficState);
+                    control.execute(() -> takeReport(read));
+                });
+        boolean dropped = state.endpointList().expire(System.nanoTime());
+        orders.round(dropped);
+        gossip.send(ownState(), members.addresses());
+        catchUp();
+        if (rounds % LIST_ROUNDS == 0 && members.live(System.nanoTime()).isEmpty()) {
+            registration.list();
+        }
+        updateTraffic();
+        logServing();
+    }
+
+    private void takeReport(TrafficReport read) {
+        report = read;
+        read.weights().forEach(this::takeWeights);
+    }
+
+    private void takeWeights(EndpointWeights seen) {
+        state.endpointList()
+                .recordWeights(
+                        seen.getEndpoint(),
+                        seen.getBornMillis(),
+                        seen.getModel(),
+                        seen.getVersion());
+    }
+
+    private void logServing() {
+        if (isServing() != wasServing) {
+            wasServing = !wasServing;
+            EventLog.info(
+                    wasServing ? LogEvent.SERVING : LogEvent.NOT_SERVING,
+                    "vm=" + settings.vm() + " stopping=" + stopping);
+        }
+    }
+
+    private VmState ownState() {
+        VmState.Builder builder =
+                VmState.newBuilder()
+                        .setVm(settings.vm())
+                        .setIncarnation(incarnation)
+                        .setSequence(++sequence)
+                        .setAvailabilityZone(settings.availabilityZone())
+                        .setCallersAddress(settings.callersAddress())
+                        .setPeersAddress(settings.peersAddress())
+                        .setServing(isServing())
+                        .setStopping(stopping)
+                        .addAllTeams(report.teams())
+                        .addAllEndpoints(report.endpoints());
+        for (String kind : state.kinds()) {
+            builder.addRevisions(
+                    KindRevision.newBuilder()
+                            .setKind(kind)
+                            .setRevision(state.mirror(kind).revision()));
+        }
+        builder.addAllOrders(orders.underWay());
+        state.endpointList()
+                .seenWeights()
+                .forEach((id, versions) -> addWeights(builder, id, versions));
+        return builder.build();
+    }
+
+    private void addWeights(VmState.Builder builder, String id, Map<String, Long> versions) {
+        long born = state.endpoints().get(id).bornMillis();
+        versions.forEach(
+                (model, version) ->
+                        builder.addWeights(
+                                EndpointWeights.newBuilder()
+                                        .setEndpoint(id)
+                                        .setBornMillis(born)
+                                        .setModel(model)
+                                        .setVersion(version)));
+    }
+
+    private void onPeer(VmState peer, long nowNanos) {
+        if (members.hear(peer, nowNanos)) {
+            peer.getWeightsList().forEach(this::takeWeights);
+        }
+    }
+
+    /** Reads from a peer what the own watches have not brought. */
+    private void catchUp() {
+        List<Member> ahead =
+                members.live(System.nanoTime()).stream()
+                        .filter(member -> peerReads.isBehind(member.state().getRevisionsList()))
+                        .toList();
+        behindRounds = ahead.isEmpty() ? 0 : behindRounds + 1;
+        if (behindRounds >= BEHIND_ROUNDS) {
+            Member chosen = ahead.get(rounds % ahead.size());
+            peerReads.readFrom(chosen.state().getPeersAddress(), this);
+        }
+        if (behindRounds == HANGING_ROUNDS) {
+            watches.values().stream().filter(KindWatch::isReachable).forEach(KindWatch::restart);
+        }
+    }
+
+    private void updateTraffic() {
+        long nowNanos = System.nanoTime();
+        List<Member> live = members.live(nowNanos);
+        Map<String, PeerUse> uses = new HashMap<>();
+        List<PeerTeamUse> teams = new ArrayList<>();
+        Set<String> ordered = new HashSet<>(orders.orderedEndpoints());
+        for (Member member : live) {
+            for (EndpointUse use : member.state().getEndpointsList()) {
+                uses.merge(
+                        use.getEndpoint(),
+                        new PeerUse(use.getQueuedPrefillTokens(), use.getRequests()),
+                        (left, right) -> left.plus(right.queuedPrefillTokens(), right.requests()));
+            }
+            member.state().getTeamsList().forEach(use -> teams.add(teamUse(member, use)));
+            member.state().getOrdersList().stream()
+                    .map(OrderUnderWay::getEndpoint)
+                    .forEach(ordered::add);
+        }
+        TrafficUpdate update =
+                new TrafficUpdate(
+                        state.configuration(),
+                        state.endpoints(),
+                        state.weights(),
+                        uses,
+                        teams,
+                        ordered,
+                        members.heardPart(nowNanos),
+                        1 + members.notGone(nowNanos).size());
+        traffic.execute(() -> trafficState.apply(update));
+    }
+
+    private static PeerTeamUse teamUse(Member member, TeamUse use) {
+        return new PeerTeamUse(
+                member.state().getVm(),
+                member.state().getIncarnation(),
+                use.getTeam(),
+                use.getAdmittedTokens(),
+                use.getLevelTokens());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -0,0 +1,143 @@
+package org.bronzelug.router.control;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.routing.RoutingConfiguration;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.store.ObjectMirror;
+import org.bronzelug.router.store.StoredItem;
+import org.bronzelug.router.traffic.WeightsTarget;
+
+/**
+ * What this VM believes of the platform's objects.
+ *
+ * <p>Invariant: the configuration's version and each model's weights never go back. Confined to the
+ * control thread.
+ */
+public final class ControlState {
+    /** The kind in which the right to give orders is kept. */
+    public static final String LEASE_KIND = "order-leases";
+
+    private final ObjectDecoder decoder;
+    private final Map<String, ObjectMirror> mirrors = new HashMap<>();
+    private final EndpointList endpoints = new EndpointList();
+    private final Map<String, WeightsTarget> weights = new HashMap<>();
+    private Optional<RoutingConfiguration> configuration = Optional.empty();
+
+    ControlState(ObjectDecoder decoder) {
+        this.decoder = decoder;
+        for (String kind : kinds()) {
+            mirrors.put(kind, new ObjectMirror());
+        }
+    }
+
+    List<String> kinds() {
+        return List.of(
+                decoder.configurationKind(),
+                decoder.endpointKind(),
+                decoder.weightsKind(),
+                LEASE_KIND);
+    }
+
+    public ObjectMirror mirror(String kind) {
+        return mirrors.get(kind);
+    }
+
+    public Optional<RoutingConfiguration> configuration() {
+        return configuration;
+    }
+
+    public EndpointList endpointList() {
+        return endpoints;
+    }
+
+    /** All endpoints with the newest known of their weights. */
+    public Map<String, EndpointEntry> endpoints() {
+        return endpoints.entries();
+    }
+
+    public Map<String, WeightsTarget> weights() {
+        return weights;
+    }
+
+    /** Whether requests can be served from what is known. */
+    public boolean isComplete() {
+        return configuration.isPresent() && mirror(decoder.endpointKind()).isKnown();
+    }
+
+    /** A kind's mirror has changed: its objects are read anew. */
+    void onChange(String kind) {
+        if (kind.equals(decoder.configurationKind())) {
+            readConfiguration();
+        } else if (kind.equals(decoder.endpointKind())) {
+            readEndpoints();
+        } else if (kind.equals(decoder.weightsKind())) {
+            mirror(kind).items().forEach(this::readWeights);
+        }
+    }
+
+    private void readConfiguration() {
+        Optional<RoutingConfiguration> read =
+                decoder.configuration(mirror(decoder.configurationKind()).items());
+        long known = configuration.map(RoutingConfiguration::version).orElse(0L);
+        read.filter(newer -> newer.version() > known)
+                .ifPresent(
+                        newer -> {
+                            configuration = Optional.of(newer);
+                            EventLog.info(
+                                    LogEvent.CONFIGURATION_INSTALLED,
+                                    "version="
+                                            + newer.version()
+                                            + " before="
+                                            + known
+                                            + " routes="
+                                            + newer.routeCount()
+                                            + " teams="
+                                            + newer.teams().size());
+                        });
+    }
+
+    private void readEndpoints() {
+        Map<String, EndpointEntry> listed = new HashMap<>();
+        for (StoredItem item : mirror(decoder.endpointKind()).items()) {
+            decoder.endpoint(item).ifPresent(entry -> listed.put(entry.id(), entry));
+        }
+        Map<String, EndpointEntry> before = endpoints.entries();
+        endpoints.update(listed, System.nanoTime());
+        logChanges(before, endpoints.entries());
+    }
+
+    private static void logChanges(
+            Map<String, EndpointEntry> before, Map<String, EndpointEntry> now) {
+        for (EndpointEntry entry : now.values()) {
+            if (!entry.equals(before.get(entry.id()))) {
+                EventLog.info(LogEvent.RUNNER_UP, "endpoint=" + entry);
+            }
+        }
+        for (EndpointEntry entry : before.values()) {
+            if (!now.containsKey(entry.id())) {
+                EventLog.info(LogEvent.RUNNER_DOWN, "endpoint=" + entry);
+            }
+        }
+    }
+
+    private void readWeights(StoredItem item) {
+        decoder.weights(item).ifPresent(this::takeWeights);
+    }
+
+    private void takeWeights(ObjectDecoder.NamedWeights named) {
+        WeightsTarget known = weights.get(named.model());
+        if (known != null && known.version() >= named.version()) {
+            return;
+        }
+        weights.put(
+                named.model(),
+                new WeightsTarget(named.model(), named.version(), System.nanoTime()));
+        EventLog.info(
+                LogEvent.WEIGHTS_NAMED, "model=" + named.model() + " version=" + named.version());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -0,0 +1,167 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ObjectMirror;
+import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.store.StoreException;
+
+/**
+ * Keeps the mirror of one kind up to date: lists once, then watches; lists again where the history
+ * is gone. Confined to the control thread.
+ *
+ * <p>While the platform fails, tries are spaced by a random pause that doubles up to a second, so
+ * that a fleet that lost the platform at one moment does not come back at one moment.
+ */
+final class KindWatch {
+    private static final long FIRST_PAUSE_MILLIS = 60;
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+
+    private final String kind;
+    private final EventLoop control;
+    private final ObjectStore store;
+    private final ObjectMirror mirror;
+    private final Listener listener;
+    private long pauseMillis = FIRST_PAUSE_MILLIS;
+    private boolean reachable = true;
+    private boolean stopped;
+    private int round;
+
+    KindWatch(
+            String kind,
+            EventLoop control,
+            ObjectStore store,
+            ObjectMirror mirror,
+            Listener listener) {
+        this.kind = kind;
+        this.control = control;
+        this.store = store;
+        this.mirror = mirror;
+        this.listener = listener;
+    }
+
+    /** Hears of changes and of the platform's being reached, on the control thread. */
+    interface Listener {
+        void onChange(String kind);
+
+        void onReachable(String kind, boolean reachable);
+    }
+
+    void start() {
+        list();
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    boolean isReachable() {
+        return reachable;
+    }
+
+    /** Drops the watch under way, which may hang on a silent connection, and lists anew. */
+    void restart() {
+        round++;
+        list();
+    }
+
+    private void list() {
+        int own = round;
+        store.list(kind)
+                .whenComplete(
+                        (list, failure) -> {
+                            if (stopped || own != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                failed(failure, this::list);
+                            } else {
+                                listed(list);
+                            }
+                        });
+    }
+
+    private void listed(ItemList list) {
+        reached();
+        if (mirror.replaceAll(list)) {
+            listener.onChange(kind);
+        }
+        watch(list.revision());
+    }
+
+    private void watch(long revision) {
+        int own = round;
+        store.watch(kind, revision)
+                .whenComplete(
+                        (changes, failure) -> {
+                            if (stopped || own != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                watchFailed(failure, revision);
+                            } else {
+                                changed(changes);
+                            }
+                        });
+    }
+
+    private void changed(ItemChanges changes) {
+        reached();
+        if (mirror.apply(changes)) {
+            listener.onChange(kind);
+        }
+        watch(changes.revision());
+    }
+
+    private void watchFailed(Throwable failure, long revision) {
+        Throwable cause = cause(failure);
+        boolean gone =
+                cause instanceof StoreException store
+                        && store.problem() == StoreException.Problem.HISTORY_GONE;
+        if (gone) {
+            EventLog.info(LogEvent.HISTORY_GONE, "kind=" + kind + " revision=" + revision);
+            list();
+        } else {
+            failed(failure, () -> watch(revision));
+        }
+    }
+
+    private void failed(Throwable failure, Runnable again) {
+        if (reachable) {
+            reachable = false;
+            listener.onReachable(kind, false);
+            EventLog.warn(
+                    LogEvent.PLATFORM_LOST,
+                    "kind=" + kind + " cause=\"" + cause(failure).getMessage() + "\"");
+        }
+        long pause = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
+        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+        int own = round;
+        control.schedule(
+                () -> {
+                    if (!stopped && own == round) {
+                        again.run();
+                    }
+                },
+                pause,
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void reached() {
+        pauseMillis = FIRST_PAUSE_MILLIS;
+        if (!reachable) {
+            reachable = true;
+            listener.onReachable(kind, true);
+            EventLog.info(LogEvent.PLATFORM_REACHED, "kind=" + kind);
+        }
+    }
+
+    private static Throwable cause(Throwable failure) {
+        return failure.getCause() == null ? failure : failure.getCause();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -0,0 +1,54 @@
+package org.bronzelug.router.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.bronzelug.api.fleet.v1.EndpointUse;
+import org.bronzelug.api.fleet.v1.EndpointWeights;
+import org.bronzelug.api.fleet.v1.TeamUse;
+import org.bronzelug.core.placement.RunnerLoad;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * What the traffic thread tells the control thread, for the peers. Immutable.
+ *
+ * @param teams tokens admitted
+ * @param endpoints requests under way
+ * @param weights that runners' answers showed
+ */
+record TrafficReport(
+        List<TeamUse> teams, List<EndpointUse> endpoints, List<EndpointWeights> weights) {
+    /** Reads the state; call on the traffic thread. */
+    static TrafficReport of(TrafficState state) {
+        List<TeamUse> teams = new ArrayList<>();
+        long nowNanos = System.nanoTime();
+        state.rates()
+                .forEach(
+                        (team, bucket) ->
+                                teams.add(
+                                        TeamUse.newBuilder()
+                                                .setTeam(team)
+                                                .setAdmittedTokens(bucket.admitted())
+                                                .setLevelTokens((long) bucket.level(nowNanos))
+                                                .build()));
+        List<EndpointUse> endpoints =
+                state.endpoints().all().stream()
+                        .filter(endpoint -> endpoint.ownRequests() > 0)
+                        .map(TrafficReport::use)
+                        .toList();
+        List<EndpointWeights> weights =
+                state.endpoints().all().stream()
+                        .flatMap(endpoint -> endpoint.weightsAheadOfEntry().stream())
+                        .toList();
+        return new TrafficReport(teams, endpoints, weights);
+    }
+
+    private static EndpointUse use(EndpointState endpoint) {
+        RunnerLoad load = endpoint.load().load(endpoint.entry().id(), "");
+        return EndpointUse.newBuilder()
+                .setEndpoint(endpoint.entry().id())
+                .setQueuedPrefillTokens((int) load.queuedPrefillTokens())
+                .setRequests(endpoint.ownRequests())
+                .build();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/package-info.java
@@ -0,0 +1,2 @@
+/** What the control thread knows of the platform and the fleet, and hands to the traffic thread. */
+package org.bronzelug.router.control;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/endpoint/AnswerListener.java
@@ -0,0 +1,25 @@
+package org.bronzelug.router.endpoint;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+
+/** Hears of one request at one endpoint, on the traffic thread. One of the ends is called once. */
+public interface AnswerListener {
+    /** No connection could be opened: nothing was sent. */
+    void onUnreachable(String cause);
+
+    /** The request was handed to an open connection: from here on it may run. */
+    void onSent();
+
+    /** The answer's head. */
+    void onHead(EndpointAnswer answer, HttpResponse response);
+
+    /** A part of the body; the listener releases it. */
+    void onData(ByteBuf data);
+
+    /** The answer is whole. */
+    void onComplete();
+
+    /** The connection ended, or carried bytes that are no answer, before the answer was whole. */
+    void onBroken(String cause);
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/endpoint/package-info.java
@@ -0,0 +1,2 @@
+/** Connections to endpoints, and what is known of each endpoint. */
+package org.bronzelug.router.endpoint;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
@@ -0,0 +1,124 @@
+package org.bronzelug.router.exchange;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.bronzelug.core.routing.CacheStore;
+import org.bronzelug.core.routing.RoutingConfiguration;
+import org.bronzelug.core.routing.Team;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.RunnerChoice;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * Makes the requests that endpoints get of one admitted request. Confined to the traffic thread.
+ *
+ * <p>Cache entries are kept apart by the version of the weights: the salt names it, and the request
+ * runs on that version only. The failure this prevents: a runner fetches entries that another one
+ * made under older weights, and generates from a memory that does not fit.
+ */
+final class EndpointRequests {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Urgency told to runners: the route's rank, after the most urgent, which stays free. */
+    private static final int FIRST_PRIORITY = 1;
+
+    private static final int LAST_PRIORITY = 9;
+
+    private final TrafficState state;
+    private final WireFormat wire;
+    private final Admitted admitted;
+
+    EndpointRequests(TrafficState state, WireFormat wire, Admitted admitted) {
+        this.state = state;
+        this.wire = wire;
+        this.admitted = admitted;
+    }
+
+    /**
+     * The request for one endpoint.
+     *
+     * @param runner present where tokens are generated
+     * @param lastEventId of a stream that goes on elsewhere
+     */
+    FullHttpRequest build(
+            FullHttpRequest request,
+            EndpointState endpoint,
+            Optional<RunnerChoice> runner,
+            OptionalLong lastEventId,
+            long nowNanos) {
+        Dispatch dispatch = dispatch(endpoint, runner, lastEventId, nowNanos);
+        HttpHeaders headers = wire.endpointHeaders(request, dispatch);
+        headers.set(HttpHeaderNames.HOST, request.headers().get(HttpHeaderNames.HOST));
+        boolean bodiless =
+                !request.content().isReadable()
+                        && (request.method().equals(HttpMethod.GET)
+                                || request.method().equals(HttpMethod.HEAD));
+        if (!bodiless) {
+            headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+        }
+        return new DefaultFullHttpRequest(
+                request.protocolVersion(),
+                request.method(),
+                request.uri(),
+                request.content().retainedDuplicate(),
+                headers,
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    }
+
+    private Dispatch dispatch(
+            EndpointState endpoint,
+            Optional<RunnerChoice> runner,
+            OptionalLong lastEventId,
+            long nowNanos) {
+        Optional<String> store =
+                runner.flatMap(choice -> state.configuration())
+                        .flatMap(RoutingConfiguration::cacheStore)
+                        .map(CacheStore::address);
+        boolean lacks = runner.map(choice -> !choice.sharedCached()).orElse(false);
+        return new Dispatch(
+                admitted.head().id(),
+                remainingMillis(nowNanos),
+                endpoint.entry().id(),
+                admitted.team().map(Team::name),
+                runner.isPresent() ? OptionalInt.of(urgency()) : OptionalInt.empty(),
+                weightsVersion(runner),
+                runner.map(choice -> "v" + choice.weightsVersion() + "/" + admitted.wall()),
+                store,
+                store.filter(address -> lacks),
+                lastEventId.isPresent()
+                        ? Optional.of(String.valueOf(lastEventId.getAsLong()))
+                        : admitted.head().lastEventId());
+    }
+
+    private OptionalLong remainingMillis(long nowNanos) {
+        OptionalLong deadline = admitted.head().deadlineMillis();
+        if (deadline.isEmpty()) {
+            return deadline;
+        }
+        long elapsedMillis = (nowNanos - admitted.arrivedNanos()) / NANOS_PER_MILLI;
+        return OptionalLong.of(Math.max(1, deadline.getAsLong() - elapsedMillis));
+    }
+
+    private static OptionalLong weightsVersion(Optional<RunnerChoice> runner) {
+        return runner.filter(choice -> choice.weightsVersion() > 0)
+                .map(choice -> OptionalLong.of(choice.weightsVersion()))
+                .orElseGet(OptionalLong::empty);
+    }
+
+    private int urgency() {
+        int rank =
+                admitted.team()
+                        .map(Team::priority)
+                        .filter(OptionalInt::isPresent)
+                        .map(OptionalInt::getAsInt)
+                        .orElse(admitted.route().priority());
+        return Math.min(LAST_PRIORITY, FIRST_PRIORITY + rank);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -0,0 +1,428 @@
+package org.bronzelug.router.exchange;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.routing.EndpointPool;
+import org.bronzelug.core.routing.RepeatPolicy;
+import org.bronzelug.core.routing.Route;
+import org.bronzelug.core.routing.Team;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.endpoint.AnswerListener;
+import org.bronzelug.router.endpoint.EndpointAnswer;
+import org.bronzelug.router.endpoint.EndpointCall;
+import org.bronzelug.router.ingress.CallerConnection;
+import org.bronzelug.router.ingress.CallerListener;
+import org.bronzelug.router.metrics.RouterMetrics;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.RunnerChoice;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * One admitted request: sent to an endpoint, perhaps to another one, and answered once.
+ *
+ * <p>Invariant: a request that was handed to a connection and not stated to be not executed is sent
+ * again only where its route allows that; and "not run" is said only where it holds for all
+ * attempts. Confined to the traffic thread.
+ */
+final class Exchange implements AnswerListener, CallerListener {
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int MISDIRECTED = 421;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /**
+     * How long past the caller's deadline an answer is waited for. The endpoint knows the deadline
+     * and answers by then itself; its answer takes a moment.
+     */
+    private static final long DEADLINE_GRACE_MILLIS = 150;
+
+    /** Retry after a refusal for want of endpoints: a runner is back, or replaced, in a second. */
+    private static final long NO_ENDPOINT_MILLIS = 250;
+
+    /** Sends of one request that were all stated not to have run. */
+    private static final int MAXIMUM_SENDS = 3;
+
+    private final EventLoop traffic;
+    private final TrafficState state;
+    private final WireFormat wire;
+    private final RouterMetrics metrics;
+    private final FullHttpRequest request;
+    private final CallerConnection caller;
+    private final Admitted admitted;
+    private final Set<String> tried = new HashSet<>();
+    private final Set<String> sentTo = new HashSet<>();
+    private final AnswerRelay relay;
+    private final EndpointRequests requests;
+
+    private Optional<ScheduledFuture<?>> timeout = Optional.empty();
+    private Optional<EndpointState> endpoint = Optional.empty();
+    private Optional<RunnerChoice> runner = Optional.empty();
+    private Optional<EndpointCall> call = Optional.empty();
+    private int sends;
+    private int uncertainSends;
+    private boolean prefilling;
+    private boolean done;
+
+    Exchange(
+            EventLoop traffic,
+            TrafficState state,
+            WireFormat wire,
+            RouterMetrics metrics,
+            FullHttpRequest request,
+            CallerConnection caller,
+            Admitted admitted) {
+        this.traffic = traffic;
+        this.state = state;
+        this.wire = wire;
+        this.metrics = metrics;
+        this.request = request;
+        this.caller = caller;
+        this.admitted = admitted;
+        this.requests = new EndpointRequests(state, wire, admitted);
+        this.relay = new AnswerRelay(caller, wire, admitted.route());
+    }
+
+    private Route route() {
+        return admitted.route();
+    }
+
+    void start() {
+        long timeoutMillis = route().timeoutMillis();
+        OptionalLong deadline = admitted.head().deadlineMillis();
+        if (deadline.isPresent()) {
+            timeoutMillis = Math.min(timeoutMillis, deadline.getAsLong() + DEADLINE_GRACE_MILLIS);
+        }
+        timeout =
+                Optional.of(
+                        traffic.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS));
+        admitted.pool()
+                .ifPresent(pool -> state.recordFirstAttempt(pool.name(), admitted.arrivedNanos()));
+        dispatch();
+    }
+
+    private void dispatch() {
+        long nowNanos = System.nanoTime();
+        endpoint = choose(nowNanos);
+        if (endpoint.isEmpty()) {
+            giveUp("no endpoint takes the request");
+            return;
+        }
+        EndpointState chosen = endpoint.get();
+        tried.add(chosen.entry().id());
+        chosen.begin();
+        runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
+        prefilling = runner.isPresent();
+        metrics.routed(nowNanos - admitted.arrivedNanos());
+        FullHttpRequest copy =
+                requests.build(request, chosen, runner, relay.lastEventId(), nowNanos);
+        call = Optional.of(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
+    }
+
+    private Optional<EndpointState> choose(long nowNanos) {
+        runner = Optional.empty();
+        if (admitted.pool().isEmpty()) {
+            return Optional.empty();
+        }
+        EndpointPool pool = admitted.pool().get();
+        Optional<PromptSpec> prompt = admitted.head().prompt();
+        if (pool.engine().isEmpty() || prompt.isEmpty()) {
+            return state.choice().leastLoaded(pool.name(), this::isAllowed, nowNanos);
+        }
+        runner =
+                state.choice()
+                        .byPrefix(
+                                pool.name(),
+                                prompt.get(),
+                                admitted.wall(),
+                                this::isAllowed,
+                                nowNanos);
+        return runner.map(RunnerChoice::endpoint);
+    }
+
+    /** Whether the request may go to an endpoint, after those that it has been sent to. */
+    private boolean isAllowed(String id) {
+        return !tried.contains(id)
+                && (sentTo.size() < route().maximumAttempts() || sentTo.contains(id));
+    }
+
+    private boolean mayTryAnother() {
+        return sentTo.size() < route().maximumAttempts() || !tried.containsAll(sentTo);
+    }
+
+    @Override
+    public void onUnreachable(String cause) {
+        EndpointState failed = leaveEndpoint();
+        failed.recordFailure(System.nanoTime());
+        note(LogEvent.REQUEST_MOVED, failed, "unreachable: " + cause);
+        dispatch();
+    }
+
+    @Override
+    public void onSent() {
+        sends++;
+        uncertainSends++;
+        sentTo.add(endpoint.orElseThrow().entry().id());
+    }
+
+    @Override
+    public void onHead(EndpointAnswer answer, HttpResponse response) {
+        EndpointState answering = endpoint.orElseThrow();
+        answering.recordAnswer(answer);
+        runner.ifPresent(choice -> learnWeights(answering, answer));
+        if (answer.notExecuted() || answer.status() == MISDIRECTED) {
+            onNotExecuted(answer);
+            return;
+        }
+        boolean spoiled = answer.isSuccess() && !answer.genuine();
+        boolean failed = spoiled || answer.isServerError();
+        if (failed && mayRepeat()) {
+            cancelCall();
+            answering.recordFailure(System.nanoTime());
+            note(LogEvent.REQUEST_MOVED, leaveEndpoint(), "answered " + answer.status());
+            dispatch();
+            return;
+        }
+        if (spoiled) {
+            cancelCall();
+            fail(BAD_GATEWAY, "the endpoint's answer is not genuine");
+            return;
+        }
+        relay.begin(answer, response);
+    }
+
+    private void learnWeights(EndpointState answering, EndpointAnswer answer) {
+        String model = admitted.head().prompt().orElseThrow().model();
+        answer.weightsVersion().ifPresent(version -> answering.recordWeights(model, version));
+    }
+
+    /** The endpoint states that nothing ran: the request may go elsewhere, within the budget. */
+    private void onNotExecuted(EndpointAnswer answer) {
+        cancelCall();
+        EndpointState refusing = leaveEndpoint();
+        uncertainSends--;
+        sentTo.remove(refusing.entry().id());
+        if (answer.status() == MISDIRECTED) {
+            expectNewest(refusing);
+        } else {
+            refusing.recordFailure(System.nanoTime());
+        }
+        note(LogEvent.REQUEST_MOVED, refusing, "not executed, status " + answer.status());
+        boolean again = sends < MAXIMUM_SENDS && mayTryAnother() && takeRepeat();
+        if (again) {
+            dispatch();
+        } else {
+            giveUp("endpoints refuse, last with " + answer.status());
+        }
+    }
+
+    /** The runner has other weights than believed: most likely it has just loaded the newest. */
+    private void expectNewest(EndpointState refusing) {
+        admitted.head()
+                .prompt()
+                .flatMap(prompt -> state.choice().newest(prompt.model()))
+                .ifPresent(target -> refusing.recordWeights(target.model(), target.version()));
+        tried.remove(refusing.entry().id());
+    }
+
+    @Override
+    public void onData(ByteBuf data) {
+        if (prefilling) {
+            endPrefill();
+        }
+        if (!relay.data(data)) {
+            cancelCall();
+            leaveEndpoint();
+            caller.abort();
+            finish("broken", "an event of the stream is missing");
+        }
+    }
+
+    private void endPrefill() {
+        prefilling = false;
+        runner.ifPresent(
+                choice -> {
+                    choice.endpoint().load().prefilled(choice.missingTokens());
+                    state.choice().recordRead(choice, System.nanoTime());
+                });
+    }
+
+    @Override
+    public void onComplete() {
+        leaveEndpoint();
+        if (relay.complete()) {
+            finish(String.valueOf(relay.status()), "complete");
+        } else {
+            resumeOrAbort("stream ended within an event");
+        }
+    }
+
+    @Override
+    public void onBroken(String cause) {
+        EndpointState broken = leaveEndpoint();
+        broken.recordFailure(System.nanoTime());
+        if (relay.hasBegun()) {
+            resumeOrAbort(cause);
+            return;
+        }
+        relay.reset();
+        if (mayRepeat()) {
+            note(LogEvent.REQUEST_MOVED, broken, cause);
+            dispatch();
+            return;
+        }
+        fail(BAD_GATEWAY, cause);
+    }
+
+    /** The answer has begun: a stream goes on elsewhere if it may, anything else is broken off. */
+    private void resumeOrAbort(String cause) {
+        if (relay.prepareResume() && mayRepeat()) {
+            EventLog.info(
+                    LogEvent.STREAM_MOVED,
+                    "request=" + admitted.head().id() + " cause=\"" + cause + "\"");
+            dispatch();
+            return;
+        }
+        caller.abort();
+        finish("broken", cause);
+    }
+
+    /** Whether a request that may have run may be sent to one more endpoint; takes the budget. */
+    private boolean mayRepeat() {
+        boolean repeatable = route().repeat() != RepeatPolicy.AT_MOST_ONCE;
+        return repeatable && sentTo.size() < route().maximumAttempts() && takeRepeat();
+    }
+
+    private boolean takeRepeat() {
+        return admitted.pool()
+                .map(pool -> state.tryRepeat(pool.name(), System.nanoTime()))
+                .orElse(false);
+    }
+
+    private void onTimeout() {
+        timeout = Optional.empty();
+        if (done) {
+            return;
+        }
+        cancelCall();
+        endpoint.ifPresent(state -> leaveEndpoint());
+        if (relay.hasBegun()) {
+            caller.abort();
+            finish("broken", "timeout within the answer");
+        } else if (uncertainSends > 0) {
+            fail(GATEWAY_TIMEOUT, "no answer in time");
+        } else {
+            giveUp("no endpoint in time");
+        }
+    }
+
+    /** Refuses as not run where that holds, with when to come back. */
+    private void giveUp(String reason) {
+        if (relay.hasBegun()) {
+            caller.abort();
+            finish("broken", reason);
+            return;
+        }
+        if (uncertainSends > 0) {
+            fail(BAD_GATEWAY, reason);
+            return;
+        }
+        admitted.team().ifPresent(team -> state.rates().giveBack(team, admitted.tokens()));
+        metrics.refused(UNAVAILABLE);
+        finish(String.valueOf(UNAVAILABLE), reason);
+        caller.refuse(Refusal.comeBack(UNAVAILABLE, reason, "come back", NO_ENDPOINT_MILLIS));
+    }
+
+    private void fail(int status, String reason) {
+        metrics.failed(status);
+        finish(String.valueOf(status), reason);
+        caller.refuse(Refusal.of(status, reason, "the request may have run"));
+    }
+
+    @Override
+    public void onCallerGone() {
+        cancelCall();
+        endpoint.ifPresent(state -> leaveEndpoint());
+        finish("gone", "the caller closed its connection");
+    }
+
+    @Override
+    public void onWritable(boolean writable) {
+        call.ifPresent(underWay -> underWay.setReading(writable));
+    }
+
+    private void cancelCall() {
+        call.ifPresent(EndpointCall::cancel);
+        call = Optional.empty();
+    }
+
+    private EndpointState leaveEndpoint() {
+        EndpointState left = endpoint.orElseThrow();
+        endpoint = Optional.empty();
+        left.end();
+        runner.ifPresent(
+                choice -> {
+                    if (prefilling) {
+                        left.load().prefilled(choice.missingTokens());
+                    }
+                    left.load().end();
+                });
+        prefilling = false;
+        call = Optional.empty();
+        return left;
+    }
+
+    private void finish(String outcome, String reason) {
+        if (done) {
+            return;
+        }
+        done = true;
+        timeout.ifPresent(running -> running.cancel(false));
+        request.release();
+        relay.release();
+        long millis = (System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI;
+        metrics.finished(millis);
+        EventLog.info(
+                LogEvent.REQUEST_ENDED,
+                "request="
+                        + admitted.head().id()
+                        + " outcome="
+                        + outcome
+                        + " reason=\""
+                        + reason
+                        + "\" route="
+                        + route().name()
+                        + " team="
+                        + admitted.team().map(Team::name).orElse("-")
+                        + " tried="
+                        + tried
+                        + " configuration="
+                        + admitted.configurationVersion()
+                        + " weights="
+                        + runner.map(RunnerChoice::weightsVersion).orElse(0L)
+                        + " millis="
+                        + millis);
+    }
+
+    private void note(LogEvent event, EndpointState at, String cause) {
+        EventLog.info(
+                event,
+                "request="
+                        + admitted.head().id()
+                        + " endpoint="
+                        + at.entry().id()
+                        + " cause=\""
+                        + cause
+                        + "\" sends="
+                        + sends);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -0,0 +1,181 @@
+package org.bronzelug.router.exchange;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.FullHttpRequest;
+import java.util.Optional;
+import org.bronzelug.core.key.KeyDigest;
+import org.bronzelug.core.routing.EndpointPool;
+import org.bronzelug.core.routing.IngressLimits;
+import org.bronzelug.core.routing.Route;
+import org.bronzelug.core.routing.RoutingConfiguration;
+import org.bronzelug.core.routing.Team;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.ingress.CallerConnection;
+import org.bronzelug.router.ingress.CallerListener;
+import org.bronzelug.router.ingress.RequestHandler;
+import org.bronzelug.router.metrics.RouterMetrics;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * Admits requests: whose they are, where they go, whether their team is within its rate. Confined
+ * to the traffic thread.
+ */
+public final class Forwarder implements RequestHandler {
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int TOO_MANY = 429;
+    private static final int UNAVAILABLE = 503;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** A VM without a configuration has one within some 100 ms, unless the platform is down. */
+    private static final long NO_CONFIGURATION_MILLIS = 300;
+
+    private static final CallerListener NOTHING =
+            new CallerListener() {
+                @Override
+                public void onCallerGone() {
+                    // The answer was complete: nothing is under way.
+                }
+
+                @Override
+                public void onWritable(boolean writable) {
+                    // The answer was written whole.
+                }
+            };
+
+    private final EventLoop traffic;
+    private final TrafficState state;
+    private final WireFormat wire;
+    private final RouterMetrics metrics;
+    private boolean stopping;
+
+    public Forwarder(
+            EventLoop traffic, TrafficState state, WireFormat wire, RouterMetrics metrics) {
+        this.traffic = traffic;
+        this.state = state;
+        this.wire = wire;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public IngressLimits limits() {
+        return state.configuration()
+                .map(RoutingConfiguration::limits)
+                .orElseGet(IngressLimits::usual);
+    }
+
+    @Override
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** From now on connections end after their next answer. */
+    public void beginStop() {
+        stopping = true;
+    }
+
+    @Override
+    public CallerListener handle(
+            FullHttpRequest request, CallerConnection caller, long arrivedNanos) {
+        RequestHead head;
+        try {
+            head = wire.decodeRequest(request);
+        } catch (MalformedRequestException malformed) {
+            Refusal refusal =
+                    Refusal.of(BAD_REQUEST, malformed.getMessage(), "correct the request");
+            return refuse("-", request, caller, refusal.closing());
+        }
+        metrics.arrived();
+        Optional<RoutingConfiguration> known = state.configuration();
+        if (known.isEmpty()) {
+            return refuse(
+                    head.id(),
+                    request,
+                    caller,
+                    Refusal.comeBack(
+                            UNAVAILABLE,
+                            "no configuration known yet",
+                            "come back",
+                            NO_CONFIGURATION_MILLIS));
+        }
+        return admit(head, request, caller, known.get(), arrivedNanos);
+    }
+
+    private CallerListener admit(
+            RequestHead head,
+            FullHttpRequest request,
+            CallerConnection caller,
+            RoutingConfiguration configuration,
+            long arrivedNanos) {
+        Optional<Route> route = configuration.route(head.host(), head.path());
+        if (route.isEmpty()) {
+            return refuse(
+                    head.id(),
+                    request,
+                    caller,
+                    Refusal.of(NOT_FOUND, "no route", "check host and path"));
+        }
+        Optional<Team> team = head.key().map(KeyDigest::of).flatMap(configuration::teamOf);
+        boolean keyed = configuration.needsKeys() && !route.get().anonymous();
+        if (keyed && team.isEmpty()) {
+            return refuse(
+                    head.id(),
+                    request,
+                    caller,
+                    Refusal.of(UNAUTHORIZED, "unknown key", "present a key of a team"));
+        }
+        Optional<Team> charged = keyed ? team : Optional.empty();
+        long tokens = charged.map(present -> tokens(head, present)).orElse(0L);
+        if (charged.isPresent() && !state.rates().tryTake(charged.get(), tokens, arrivedNanos)) {
+            metrics.refusedOverRate();
+            return refuse(
+                    head.id(), request, caller, overRate(charged.get(), tokens, arrivedNanos));
+        }
+        Admitted admitted =
+                new Admitted(
+                        head,
+                        route.get(),
+                        charged,
+                        tokens,
+                        state.configuration().flatMap(present -> poolOf(present, route.get())),
+                        configuration.version(),
+                        arrivedNanos);
+        Exchange exchange = new Exchange(traffic, state, wire, metrics, request, caller, admitted);
+        exchange.start();
+        return exchange;
+    }
+
+    private static Optional<EndpointPool> poolOf(RoutingConfiguration configuration, Route route) {
+        return configuration.pool(route.pool(Math.random()));
+    }
+
+    private static long tokens(RequestHead head, Team team) {
+        return head.prompt().map(PromptSpec::totalTokens).orElse(team.plainTokens());
+    }
+
+    private Refusal overRate(Team team, long tokens, long nowNanos) {
+        long millis = state.rates().nanosUntil(team, tokens, nowNanos) / NANOS_PER_MILLI + 1;
+        return Refusal.comeBack(
+                TOO_MANY, "team " + team.name() + " over its rate", "come back", millis);
+    }
+
+    private CallerListener refuse(
+            String id, FullHttpRequest request, CallerConnection caller, Refusal refusal) {
+        request.release();
+        metrics.refused(refusal.status());
+        EventLog.info(
+                LogEvent.REQUEST_REFUSED,
+                "request="
+                        + id
+                        + " status="
+                        + refusal.status()
+                        + " reason=\""
+                        + refusal.reason()
+                        + "\" configuration="
+                        + state.configuration().map(RoutingConfiguration::version).orElse(0L));
+        caller.refuse(refusal);
+        return NOTHING;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/Refusal.java
@@ -0,0 +1,30 @@
+package org.bronzelug.router.exchange;
+
+import java.util.OptionalLong;
+
+/**
+ * An answer of the router's own. The statuses 408, 421, 429 and 503 promise that the request has
+ * not run and will not; all others promise nothing. Immutable.
+ *
+ * @param status of HTTP
+ * @param reason for logs and metrics
+ * @param remedy what the caller can do
+ * @param retryAfterMillis when to come back
+ * @param close whether the connection's state is uncertain, so that it ends after the answer
+ */
+public record Refusal(
+        int status, String reason, String remedy, OptionalLong retryAfterMillis, boolean close) {
+    public static Refusal of(int status, String reason, String remedy) {
+        return new Refusal(status, reason, remedy, OptionalLong.empty(), false);
+    }
+
+    public static Refusal comeBack(
+            int status, String reason, String remedy, long retryAfterMillis) {
+        return new Refusal(status, reason, remedy, OptionalLong.of(retryAfterMillis), false);
+    }
+
+    /** The same answer, after which the connection ends. */
+    public Refusal closing() {
+        return new Refusal(status, reason, remedy, retryAfterMillis, true);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/WireFormat.java
@@ -0,0 +1,27 @@
+package org.bronzelug.router.exchange;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.bronzelug.router.endpoint.EndpointAnswer;
+
+/**
+ * How requests and answers are spelled on the wire: the only place of the engine that depends on a
+ * platform's header names. Implementations are stateless and thread-safe.
+ */
+public interface WireFormat {
+    /** Reads what the engine needs of a caller's request. */
+    RequestHead decodeRequest(HttpRequest request) throws MalformedRequestException;
+
+    /**
+     * The headers for an endpoint: the caller's, without those that concern only its connection or
+     * that only the router may set, and the router's own.
+     */
+    HttpHeaders endpointHeaders(HttpRequest request, Dispatch dispatch);
+
+    /** Reads what the engine needs of an endpoint's answer. */
+    EndpointAnswer decodeAnswer(HttpResponse response);
+
+    /** The headers of an endpoint's answer that a caller gets. */
+    HttpHeaders callerHeaders(HttpResponse response);
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
@@ -0,0 +1,119 @@
+package org.bronzelug.router.fleet;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.kernel.Service;
+import org.bronzelug.kernel.ServiceException;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.http.SocketSettings;
+
+/**
+ * Sends this VM's state to peers by datagram and hears theirs. A lost one is made good by the next.
+ * Confined to the control thread, but for start and stop.
+ */
+public final class FleetGossip implements Service {
+    public static final String NAME = "fleet-gossip";
+
+    /**
+     * Peers addressed in one round. In a small fleet that is everybody, and counts travel in one
+     * round; in a large one a random choice bounds the bytes of each VM.
+     */
+    private static final int PEERS_PER_ROUND = 12;
+
+    private final EventLoop control;
+    private final String address;
+    private final BiConsumer<VmState, Long> onState;
+    private Optional<Channel> channel = Optional.empty();
+
+    /**
+     * @param address IP:PORT that this VM listens on
+     * @param onState takes what peers say, and when it was heard
+     */
+    public FleetGossip(EventLoop control, String address, BiConsumer<VmState, Long> onState) {
+        this.control = control;
+        this.address = address;
+        this.onState = onState;
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void start() throws ServiceException {
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(control)
+                        .channel(NioDatagramChannel.class)
+                        .handler(new Receiver());
+        try {
+            InetSocketAddress local = SocketSettings.address(address);
+            channel = Optional.of(bootstrap.bind(local).syncUninterruptibly().channel());
+        } catch (RuntimeException failed) {
+            throw new ServiceException(
+                    "cannot listen for peers on " + address + ": free the port", failed);
+        }
+    }
+
+    /** Sends the state to peers. */
+    public void send(VmState state, Iterable<String> addresses) {
+        List<String> targets = new ArrayList<>();
+        addresses.forEach(targets::add);
+        targets.remove(address);
+        Collections.shuffle(targets);
+        byte[] bytes = state.toByteArray();
+        channel.ifPresent(
+                open ->
+                        targets.stream()
+                                .limit(PEERS_PER_ROUND)
+                                .forEach(target -> write(open, bytes, target)));
+    }
+
+    private static void write(Channel open, byte[] bytes, String target) {
+        open.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(bytes), SocketSettings.address(target)));
+    }
+
+    @Override
+    public void stop() {
+        channel.ifPresent(Channel::close);
+    }
+
+    /** Takes datagrams off the socket. */
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            byte[] bytes = new byte[packet.content().readableBytes()];
+            packet.content().readBytes(bytes);
+            try {
+                onState.accept(VmState.parseFrom(bytes), System.nanoTime());
+            } catch (InvalidProtocolBufferException malformed) {
+                EventLog.warn(
+                        LogEvent.PEER_REFUSED,
+                        "from=" + packet.sender() + " cause=\"" + malformed.getMessage() + "\"");
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            // An unreachable peer is reported on the socket of the sender; the next round retries.
+            EventLog.debug(LogEvent.PEER_UNREACHABLE, "cause=\"" + cause.getMessage() + "\"");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -0,0 +1,88 @@
+package org.bronzelug.router.fleet;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.bronzelug.api.fleet.v1.VmState;
+
+/**
+ * The other VMs of the fleet, as heard.
+ *
+ * <p>Invariant: of one incarnation only a later state replaces an earlier one, so a datagram that
+ * was held up changes nothing. Confined to the control thread.
+ */
+public final class MemberTable {
+    /** Six datagrams in a row are lost, or their sender is silent. */
+    private static final long LIVE_NANOS = 1_000_000_000L;
+
+    /** A VM silent for so long is not counted as one that may admit requests unheard. */
+    private static final long GONE_NANOS = 10_000_000_000L;
+
+    private final String self;
+    private final Map<String, Member> members = new HashMap<>();
+    private final Set<String> addresses = new HashSet<>();
+
+    public MemberTable(String self) {
+        this.self = self;
+    }
+
+    /**
+     * Takes in what a VM says.
+     *
+     * @return whether it is newer than what was known
+     */
+    public boolean hear(VmState state, long nowNanos) {
+        if (state.getVm().equals(self)) {
+            return false;
+        }
+        Member known = members.get(state.getVm());
+        boolean older =
+                known != null
+                        && known.state().getIncarnation().equals(state.getIncarnation())
+                        && known.state().getSequence() >= state.getSequence();
+        if (older) {
+            return false;
+        }
+        members.put(state.getVm(), new Member(state, nowNanos));
+        addresses.add(state.getPeersAddress());
+        addresses.addAll(state.getKnownAddressesList());
+        return true;
+    }
+
+    /** An address at which a VM may listen. */
+    public void addAddress(String address) {
+        addresses.add(address);
+    }
+
+    public Set<String> addresses() {
+        return addresses;
+    }
+
+    /** The VMs heard lately. */
+    public List<Member> live(long nowNanos) {
+        return members.values().stream()
+                .filter(member -> nowNanos - member.heardNanos() < LIVE_NANOS)
+                .toList();
+    }
+
+    /** All VMs heard within the time after which a silent one counts as gone. */
+    public List<Member> notGone(long nowNanos) {
+        return members.values().stream()
+                .filter(member -> nowNanos - member.heardNanos() < GONE_NANOS)
+                .toList();
+    }
+
+    public Collection<Member> all() {
+        return members.values();
+    }
+
+    /** The part of the VMs that may admit requests which is heard, this one included. */
+    public double heardPart(long nowNanos) {
+        int live = 1 + live(nowNanos).size();
+        int possible = 1 + notGone(nowNanos).size();
+        return (double) live / possible;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/http/HttpCaller.java
@@ -0,0 +1,204 @@
+package org.bronzelug.router.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Makes single calls over kept connections to one address: to the platform, to a runner's order
+ * interface, to a peer.
+ *
+ * <p>Invariant: a connection on which a call has failed or timed out is closed, so that a late
+ * answer is never taken for the next call's. Futures complete on the event loop. Confined to that
+ * loop, but for {@link #call}, which any thread may call.
+ */
+public final class HttpCaller {
+    /** Larger than the largest object of the platform, with its framing: a megabyte a list page. */
+    private static final int MAXIMUM_ANSWER_BYTES = 8 * 1_048_576;
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Deque<Connection> idle = new ArrayDeque<>();
+
+    public HttpCaller(EventLoop loop, InetSocketAddress address) {
+        this.loop = loop;
+        this.address = address;
+    }
+
+    /** Makes a call; it fails with an {@link IOException} where no whole answer comes in time. */
+    public CompletableFuture<HttpReply> call(
+            HttpMethod method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMillis) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body));
+        request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress());
+        headers.forEach((name, value) -> request.headers().set(name, value));
+        if (body.length > 0 || !method.equals(HttpMethod.GET)) {
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        }
+        loop.execute(() -> begin(request, reply, timeoutMillis));
+        return reply;
+    }
+
+    private void begin(
+            FullHttpRequest request, CompletableFuture<HttpReply> reply, long timeoutMillis) {
+        Connection kept = idle.pollFirst();
+        while (kept != null && !kept.channel.isActive()) {
+            kept = idle.pollFirst();
+        }
+        if (kept != null) {
+            kept.send(request, reply, timeoutMillis);
+            return;
+        }
+        Connection connection = new Connection();
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SocketSettings.CONNECT_MILLIS)
+                        .handler(connection.pipeline());
+        SocketSettings.keepAlive(bootstrap);
+        bootstrap
+                .connect(address)
+                .addListener(
+                        (ChannelFuture connected) -> {
+                            if (!connected.isSuccess()) {
+                                request.release();
+                                reply.completeExceptionally(
+                                        new IOException(
+                                                "no connection to " + address, connected.cause()));
+                                return;
+                            }
+                            connection.channel = connected.channel();
+                            connection.send(request, reply, timeoutMillis);
+                        });
+    }
+
+    /** Ends all kept connections that are idle. */
+    public void close() {
+        loop.execute(
+                () -> {
+                    idle.forEach(connection -> connection.channel.close());
+                    idle.clear();
+                });
+    }
+
+    /** One connection with at most one call under way. */
+    private final class Connection {
+        private Channel channel;
+        private Optional<CompletableFuture<HttpReply>> waiting = Optional.empty();
+        private Optional<ScheduledFuture<?>> timeout = Optional.empty();
+
+        private void send(
+                FullHttpRequest request, CompletableFuture<HttpReply> reply, long timeoutMillis) {
+            waiting = Optional.of(reply);
+            timeout =
+                    Optional.of(
+                            loop.schedule(
+                                    () -> fail("no answer in " + timeoutMillis + " ms"),
+                                    timeoutMillis,
+                                    TimeUnit.MILLISECONDS));
+            channel.writeAndFlush(request);
+        }
+
+        private ChannelInitializer<SocketChannel> pipeline() {
+            return new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(SocketChannel opened) {
+                    opened.pipeline()
+                            .addLast(new HttpClientCodec())
+                            .addLast(new HttpObjectAggregator(MAXIMUM_ANSWER_BYTES))
+                            .addLast(new AnswerHandler(Connection.this));
+                }
+            };
+        }
+
+        private void complete(FullHttpResponse response) {
+            Optional<CompletableFuture<HttpReply>> reply = waiting;
+            waiting = Optional.empty();
+            timeout.ifPresent(running -> running.cancel(false));
+            if (reply.isEmpty() || response.decoderResult().isFailure()) {
+                channel.close();
+                reply.ifPresent(
+                        caller ->
+                                caller.completeExceptionally(new IOException("malformed answer")));
+                return;
+            }
+            byte[] body = new byte[response.content().readableBytes()];
+            response.content().readBytes(body);
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.addFirst(this);
+            } else {
+                channel.close();
+            }
+            reply.get().complete(new HttpReply(response.status().code(), response.headers(), body));
+        }
+
+        private void fail(String cause) {
+            Optional<CompletableFuture<HttpReply>> reply = waiting;
+            waiting = Optional.empty();
+            timeout.ifPresent(running -> running.cancel(false));
+            idle.remove(this);
+            channel.close();
+            reply.ifPresent(
+                    caller ->
+                            caller.completeExceptionally(new IOException(address + ": " + cause)));
+        }
+    }
+
+    /** Hands a connection's events on to it. */
+    private static final class AnswerHandler extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Connection connection;
+
+        private AnswerHandler(Connection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            connection.complete(response);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connection.fail("connection closed");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            connection.fail(String.valueOf(cause.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/ingress/package-info.java
@@ -0,0 +1,2 @@
+/** Connections of callers. */
+package org.bronzelug.router.ingress;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/metrics/RouterMetrics.java
@@ -0,0 +1,86 @@
+package org.bronzelug.router.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Counting;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Snapshot;
+import com.codahale.metrics.UniformReservoir;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/** What the router counts and times; no key ever becomes a name. Thread-safe. */
+public final class RouterMetrics {
+    private static final int SAMPLES = 512;
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Counter arrived = registry.counter("requests_arrived");
+    private final Counter overRate = registry.counter("requests_over_rate");
+    private final Histogram routing = histogram("routing_micros");
+    private final Histogram whole = histogram("request_millis");
+
+    private Histogram histogram(String name) {
+        return registry.register(name, new Histogram(new UniformReservoir(SAMPLES)));
+    }
+
+    public void arrived() {
+        arrived.inc();
+    }
+
+    public void refusedOverRate() {
+        overRate.inc();
+    }
+
+    /** The router refused a request as not run. */
+    public void refused(int status) {
+        registry.counter("requests_refused_" + status).inc();
+    }
+
+    /** The router gave a request up that may have run. */
+    public void failed(int status) {
+        registry.counter("requests_failed_" + status).inc();
+    }
+
+    /** From a request's arrival until it was handed to an endpoint's connections. */
+    public void routed(long nanos) {
+        routing.update(nanos / NANOS_PER_MICRO);
+    }
+
+    /** From a request's arrival to the last byte of its answer. */
+    public void finished(long millis) {
+        whole.update(millis);
+    }
+
+    /** Counts an event of the control side. */
+    public void count(String name) {
+        registry.counter(name).inc();
+    }
+
+    /** Shows a value that is read when the metrics are. */
+    public void gauge(String name, Supplier<Number> value) {
+        registry.register(name, (Gauge<Number>) value::get);
+    }
+
+    /** All figures as lines of name and value. */
+    public String text() {
+        Map<String, Object> lines = new TreeMap<>();
+        registry.getCounters().forEach((name, counter) -> lines.put(name, counter.getCount()));
+        registry.getGauges().forEach((name, gauge) -> lines.put(name, gauge.getValue()));
+        registry.getHistograms().forEach((name, histogram) -> addHistogram(lines, name, histogram));
+        StringBuilder text = new StringBuilder();
+        lines.forEach((name, value) -> text.append(name).append(' ').append(value).append('\n'));
+        return text.toString();
+    }
+
+    private static void addHistogram(Map<String, Object> lines, String name, Histogram histogram) {
+        Snapshot snapshot = histogram.getSnapshot();
+        lines.put(name + "_count", ((Counting) histogram).getCount());
+        lines.put(name + "_p50", snapshot.getMedian());
+        lines.put(name + "_p95", snapshot.get95thPercentile());
+        lines.put(name + "_p99", snapshot.get99thPercentile());
+        lines.put(name + "_max", snapshot.getMax());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and latency histograms. */
+package org.bronzelug.router.metrics;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/order/package-info.java
@@ -0,0 +1,2 @@
+/** Orders to runners. */
+package org.bronzelug.router.order;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
@@ -0,0 +1,27 @@
+package org.bronzelug.router.settings;
+
+/**
+ * What the fleet as a whole must keep to, from its operators. Immutable.
+ *
+ * @param retryRatio requests sent again, for each sent at first
+ * @param retryWindowSeconds over which repeats are counted
+ * @param retrySlack repeats allowed besides in each window, over all VMs
+ * @param leastVms VMs that share the slack even where fewer are known
+ * @param leaseMillis between orders of two VMs to one runner
+ * @param drainMillis after which a leaving endpoint gets no work
+ * @param graceMillis from the request to stop until the process is ended by force
+ * @param configurationMillis in which a change is in force on every VM
+ * @param weightsMillis after which no request begins on older weights
+ * @param loadsAtOnce runners that load weights at the same time
+ */
+public record FleetBounds(
+        double retryRatio,
+        int retryWindowSeconds,
+        double retrySlack,
+        int leastVms,
+        long leaseMillis,
+        long drainMillis,
+        long graceMillis,
+        long configurationMillis,
+        long weightsMillis,
+        int loadsAtOnce) {}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Event streams as they pass through. */
+package org.bronzelug.router.stream;
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -0,0 +1,172 @@
+package org.bronzelug.router.traffic;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.bronzelug.core.placement.CacheBelief;
+import org.bronzelug.core.placement.LeastLoad;
+import org.bronzelug.core.placement.Placement;
+import org.bronzelug.core.placement.PlacementPolicy;
+import org.bronzelug.core.placement.PlacementSettings;
+import org.bronzelug.core.placement.PrefixChain;
+import org.bronzelug.core.placement.RunnerLoad;
+import org.bronzelug.router.exchange.PromptSpec;
+
+/**
+ * Chooses the endpoint of a request. Confined to the traffic thread.
+ *
+ * <p>For prompts: by prefix and load ({@link PlacementPolicy}); of the runners, those that are
+ * loading weights, or failed lately, are left out while there are others, and those with older
+ * weights are put back as the newer ones grow older.
+ */
+public final class EndpointChoice {
+    /** Prefixes remembered of one runner; its memory holds some 30 of the usual size. */
+    private static final int PREFIXES_PER_RUNNER = 256;
+
+    /** Engines evict within seconds; the home is assumed to hold a prefix after this. */
+    private static final long BELIEF_NANOS = 20_000_000_000L;
+
+    /** A prompt token is read in some 25 microseconds: 40 a millisecond on the runners in use. */
+    private static final double NANOS_PER_PREFILL_TOKEN = 25_000;
+
+    /** Another stream in the batch lengthens each step by some 12 microseconds. */
+    private static final double NANOS_PER_STREAM = 50_000;
+
+    private static final double MISSING_TOKEN_WEIGHT = 3;
+    private static final double TOKENS_PER_WAITING_REQUEST = 20_000;
+
+    /** Answers on older weights are worth less from 1.5 s on; requests take a moment to begin. */
+    private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
+
+    /** From then on no request begins on older weights; one second before the bound. */
+    private static final long OLDER_WEIGHTS_END_NANOS = 7_000_000_000L;
+
+    /** What older weights count, as prompt tokens that wait: some 400 ms. */
+    private static final int OLDER_WEIGHTS_TOKENS = 16_000;
+
+    private final EndpointTable endpoints;
+    private final String availabilityZone;
+    private final PlacementPolicy policy =
+            new PlacementPolicy(
+                    new PlacementSettings(
+                            NANOS_PER_PREFILL_TOKEN,
+                            NANOS_PER_STREAM,
+                            MISSING_TOKEN_WEIGHT,
+                            TOKENS_PER_WAITING_REQUEST));
+    private final CacheBelief belief =
+            new CacheBelief(PREFIXES_PER_RUNNER, BELIEF_NANOS, System.nanoTime());
+    private Map<String, WeightsTarget> weights = Map.of();
+
+    EndpointChoice(EndpointTable endpoints, String availabilityZone) {
+        this.endpoints = endpoints;
+        this.availabilityZone = availabilityZone;
+    }
+
+    void update(Map<String, WeightsTarget> newest) {
+        weights = newest;
+    }
+
+    /** The endpoint for a request without a prompt. */
+    public Optional<EndpointState> leastLoaded(
+            String pool, Predicate<String> allowed, long nowNanos) {
+        Map<String, EndpointState> usable = new HashMap<>();
+        for (EndpointState state : endpoints.takingWork(pool)) {
+            if (allowed.test(state.entry().id())) {
+                usable.put(state.entry().id(), state);
+            }
+        }
+        List<LeastLoad.Candidate> candidates =
+                usable.values().stream().map(state -> candidate(state, nowNanos)).toList();
+        return LeastLoad.choose(candidates).map(best -> usable.get(best.endpoint()));
+    }
+
+    private LeastLoad.Candidate candidate(EndpointState state, long nowNanos) {
+        return new LeastLoad.Candidate(
+                state.entry().id(),
+                state.entry().availabilityZone().equals(availabilityZone),
+                state.isSuspect(nowNanos),
+                state.requests(),
+                Math.max(1, state.entry().slots()));
+    }
+
+    /** The runner for a prompt. */
+    public Optional<RunnerChoice> byPrefix(
+            String pool, PromptSpec prompt, String wall, Predicate<String> allowed, long nowNanos) {
+        List<EndpointState> usable =
+                endpoints.takingWork(pool).stream()
+                        .filter(state -> allowed.test(state.entry().id()))
+                        .filter(state -> mayBegin(state, prompt.model(), nowNanos))
+                        .toList();
+        usable = preferred(usable, nowNanos);
+        PrefixChain chain = PrefixChain.ofParts(wall + prompt.model(), prompt.parts());
+        List<RunnerLoad> loads =
+                usable.stream().map(state -> load(state, prompt.model(), nowNanos)).toList();
+        Optional<Placement> placement = policy.choose(chain, loads, belief, nowNanos);
+        return placement.flatMap(
+                best ->
+                        endpoints
+                                .find(best.runner())
+                                .map(state -> runnerChoice(state, best, chain, prompt)));
+    }
+
+    /** Remembers that the runner has read the prompt. */
+    public void recordRead(RunnerChoice choice, long nowNanos) {
+        belief.recordCached(
+                choice.endpoint().entry().id(), choice.incarnation(), choice.chain(), nowNanos);
+    }
+
+    /** The newest weights named for a model. */
+    public Optional<WeightsTarget> newest(String model) {
+        return Optional.ofNullable(weights.get(model));
+    }
+
+    private static List<EndpointState> preferred(List<EndpointState> usable, long nowNanos) {
+        List<EndpointState> idle = usable.stream().filter(state -> !state.isOrdered()).toList();
+        Collection<EndpointState> calm =
+                idle.stream().filter(state -> !state.isSuspect(nowNanos)).toList();
+        if (!calm.isEmpty()) {
+            return List.copyOf(calm);
+        }
+        return idle.isEmpty() ? usable : idle;
+    }
+
+    private boolean mayBegin(EndpointState state, String model, long nowNanos) {
+        return newest(model)
+                .filter(target -> state.weights(model) < target.version())
+                .map(target -> nowNanos - target.seenNanos() < OLDER_WEIGHTS_END_NANOS)
+                .orElse(true);
+    }
+
+    private RunnerLoad load(EndpointState state, String model, long nowNanos) {
+        boolean older =
+                newest(model)
+                        .filter(target -> state.weights(model) < target.version())
+                        .filter(target -> nowNanos - target.seenNanos() > OLDER_WEIGHTS_GRACE_NANOS)
+                        .isPresent();
+        PeerUse others = state.peerUse();
+        RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
+        return new RunnerLoad(
+                own.name(),
+                own.incarnation(),
+                own.queuedPrefillTokens()
+                        + others.queuedPrefillTokens()
+                        + (older ? OLDER_WEIGHTS_TOKENS : 0),
+                own.runningStreams() + others.requests());
+    }
+
+    private static RunnerChoice runnerChoice(
+            EndpointState state, Placement best, PrefixChain chain, PromptSpec prompt) {
+        int missing = Math.max(1, chain.tokens() - best.believedCachedTokens());
+        boolean sharedCached = best.believedCachedTokens() >= chain.deepestShared().tokens();
+        return new RunnerChoice(
+                state,
+                best.incarnation(),
+                chain,
+                state.weights(prompt.model()),
+                missing,
+                sharedCached);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -0,0 +1,132 @@
+package org.bronzelug.router.traffic;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.bronzelug.api.fleet.v1.EndpointWeights;
+import org.bronzelug.core.placement.LoadEstimate;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.router.endpoint.EndpointAnswer;
+import org.bronzelug.router.endpoint.EndpointConnections;
+
+/**
+ * What this VM knows of one start of one endpoint. Confined to the traffic thread.
+ *
+ * <p>Failures make it suspect for a while that doubles up to a bound: a suspect endpoint is used
+ * only where there is no other, so one that is dead costs each VM one failed request at each try.
+ */
+public final class EndpointState {
+    private static final long FIRST_SUSPICION_NANOS = 500_000_000L;
+    private static final int MAXIMUM_DOUBLINGS = 3;
+
+    private final EndpointConnections connections;
+    private final LoadEstimate load = new LoadEstimate();
+    private final Map<String, Long> answeredWeights = new HashMap<>();
+    private EndpointEntry entry;
+    private PeerUse peerUse = PeerUse.NONE;
+    private boolean ordered;
+    private int failuresInRow;
+    private long suspectUntilNanos = Long.MIN_VALUE;
+    private int ownRequests;
+
+    EndpointState(EndpointEntry entry, EndpointConnections connections) {
+        this.entry = entry;
+        this.connections = connections;
+    }
+
+    public EndpointEntry entry() {
+        return entry;
+    }
+
+    public EndpointConnections connections() {
+        return connections;
+    }
+
+    public LoadEstimate load() {
+        return load;
+    }
+
+    void update(EndpointEntry newer, PeerUse use, boolean nowOrdered) {
+        entry = newer;
+        peerUse = use;
+        ordered = nowOrdered;
+    }
+
+    PeerUse peerUse() {
+        return peerUse;
+    }
+
+    /** Whether an order to load weights is under way there: it refuses requests meanwhile. */
+    public boolean isOrdered() {
+        return ordered;
+    }
+
+    /** Requests of all VMs, as far as known. */
+    public int requests() {
+        return ownRequests + peerUse.requests();
+    }
+
+    public int ownRequests() {
+        return ownRequests;
+    }
+
+    public void begin() {
+        ownRequests++;
+    }
+
+    public void end() {
+        ownRequests--;
+    }
+
+    /** The weights that it has: what its answers showed goes before its entry, which lags. */
+    public long weights(String model) {
+        long listed = entry.weights().getOrDefault(model, 0L);
+        return Math.max(listed, answeredWeights.getOrDefault(model, 0L));
+    }
+
+    /** An answer or a refusal showed the version. */
+    public void recordWeights(String model, long version) {
+        answeredWeights.merge(model, version, Math::max);
+    }
+
+    /** Versions that answers showed before the entry told of them. */
+    public List<EndpointWeights> weightsAheadOfEntry() {
+        List<EndpointWeights> ahead = new ArrayList<>();
+        answeredWeights.forEach(
+                (model, version) -> {
+                    if (version > entry.weights().getOrDefault(model, 0L)) {
+                        ahead.add(
+                                EndpointWeights.newBuilder()
+                                        .setEndpoint(entry.id())
+                                        .setBornMillis(entry.bornMillis())
+                                        .setModel(model)
+                                        .setVersion(version)
+                                        .build());
+                    }
+                });
+        return ahead;
+    }
+
+    /** Names one start of the endpoint with one version of weights: what its cache belongs to. */
+    public String cacheIncarnation(String model) {
+        return entry.id() + "/" + entry.bornMillis() + "/" + weights(model);
+    }
+
+    public void recordAnswer(EndpointAnswer answer) {
+        if (!answer.isServerError() || answer.genuine()) {
+            failuresInRow = 0;
+            suspectUntilNanos = Long.MIN_VALUE;
+        }
+    }
+
+    public void recordFailure(long nowNanos) {
+        int doublings = Math.min(failuresInRow, MAXIMUM_DOUBLINGS);
+        failuresInRow++;
+        suspectUntilNanos = nowNanos + (FIRST_SUSPICION_NANOS << doublings);
+    }
+
+    public boolean isSuspect(long nowNanos) {
+        return suspectUntilNanos != Long.MIN_VALUE && nowNanos < suspectUntilNanos;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -0,0 +1,69 @@
+package org.bronzelug.router.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.router.endpoint.EndpointConnections;
+import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.SocketSettings;
+
+/**
+ * The endpoints that requests may go to.
+ *
+ * <p>Invariant: another start of an endpoint, or another address, is another state: nothing
+ * believed of the one before is kept. Confined to the traffic thread.
+ */
+public final class EndpointTable {
+    private final EventLoop traffic;
+    private final WireFormat wire;
+    private final Map<String, EndpointState> states = new HashMap<>();
+
+    public EndpointTable(EventLoop traffic, WireFormat wire) {
+        this.traffic = traffic;
+        this.wire = wire;
+    }
+
+    /** Takes in the list; calls under way at endpoints that left go on. */
+    void update(TrafficUpdate update) {
+        states.values().removeIf(state -> hasLeft(state, update.endpoints()));
+        for (EndpointEntry entry : update.endpoints().values()) {
+            PeerUse use = update.peerUse().getOrDefault(entry.id(), PeerUse.NONE);
+            boolean ordered = update.ordered().contains(entry.id());
+            states.computeIfAbsent(entry.id(), id -> open(entry)).update(entry, use, ordered);
+        }
+    }
+
+    private static boolean hasLeft(EndpointState state, Map<String, EndpointEntry> listed) {
+        EndpointEntry entry = listed.get(state.entry().id());
+        boolean left = entry == null || !entry.isSameStart(state.entry());
+        if (left) {
+            state.connections().closeIdle();
+        }
+        return left;
+    }
+
+    private EndpointState open(EndpointEntry entry) {
+        return new EndpointState(
+                entry,
+                new EndpointConnections(traffic, SocketSettings.address(entry.address()), wire));
+    }
+
+    /** The endpoints of a pool that take new work. */
+    public List<EndpointState> takingWork(String pool) {
+        return states.values().stream()
+                .filter(state -> state.entry().pool().equals(pool) && !state.entry().draining())
+                .toList();
+    }
+
+    public Optional<EndpointState> find(String id) {
+        return Optional.ofNullable(states.get(id));
+    }
+
+    public Collection<EndpointState> all() {
+        return states.values();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
@@ -0,0 +1,81 @@
+package org.bronzelug.router.traffic;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.bronzelug.core.limit.FleetBucket;
+import org.bronzelug.core.routing.Team;
+
+/** The buckets of all teams with a rate. Confined to the traffic thread. */
+public final class TeamRates {
+    /**
+     * The part of its burst that a bucket holds at first, where the VM does not start with the
+     * whole fleet: others may have admitted a burst just before. Half of a burst twice is a burst.
+     */
+    private static final double RESTART_PART = 0.5;
+
+    private final boolean fleetStarts;
+    private final Map<String, FleetBucket> buckets = new HashMap<>();
+
+    /**
+     * @param fleetStarts whether the whole fleet starts for the first time
+     */
+    public TeamRates(boolean fleetStarts) {
+        this.fleetStarts = fleetStarts;
+    }
+
+    void update(TrafficUpdate update, long nowNanos) {
+        update.configuration().ifPresent(present -> present.teams().forEach(this::limit));
+        for (PeerTeamUse use : update.peerTeams()) {
+            FleetBucket bucket = buckets.get(use.team());
+            if (bucket != null) {
+                bucket.recordPeer(
+                        use.vm(),
+                        use.incarnation(),
+                        use.admittedTokens(),
+                        use.levelTokens(),
+                        nowNanos);
+            }
+        }
+        buckets.values().forEach(bucket -> bucket.setHeardPart(update.heardPart(), nowNanos));
+    }
+
+    private void limit(Team team) {
+        long nowNanos = System.nanoTime();
+        if (!team.isLimited()) {
+            buckets.remove(team.name());
+            return;
+        }
+        double burst = Math.max(team.burstTokens(), team.tokensPerSecond());
+        double level = fleetStarts ? burst : burst * RESTART_PART;
+        buckets.computeIfAbsent(
+                        team.name(),
+                        name -> new FleetBucket(team.tokensPerSecond(), burst, level, nowNanos))
+                .change(team.tokensPerSecond(), burst, nowNanos);
+    }
+
+    /** Takes tokens out of a team's bucket, all or nothing. */
+    public boolean tryTake(Team team, long tokens, long nowNanos) {
+        FleetBucket bucket = buckets.get(team.name());
+        return bucket == null || bucket.tryTake(tokens, nowNanos);
+    }
+
+    /** Gives back what was taken for a request that did not run. */
+    public void giveBack(Team team, long tokens) {
+        FleetBucket bucket = buckets.get(team.name());
+        if (bucket != null) {
+            bucket.giveBack(tokens);
+        }
+    }
+
+    /** How long until the tokens are there. */
+    public long nanosUntil(Team team, long tokens, long nowNanos) {
+        FleetBucket bucket = buckets.get(team.name());
+        return bucket == null ? 0 : bucket.nanosUntil(tokens, nowNanos);
+    }
+
+    /** Visits each team with a rate. */
+    public void forEach(BiConsumer<String, FleetBucket> visitor) {
+        buckets.forEach(visitor);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -0,0 +1,85 @@
+package org.bronzelug.router.traffic;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.bronzelug.core.retry.RetryBudget;
+import org.bronzelug.core.routing.RoutingConfiguration;
+import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.settings.FleetBounds;
+
+/**
+ * All that decisions on requests rest on. Confined to the traffic thread; the control thread
+ * replaces its part by {@link #apply}.
+ */
+public final class TrafficState {
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    /**
+     * The part of the fleet's retry slack that is given out. VMs that are replaced count twice for
+     * a while, and a window may hold the end of one slice more.
+     */
+    private static final double SLACK_PART = 0.7;
+
+    private final FleetBounds bounds;
+    private final EndpointTable endpoints;
+    private final TeamRates rates;
+    private final EndpointChoice choice;
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private Optional<RoutingConfiguration> configuration = Optional.empty();
+    private int vmCount = 1;
+
+    public TrafficState(
+            EventLoop traffic,
+            WireFormat wire,
+            FleetBounds bounds,
+            String availabilityZone,
+            boolean fleetStarts) {
+        this.bounds = bounds;
+        this.endpoints = new EndpointTable(traffic, wire);
+        this.rates = new TeamRates(fleetStarts);
+        this.choice = new EndpointChoice(endpoints, availabilityZone);
+    }
+
+    /** Takes in what the control thread knows. */
+    public void apply(TrafficUpdate update) {
+        configuration = update.configuration();
+        vmCount = Math.max(update.vmCount(), bounds.leastVms());
+        endpoints.update(update);
+        choice.update(update.weights());
+        rates.update(update, System.nanoTime());
+    }
+
+    public Optional<RoutingConfiguration> configuration() {
+        return configuration;
+    }
+
+    public EndpointTable endpoints() {
+        return endpoints;
+    }
+
+    public EndpointChoice choice() {
+        return choice;
+    }
+
+    public TeamRates rates() {
+        return rates;
+    }
+
+    /** A request goes to a pool for the first time. */
+    public void recordFirstAttempt(String pool, long nowNanos) {
+        budget(pool).recordFirst(nowNanos);
+    }
+
+    /** Takes one repeat out of this VM's part of the fleet's budget, if it is there. */
+    public boolean tryRepeat(String pool, long nowNanos) {
+        double slack = bounds.retrySlack() * SLACK_PART / vmCount;
+        return budget(pool).tryRepeat(bounds.retryRatio(), slack, nowNanos);
+    }
+
+    private RetryBudget budget(String pool) {
+        long windowNanos = bounds.retryWindowSeconds() * NANOS_PER_SECOND;
+        return budgets.computeIfAbsent(pool, name -> new RetryBudget(windowNanos));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -0,0 +1,39 @@
+package org.bronzelug.router.traffic;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.routing.RoutingConfiguration;
+
+/**
+ * All that the control thread tells the traffic thread; each one replaces the one before.
+ * Immutable.
+ *
+ * @param configuration in force; empty until one is known
+ * @param endpoints by id
+ * @param weights newest, by model
+ * @param peerUse by endpoint id
+ * @param peerTeams what peers admitted
+ * @param ordered ids of endpoints that load weights now
+ * @param heardPart the part of the fleet's VMs that is heard, this one included; in (0, 1]
+ * @param vmCount VMs of the fleet, this one included
+ */
+public record TrafficUpdate(
+        Optional<RoutingConfiguration> configuration,
+        Map<String, EndpointEntry> endpoints,
+        Map<String, WeightsTarget> weights,
+        Map<String, PeerUse> peerUse,
+        List<PeerTeamUse> peerTeams,
+        Set<String> ordered,
+        double heardPart,
+        int vmCount) {
+    public TrafficUpdate {
+        endpoints = Map.copyOf(endpoints);
+        weights = Map.copyOf(weights);
+        peerUse = Map.copyOf(peerUse);
+        peerTeams = List.copyOf(peerTeams);
+        ordered = Set.copyOf(ordered);
+    }
+}
