A fleet that is cut splits its buckets; found by a property over arbitrary cuts

Cause: each VM of a cut fleet kept the whole level of a team's bucket, so a burst was spent once on each side. Ruled out: the counts' lag alone (without a cut the bound holds at eight times the rate). Change: level and size fall with the part of the VMs that is heard; a VM that has heard nobody reckons with all addresses it knows. After: passes.

--- a/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
@@ -81,9 +81,18 @@
         level = Math.min(burst, level - delta);
     }
 
-    /** The part of the VMs that are heard, this one included; what accrues is this part. */
+    /**
+     * The part of the VMs that are heard, this one included. The same part of what is in the
+     * bucket, of its size and of what accrues is left.
+     *
+     * <p>The failure this prevents: the fleet is cut in two with a full bucket on both sides, and
+     * the burst is spent twice.
+     */
     public void setHeardPart(double part, long nowNanos) {
         accrue(nowNanos);
+        if (part < heardPart && level > 0) {
+            level *= part / heardPart;
+        }
         heardPart = part;
     }
 
@@ -111,7 +120,7 @@
             return;
         }
         lastNanos = nowNanos;
-        level = Math.min(burst, level + elapsed / NANOS_PER_SECOND * rate * heardPart);
+        level = Math.min(burst * heardPart, level + elapsed / NANOS_PER_SECOND * rate * heardPart);
     }
 
     /** What was last heard of a peer. */
--- /dev/null
+++ b/core/src/test/java/org/bronzelug/core/limit/FleetBucketTest.java
@@ -0,0 +1,125 @@
+package org.bronzelug.core.limit;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Other teams' callers wait while one team sends seven times its rate: each VM admits the whole
+ * rate because it does not know what the others admit. Here every VM subtracts what the others
+ * tell; what is admitted beyond the rate is what arrives while the counts travel.
+ */
+class FleetBucketTest {
+    private static final long MILLI = 1_000_000L;
+    private static final double RATE = 100_000;
+    private static final double BURST = 100_000;
+    private static final int REQUEST = 9_200;
+    private static final long ROUND_MILLIS = 150;
+    private static final long WINDOW_MILLIS = 8_000;
+
+    /** What the users allow in a window: a tenth more than the rate, and this many tokens. */
+    private static final double ALLOWED = (RATE * WINDOW_MILLIS / 1_000 + BURST) * 1.1 + 72_000;
+
+    @Property(seed = "12", tries = 60)
+    void allVmsTogetherStayWithinTheRateWhileOneTeamFloods(
+            @ForAll @IntRange(min = 2, max = 8) int vms,
+            @ForAll @IntRange(min = 2, max = 8) int excess,
+            @ForAll @IntRange(min = 0, max = 100) int lostPercent,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        List<FleetBucket> buckets = fleet(vms);
+        List<long[]> admitted = new ArrayList<>();
+        double perMilli = RATE * excess / 1_000 / REQUEST;
+        boolean cut = lostPercent > 60;
+        for (long millis = 1; millis <= 20_000; millis++) {
+            if (random.nextDouble() < perMilli) {
+                FleetBucket bucket = buckets.get(random.nextInt(vms));
+                if (bucket.tryTake(REQUEST, millis * MILLI)) {
+                    admitted.add(new long[] {millis, REQUEST});
+                }
+            }
+            if (millis % ROUND_MILLIS == 0) {
+                exchange(buckets, millis, cut);
+            }
+        }
+        assertThat(mostInWindow(admitted)).isAtMost(ALLOWED);
+    }
+
+    private static List<FleetBucket> fleet(int vms) {
+        List<FleetBucket> buckets = new ArrayList<>();
+        for (int vm = 0; vm < vms; vm++) {
+            buckets.add(new FleetBucket(RATE, BURST, BURST, 0));
+        }
+        exchange(buckets, 0, false);
+        return buckets;
+    }
+
+    /** A fleet that is cut hears nobody: each VM is left with its own part. */
+    private static void exchange(List<FleetBucket> buckets, long millis, boolean cut) {
+        for (FleetBucket hearing : buckets) {
+            if (cut) {
+                hearing.setHeardPart(1.0 / buckets.size(), millis * MILLI);
+                continue;
+            }
+            for (FleetBucket telling : buckets) {
+                if (telling != hearing) {
+                    hearing.recordPeer(
+                            "vm-" + buckets.indexOf(telling),
+                            "first",
+                            telling.admitted(),
+                            telling.level(millis * MILLI),
+                            millis * MILLI);
+                }
+            }
+        }
+    }
+
+    private static double mostInWindow(List<long[]> admitted) {
+        double most = 0;
+        for (long[] first : admitted) {
+            double sum = 0;
+            for (long[] other : admitted) {
+                if (other[0] >= first[0] && other[0] < first[0] + WINDOW_MILLIS) {
+                    sum += other[1];
+                }
+            }
+            most = Math.max(most, sum);
+        }
+        return most;
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {0, 40_000, 90_000})
+    void aVmThatStartsFallsToThePeersLevel(long level) {
+        FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
+        bucket.recordPeer("vm-2", "first", 1_000_000, level, 0);
+        assertThat(bucket.level(0)).isEqualTo((double) level);
+    }
+
+    @Test
+    void aPeerThatRestartsCountsFromZeroAgain() {
+        FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
+        bucket.recordPeer("vm-2", "first", 50_000, BURST, 0);
+        bucket.recordPeer("vm-2", "second", 10_000, BURST, 0);
+        bucket.recordPeer("vm-2", "second", 10_000, BURST, 0);
+        assertThat(bucket.level(0)).isEqualTo(BURST - 10_000);
+    }
+
+    @Test
+    void aRequestThatDidNotRunGivesItsTokensBack() {
+        FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
+        assertThat(bucket.tryTake(60_000, 0)).isTrue();
+        assertThat(bucket.tryTake(60_000, 0)).isFalse();
+        bucket.giveBack(60_000);
+        assertThat(bucket.tryTake(60_000, 0)).isTrue();
+        assertThat(bucket.admitted()).isEqualTo(60_000);
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -79,10 +79,14 @@
         return members.values();
     }
 
-    /** The part of the VMs that may admit requests which is heard, this one included. */
+    /**
+     * The part of the VMs that may admit requests which is heard, this one included. A VM that has
+     * heard nobody yet reckons with all whose addresses it knows.
+     */
     public double heardPart(long nowNanos) {
         int live = 1 + live(nowNanos).size();
-        int possible = 1 + notGone(nowNanos).size();
+        int possible =
+                members.isEmpty() ? Math.max(1, addresses.size()) : 1 + notGone(nowNanos).size();
         return (double) live / possible;
     }
 }
