--- /dev/null
+++ b/core/src/test/java/org/bronzelug/core/placement/LeastLoadTest.java
@@ -0,0 +1,31 @@
+package org.bronzelug.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.bronzelug.core.placement.LeastLoad.Candidate;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Which endpoint a request without a cache goes to. */
+class LeastLoadTest {
+    @ParameterizedTest
+    @CsvSource({
+        "near idle stays near, 0, 5, false, near",
+        "near half full goes far, 3, 0, false, far",
+        "near suspect goes far, 0, 2, true, far",
+    })
+    void prefersTheOwnZoneWhileItHasRoom(
+            String name, int nearRequests, int farRequests, boolean suspect, String expected) {
+        Candidate near = new Candidate("near", true, suspect, nearRequests, 6);
+        Candidate far = new Candidate("far", false, false, farRequests, 6);
+        assertThat(LeastLoad.choose(List.of(far, near)).orElseThrow().endpoint())
+                .isEqualTo(expected);
+    }
+
+    @Test
+    void findsNothingAmongNone() {
+        assertThat(LeastLoad.choose(List.of())).isEmpty();
+    }
+}
--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -37,6 +37,7 @@
     REQUEST_ENDED(600, "request answered, or given up"),
     REQUEST_REFUSED(601, "request refused before it was sent anywhere"),
     REQUEST_MOVED(602, "request leaves an endpoint without an answer from it"),
+    TEAM_RATE_CHANGED(603, "a team's rate or burst is another one from now on"),
     SERVING(700, "this VM takes callers"),
     NOT_SERVING(701, "this VM takes no callers"),
     SETTINGS_RELOADED(702, "settings read again"),
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -71,6 +71,7 @@
     private int sends;
     private int uncertainSends;
     private boolean prefilling;
+    private long firstNanos;
     private boolean done;
 
     Exchange(
@@ -236,6 +237,9 @@
 
     @Override
     public void onData(ByteBuf data) {
+        if (firstNanos == 0) {
+            firstNanos = System.nanoTime();
+        }
         if (prefilling) {
             endPrefill();
         }
@@ -403,12 +407,18 @@
                         + route().name()
                         + " team="
                         + admitted.team().map(Team::name).orElse("-")
+                        + " tokens="
+                        + admitted.tokens()
                         + " tried="
                         + tried
                         + " configuration="
                         + admitted.configurationVersion()
                         + " weights="
                         + runner.map(RunnerChoice::weightsVersion).orElse(0L)
+                        + " firstMillis="
+                        + (firstNanos == 0
+                                ? -1
+                                : (firstNanos - admitted.arrivedNanos()) / NANOS_PER_MILLI)
                         + " millis="
                         + millis);
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -158,7 +158,10 @@
     private Refusal overRate(Team team, long tokens, long nowNanos) {
         long millis = state.rates().nanosUntil(team, tokens, nowNanos) / NANOS_PER_MILLI + 1;
         return Refusal.comeBack(
-                TOO_MANY, "team " + team.name() + " over its rate", "come back", millis);
+                TOO_MANY,
+                "team " + team.name() + " over its rate by " + tokens + " tokens",
+                "come back",
+                millis);
     }
 
     private CallerListener refuse(
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -21,7 +21,7 @@
      * Callers keep an address for seconds; most have asked anew by then. The rest meet a closed
      * port and go to another address at once.
      */
-    private static final long LISTEN_MILLIS = 4_000;
+    private static final long LISTEN_MILLIS = 2_500;
 
     /** What is left of the grace for closing down. */
     private static final long MARGIN_MILLIS = 700;
--- a/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
@@ -5,6 +5,8 @@
 import java.util.function.BiConsumer;
 import org.bronzelug.core.limit.FleetBucket;
 import org.bronzelug.core.routing.Team;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 
 /** The buckets of all teams with a rate. Confined to the traffic thread. */
 public final class TeamRates {
@@ -16,6 +18,7 @@
 
     private final boolean fleetStarts;
     private final Map<String, FleetBucket> buckets = new HashMap<>();
+    private final Map<String, Team> limited = new HashMap<>();
 
     /**
      * @param fleetStarts whether the whole fleet starts for the first time
@@ -48,6 +51,9 @@
         }
         double burst = Math.max(team.burstTokens(), team.tokensPerSecond());
         double level = fleetStarts ? burst : burst * RESTART_PART;
+        if (!team.equals(limited.put(team.name(), team))) {
+            EventLog.info(LogEvent.TEAM_RATE_CHANGED, team.toString());
+        }
         buckets.computeIfAbsent(
                         team.name(),
                         name -> new FleetBucket(team.tokensPerSecond(), burst, level, nowNanos))
