--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -65,7 +65,7 @@
     private final VmRegistration registration;
     private final OrderService orders;
     private final Map<String, KindWatch> watches = new HashMap<>();
-    private TrafficReport report = new TrafficReport(List.of(), List.of(), List.of());
+    private TrafficReport report = new TrafficReport(List.of(), List.of(), List.of(), List.of());
     private long sequence;
     private int rounds;
     private int behindRounds;
@@ -208,6 +208,7 @@
     private void takeReport(TrafficReport read) {
         report = read;
         read.weights().forEach(this::takeWeights);
+        read.doubted().forEach(orders::askWeights);
     }
 
     private void takeWeights(EndpointWeights seen) {
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -15,9 +15,13 @@
  * @param teams tokens admitted
  * @param endpoints requests under way
  * @param weights that runners' answers showed
+ * @param doubted ids of runners that refused the weights believed of them
  */
 record TrafficReport(
-        List<TeamUse> teams, List<EndpointUse> endpoints, List<EndpointWeights> weights) {
+        List<TeamUse> teams,
+        List<EndpointUse> endpoints,
+        List<EndpointWeights> weights,
+        List<String> doubted) {
     /** Reads the state; call on the traffic thread. */
     static TrafficReport of(TrafficState state) {
         List<TeamUse> teams = new ArrayList<>();
@@ -40,7 +44,12 @@
                 state.endpoints().all().stream()
                         .flatMap(endpoint -> endpoint.weightsAheadOfEntry().stream())
                         .toList();
-        return new TrafficReport(teams, endpoints, weights);
+        List<String> doubted =
+                state.endpoints().all().stream()
+                        .filter(endpoint -> endpoint.areWeightsDoubted(nowNanos))
+                        .map(endpoint -> endpoint.entry().id())
+                        .toList();
+        return new TrafficReport(teams, endpoints, weights, doubted);
     }
 
     private static EndpointUse use(EndpointState endpoint) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -150,14 +150,9 @@
         return runner.map(RunnerChoice::endpoint);
     }
 
-    /** Whether the request may go to an endpoint, after those that it has been sent to. */
+    /** Whether the request has not been to an endpoint yet. */
     private boolean isAllowed(String id) {
-        return !tried.contains(id)
-                && (sentTo.size() < route().maximumAttempts() || sentTo.contains(id));
-    }
-
-    private boolean mayTryAnother() {
-        return sentTo.size() < route().maximumAttempts() || !tried.containsAll(sentTo);
+        return !tried.contains(id);
     }
 
     @Override
@@ -213,12 +208,12 @@
         uncertainSends--;
         sentTo.remove(refusing.entry().id());
         if (answer.status() == MISDIRECTED) {
-            expectNewest(refusing);
+            refusing.doubtWeights(System.nanoTime());
         } else {
             refusing.recordFailure(System.nanoTime());
         }
         note(LogEvent.REQUEST_MOVED, refusing, "not executed, status " + answer.status());
-        boolean again = sends < MAXIMUM_SENDS && mayTryAnother() && takeRepeat();
+        boolean again = sends < MAXIMUM_SENDS && takeRepeat();
         if (again) {
             dispatch();
         } else {
@@ -226,15 +221,6 @@
         }
     }
 
-    /** The runner has other weights than believed: most likely it has just loaded the newest. */
-    private void expectNewest(EndpointState refusing) {
-        admitted.head()
-                .prompt()
-                .flatMap(prompt -> state.choice().newest(prompt.model()))
-                .ifPresent(target -> refusing.recordWeights(target.model(), target.version()));
-        tried.remove(refusing.entry().id());
-    }
-
     @Override
     public void onData(ByteBuf data) {
         if (firstNanos == 0) {
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -126,6 +126,30 @@
         }
     }
 
+    /** Asks a runner which weights it has, since it refused those believed of it. */
+    public void askWeights(String id) {
+        EndpointEntry runner = state.endpoints().get(id);
+        if (runner == null) {
+            return;
+        }
+        runners.report(runner)
+                .whenComplete(
+                        (report, failure) -> {
+                            if (failure != null) {
+                                EventLog.info(
+                                        LogEvent.ORDER_FAILED,
+                                        "runner=" + id + " asked: " + failure.getMessage());
+                                return;
+                            }
+                            report.weights()
+                                    .forEach((model, version) -> seen(runner, model, version));
+                        });
+    }
+
+    private void seen(EndpointEntry runner, String model, long version) {
+        state.endpointList().recordWeights(runner.id(), runner.bornMillis(), model, version);
+    }
+
     /** Ids of endpoints for which an order of this VM is under way. */
     public Set<String> orderedEndpoints() {
         return orders.keySet();
@@ -320,8 +344,7 @@
     }
 
     private void learned(EndpointEntry runner, WeightsTarget target, long version) {
-        state.endpointList()
-                .recordWeights(runner.id(), runner.bornMillis(), target.model(), version);
+        seen(runner, target.model(), version);
     }
 
     /** The runners of one model and what they are to have. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -124,7 +124,8 @@
     }
 
     private static List<EndpointState> preferred(List<EndpointState> usable, long nowNanos) {
-        List<EndpointState> idle = usable.stream().filter(state -> !state.isOrdered()).toList();
+        List<EndpointState> idle =
+                usable.stream().filter(state -> !state.isLoading(nowNanos)).toList();
         Collection<EndpointState> calm =
                 idle.stream().filter(state -> !state.isSuspect(nowNanos)).toList();
         if (!calm.isEmpty()) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -20,6 +20,9 @@
     private static final long FIRST_SUSPICION_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
 
+    /** The control thread asks within a round of 150 ms, and has an answer in a few. */
+    private static final long DOUBT_NANOS = 400_000_000L;
+
     private final EndpointConnections connections;
     private final LoadEstimate load = new LoadEstimate();
     private final Map<String, Long> answeredWeights = new HashMap<>();
@@ -29,6 +32,7 @@
     private int failuresInRow;
     private long suspectUntilNanos = Long.MIN_VALUE;
     private int ownRequests;
+    private long doubtedUntilNanos = Long.MIN_VALUE;
 
     EndpointState(EndpointEntry entry, EndpointConnections connections) {
         this.entry = entry;
@@ -48,6 +52,9 @@
     }
 
     void update(EndpointEntry newer, PeerUse use, boolean nowOrdered) {
+        if (!newer.weights().equals(entry.weights())) {
+            doubtedUntilNanos = Long.MIN_VALUE;
+        }
         entry = newer;
         peerUse = use;
         ordered = nowOrdered;
@@ -57,9 +64,9 @@
         return peerUse;
     }
 
-    /** Whether an order to load weights is under way there: it refuses requests meanwhile. */
-    public boolean isOrdered() {
-        return ordered;
+    /** Whether it refuses requests now: it loads weights, or has others than believed. */
+    public boolean isLoading(long nowNanos) {
+        return ordered || areWeightsDoubted(nowNanos);
     }
 
     /** Requests of all VMs, as far as known. */
@@ -90,6 +97,21 @@
         answeredWeights.merge(model, version, Math::max);
     }
 
+    /**
+     * The runner refused a version: it has another one than believed, and which one is not said.
+     *
+     * <p>The failure this prevents: the newest version is assumed, the runner is still at the one
+     * between, and every request that is sent there is refused until it has loaded the newest.
+     */
+    public void doubtWeights(long nowNanos) {
+        doubtedUntilNanos = nowNanos + DOUBT_NANOS;
+    }
+
+    /** Whether the runner must be asked which weights it has before it gets requests. */
+    public boolean areWeightsDoubted(long nowNanos) {
+        return doubtedUntilNanos != Long.MIN_VALUE && nowNanos < doubtedUntilNanos;
+    }
+
     /** Versions that answers showed before the entry told of them. */
     public List<EndpointWeights> weightsAheadOfEntry() {
         List<EndpointWeights> ahead = new ArrayList<>();
