VMs tell each other which prefixes they sent where; each is saved once

Cause: every VM saved every prefix for itself after new weights (7 times), so the link of the cache store was full just when all runners fetch.

--- a/core/src/main/java/org/bronzelug/core/placement/CacheBelief.java
+++ b/core/src/main/java/org/bronzelug/core/placement/CacheBelief.java
@@ -42,6 +42,11 @@
         }
     }
 
+    /** Notes that the runner's incarnation holds a level that another VM sent there. */
+    public void recordLevel(String runner, String incarnation, PrefixHash level, long nowNanos) {
+        entriesOf(runner, incarnation).lastUse.put(level, nowNanos);
+    }
+
     /** Notes what a runner really found: deeper levels believed in before are forgotten. */
     public void recordFound(
             String runner, String incarnation, PrefixChain chain, int cachedTokens) {
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -12,6 +12,7 @@
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.api.fleet.v1.KindRevision;
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
+import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.kernel.Service;
@@ -65,7 +66,7 @@
     private final VmRegistration registration;
     private final OrderService orders;
     private final Map<String, KindWatch> watches = new HashMap<>();
-    private TrafficReport report = new TrafficReport(List.of(), List.of(), List.of(), List.of());
+    private TrafficReport report = TrafficReport.none();
     private long sequence;
     private int rounds;
     private int behindRounds;
@@ -241,7 +242,8 @@
                         .setServing(isServing())
                         .setStopping(stopping)
                         .addAllTeams(report.teams())
-                        .addAllEndpoints(report.endpoints());
+                        .addAllEndpoints(report.endpoints())
+                        .addAllReads(report.reads());
         for (String kind : state.kinds()) {
             builder.addRevisions(
                     KindRevision.newBuilder()
@@ -294,6 +296,7 @@
         List<Member> live = members.live(nowNanos);
         Map<String, PeerUse> uses = new HashMap<>();
         List<PeerTeamUse> teams = new ArrayList<>();
+        List<PrefixRead> reads = new ArrayList<>();
         Set<String> ordered = new HashSet<>(orders.orderedEndpoints());
         for (Member member : live) {
             for (EndpointUse use : member.state().getEndpointsList()) {
@@ -303,6 +306,7 @@
                         (left, right) -> left.plus(right.queuedPrefillTokens(), right.requests()));
             }
             member.state().getTeamsList().forEach(use -> teams.add(teamUse(member, use)));
+            reads.addAll(member.state().getReadsList());
             member.state().getOrdersList().stream()
                     .map(OrderUnderWay::getEndpoint)
                     .forEach(ordered::add);
@@ -314,6 +318,7 @@
                         state.weights(),
                         uses,
                         teams,
+                        reads,
                         ordered,
                         members.heardPart(nowNanos),
                         1 + members.notGone(nowNanos).size());
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
+import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.core.placement.RunnerLoad;
 import org.bronzelug.router.traffic.EndpointState;
@@ -15,13 +16,20 @@
  * @param teams tokens admitted
  * @param endpoints requests under way
  * @param weights that runners' answers showed
+ * @param reads prompts sent to runners lately
  * @param doubted ids of runners that refused the weights believed of them
  */
 record TrafficReport(
         List<TeamUse> teams,
         List<EndpointUse> endpoints,
         List<EndpointWeights> weights,
+        List<PrefixRead> reads,
         List<String> doubted) {
+    /** Before anything is known. */
+    static TrafficReport none() {
+        return new TrafficReport(List.of(), List.of(), List.of(), List.of(), List.of());
+    }
+
     /** Reads the state; call on the traffic thread. */
     static TrafficReport of(TrafficState state) {
         List<TeamUse> teams = new ArrayList<>();
@@ -49,7 +57,8 @@
                         .filter(endpoint -> endpoint.areWeightsDoubted(nowNanos))
                         .map(endpoint -> endpoint.entry().id())
                         .toList();
-        return new TrafficReport(teams, endpoints, weights, doubted);
+        List<PrefixRead> reads = state.choice().readsToTell(nowNanos);
+        return new TrafficReport(teams, endpoints, weights, reads, doubted);
     }
 
     private static EndpointUse use(EndpointState endpoint) {
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
@@ -81,7 +81,7 @@
                 runner.flatMap(choice -> state.configuration())
                         .flatMap(RoutingConfiguration::cacheStore)
                         .map(CacheStore::address);
-        boolean lacks = runner.map(choice -> !choice.sharedCached()).orElse(false);
+        boolean save = runner.map(choice -> recordSent(choice, nowNanos)).orElse(false);
         return new Dispatch(
                 admitted.head().id(),
                 remainingMillis(nowNanos),
@@ -91,12 +91,17 @@
                 weightsVersion(runner),
                 runner.map(choice -> "v" + choice.weightsVersion() + "/" + admitted.wall()),
                 store,
-                store.filter(address -> lacks),
+                store.filter(address -> save),
                 lastEventId.isPresent()
                         ? Optional.of(String.valueOf(lastEventId.getAsLong()))
                         : admitted.head().lastEventId());
     }
 
+    private boolean recordSent(RunnerChoice choice, long nowNanos) {
+        String model = admitted.head().prompt().orElseThrow().model();
+        return state.choice().recordSent(choice, model, nowNanos);
+    }
+
     private OptionalLong remainingMillis(long nowNanos) {
         OptionalLong deadline = admitted.head().deadlineMillis();
         if (deadline.isEmpty()) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -239,11 +239,7 @@
 
     private void endPrefill() {
         prefilling = false;
-        runner.ifPresent(
-                choice -> {
-                    choice.endpoint().load().prefilled(choice.missingTokens());
-                    state.choice().recordRead(choice, System.nanoTime());
-                });
+        runner.ifPresent(choice -> choice.endpoint().load().prefilled(choice.missingTokens()));
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.core.placement.CacheBelief;
 import org.bronzelug.core.placement.LeastLoad;
 import org.bronzelug.core.placement.Placement;
 import org.bronzelug.core.placement.PlacementPolicy;
 import org.bronzelug.core.placement.PlacementSettings;
 import org.bronzelug.core.placement.PrefixChain;
+import org.bronzelug.core.placement.PrefixHash;
 import org.bronzelug.core.placement.RunnerLoad;
 import org.bronzelug.router.exchange.PromptSpec;
 
@@ -58,6 +60,7 @@
                             TOKENS_PER_WAITING_REQUEST));
     private final CacheBelief belief =
             new CacheBelief(PREFIXES_PER_RUNNER, BELIEF_NANOS, System.nanoTime());
+    private final PrefixReads reads = new PrefixReads();
     private Map<String, WeightsTarget> weights = Map.of();
 
     EndpointChoice(EndpointTable endpoints, String availabilityZone) {
@@ -112,10 +115,45 @@
                                 .map(state -> runnerChoice(state, best, chain, prompt)));
     }
 
-    /** Remembers that the runner has read the prompt. */
-    public void recordRead(RunnerChoice choice, long nowNanos) {
+    /**
+     * Remembers that the prompt is sent to the runner.
+     *
+     * @return whether the runner is to save what it reads: nobody has yet
+     */
+    public boolean recordSent(RunnerChoice choice, String model, long nowNanos) {
+        boolean save =
+                !choice.sharedCached()
+                        && reads.isUnsaved(
+                                choice.chain().deepestShared().hash(),
+                                choice.weightsVersion(),
+                                nowNanos);
+        reads.record(choice, model, save, nowNanos);
         belief.recordCached(
                 choice.endpoint().entry().id(), choice.incarnation(), choice.chain(), nowNanos);
+        return save;
+    }
+
+    /** Takes in what other VMs have sent to runners. */
+    void recordPeers(List<PrefixRead> peerReads, long nowNanos) {
+        for (PrefixRead read : peerReads) {
+            reads.recordPeer(read, nowNanos);
+            endpoints
+                    .find(read.getEndpoint())
+                    .filter(state -> state.weights(read.getModel()) == read.getVersion())
+                    .ifPresent(state -> recordLevels(state, read, nowNanos));
+        }
+    }
+
+    private void recordLevels(EndpointState state, PrefixRead read, long nowNanos) {
+        String incarnation = state.cacheIncarnation(read.getModel());
+        for (PrefixHash level : PrefixReads.hashes(read)) {
+            belief.recordLevel(state.entry().id(), incarnation, level, nowNanos);
+        }
+    }
+
+    /** What the other VMs are told of this one's prompts. */
+    public List<PrefixRead> readsToTell(long nowNanos) {
+        return reads.toTell(nowNanos);
     }
 
     /** The newest weights named for a model. */
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -48,6 +48,7 @@
         vmCount = Math.max(update.vmCount(), bounds.leastVms());
         endpoints.update(update);
         choice.update(update.weights());
+        choice.recordPeers(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.RoutingConfiguration;
 
@@ -16,6 +17,7 @@
  * @param weights newest, by model
  * @param peerUse by endpoint id
  * @param peerTeams what peers admitted
+ * @param peerReads prompts that peers sent to runners lately
  * @param ordered ids of endpoints that load weights now
  * @param heardPart the part of the fleet's VMs that is heard, this one included; in (0, 1]
  * @param vmCount VMs of the fleet, this one included
@@ -26,6 +28,7 @@
         Map<String, WeightsTarget> weights,
         Map<String, PeerUse> peerUse,
         List<PeerTeamUse> peerTeams,
+        List<PrefixRead> peerReads,
         Set<String> ordered,
         double heardPart,
         int vmCount) {
@@ -34,6 +37,7 @@
         weights = Map.copyOf(weights);
         peerUse = Map.copyOf(peerUse);
         peerTeams = List.copyOf(peerTeams);
+        peerReads = List.copyOf(peerReads);
         ordered = Set.copyOf(ordered);
     }
 }
