--- a/core/src/main/java/org/bronzelug/core/order/RolloutTarget.java
+++ b/core/src/main/java/org/bronzelug/core/order/RolloutTarget.java
@@ -5,7 +5,9 @@
  *
  * @param endpoint its id
  * @param version of the weights that it has
- * @param loadedRequests requests under way there
+ * @param requests under way there, of all VMs
+ * @param answers whether it answers; one that does not serves nobody
  * @param ordered whether an order for it is under way
  */
-public record RolloutTarget(String endpoint, long version, int loadedRequests, boolean ordered) {}
+public record RolloutTarget(
+        String endpoint, long version, int requests, boolean answers, boolean ordered) {}
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -208,10 +208,26 @@
 
     private void takeReport(TrafficReport read) {
         report = read;
+        orders.takeLoad(fleetLoad());
         read.weights().forEach(this::takeWeights);
         read.doubted().forEach(orders::askWeights);
     }
 
+    /** Requests of all VMs at each endpoint, without those that do not answer this VM. */
+    private Map<String, Integer> fleetLoad() {
+        Map<String, Integer> load = new HashMap<>();
+        state.endpoints().keySet().forEach(id -> load.put(id, 0));
+        report.endpoints()
+                .forEach(use -> load.merge(use.getEndpoint(), use.getRequests(), Integer::sum));
+        for (Member member : members.live(System.nanoTime())) {
+            member.state()
+                    .getEndpointsList()
+                    .forEach(use -> load.merge(use.getEndpoint(), use.getRequests(), Integer::sum));
+        }
+        load.keySet().removeAll(report.suspects());
+        return load;
+    }
+
     private void takeWeights(EndpointWeights seen) {
         state.endpointList()
                 .recordWeights(
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.api.fleet.v1.PrefixRead;
@@ -17,6 +19,7 @@
  * @param endpoints requests under way
  * @param weights that runners' answers showed
  * @param reads prompts sent to runners lately
+ * @param suspects ids of endpoints that failed lately or are silent
  * @param doubted ids of runners that refused the weights believed of them
  */
 record TrafficReport(
@@ -24,10 +27,11 @@
         List<EndpointUse> endpoints,
         List<EndpointWeights> weights,
         List<PrefixRead> reads,
+        Set<String> suspects,
         List<String> doubted) {
     /** Before anything is known. */
     static TrafficReport none() {
-        return new TrafficReport(List.of(), List.of(), List.of(), List.of(), List.of());
+        return new TrafficReport(List.of(), List.of(), List.of(), List.of(), Set.of(), List.of());
     }
 
     /** Reads the state; call on the traffic thread. */
@@ -58,7 +62,12 @@
                         .map(endpoint -> endpoint.entry().id())
                         .toList();
         List<PrefixRead> reads = state.choice().readsToTell(nowNanos);
-        return new TrafficReport(teams, endpoints, weights, reads, doubted);
+        Set<String> suspects =
+                state.endpoints().all().stream()
+                        .filter(endpoint -> endpoint.isSuspect(nowNanos))
+                        .map(endpoint -> endpoint.entry().id())
+                        .collect(Collectors.toSet());
+        return new TrafficReport(teams, endpoints, weights, reads, suspects, doubted);
     }
 
     private static EndpointUse use(EndpointState endpoint) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -49,6 +49,9 @@
     /** Retry after a refusal for want of endpoints: a runner is back, or replaced, in a second. */
     private static final long NO_ENDPOINT_MILLIS = 250;
 
+    /** Often enough for a goal of 600 ms to be missed by little. */
+    private static final long SILENCE_CHECK_MILLIS = 200;
+
     /** Sends of one request that were all stated not to have run. */
     private static final int MAXIMUM_SENDS = 3;
 
@@ -65,6 +68,7 @@
     private final EndpointRequests requests;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
+    private Optional<ScheduledFuture<?>> silenceCheck = Optional.empty();
     private Optional<EndpointState> endpoint = Optional.empty();
     private Optional<RunnerChoice> runner = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
@@ -108,6 +112,9 @@
                         traffic.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS));
         admitted.pool()
                 .ifPresent(pool -> state.recordFirstAttempt(pool.name(), admitted.arrivedNanos()));
+        if (route().repeat() != RepeatPolicy.AT_MOST_ONCE) {
+            watchSilence();
+        }
         dispatch();
     }
 
@@ -120,7 +127,7 @@
         }
         EndpointState chosen = endpoint.get();
         tried.add(chosen.entry().id());
-        chosen.begin();
+        chosen.begin(nowNanos);
         runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
         prefilling = runner.isPresent();
         metrics.routed(nowNanos - admitted.arrivedNanos());
@@ -174,6 +181,7 @@
     public void onHead(EndpointAnswer answer, HttpResponse response) {
         EndpointState answering = endpoint.orElseThrow();
         answering.recordAnswer(answer);
+        answering.heard(System.nanoTime());
         runner.ifPresent(choice -> learnWeights(answering, answer));
         if (answer.notExecuted() || answer.status() == MISDIRECTED) {
             onNotExecuted(answer);
@@ -223,8 +231,10 @@
 
     @Override
     public void onData(ByteBuf data) {
+        long nowNanos = System.nanoTime();
+        endpoint.ifPresent(answering -> answering.heard(nowNanos));
         if (firstNanos == 0) {
-            firstNanos = System.nanoTime();
+            firstNanos = nowNanos;
         }
         if (prefilling) {
             endPrefill();
@@ -294,6 +304,31 @@
                 .orElse(false);
     }
 
+    /**
+     * Looks whether the endpoint still lives, while no answer has come: what may be repeated goes
+     * elsewhere, instead of waiting for a machine without power until the caller has left.
+     */
+    private void watchSilence() {
+        silenceCheck =
+                Optional.of(
+                        traffic.schedule(
+                                this::leaveSilent, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    private void leaveSilent() {
+        if (done || firstNanos != 0 || endpoint.isEmpty()) {
+            return;
+        }
+        EndpointState waiting = endpoint.get();
+        if (waiting.isSilent(System.nanoTime()) && mayRepeat()) {
+            cancelCall();
+            relay.reset();
+            note(LogEvent.REQUEST_MOVED, leaveEndpoint(), "endpoint is silent");
+            dispatch();
+        }
+        watchSilence();
+    }
+
     private void onTimeout() {
         timeout = Optional.empty();
         if (done) {
@@ -373,6 +408,7 @@
         }
         done = true;
         timeout.ifPresent(running -> running.cancel(false));
+        silenceCheck.ifPresent(running -> running.cancel(false));
         request.release();
         relay.release();
         long millis = (System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI;
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -61,6 +61,7 @@
     private final MemberTable members;
     private final Runners runners;
     private final Map<String, RunnerOrder> orders = new HashMap<>();
+    private Map<String, Integer> load = Map.of();
     private Optional<OrderLease> lease = Optional.empty();
     private long renewedSentNanos = Long.MIN_VALUE;
     private long pendingSinceNanos;
@@ -126,6 +127,11 @@
         }
     }
 
+    /** Takes in the requests at each endpoint that answers this VM. */
+    public void takeLoad(Map<String, Integer> requests) {
+        load = requests;
+    }
+
     /** Asks a runner which weights it has, since it refused those believed of it. */
     public void askWeights(String id) {
         EndpointEntry runner = state.endpoints().get(id);
@@ -307,11 +313,11 @@
                     new RolloutTarget(
                             entry.id(),
                             entry.weights().get(rollout.target.model()),
-                            0,
+                            load.getOrDefault(entry.id(), 0),
+                            load.containsKey(entry.id()),
                             orders.containsKey(entry.id())));
         }
-        List<RolloutTarget> next =
-                RolloutPlan.next(targets, rollout.target.version(), atOnce(targets.size()));
+        List<RolloutTarget> next = RolloutPlan.next(targets, rollout.target.version());
         for (RolloutTarget target : next) {
             EndpointEntry runner = state.endpoints().get(target.endpoint());
             orders.put(target.endpoint(), new RunnerOrder(runner, rollout.target));
@@ -321,14 +327,6 @@
         }
     }
 
-    /**
-     * Runners under order at once. Most of an order's time goes to finishing what the runner
-     * serves, so more may be under order than may load at once; half are left to serve.
-     */
-    private int atOnce(int runnerCount) {
-        return Math.max(settings.bounds().loadsAtOnce(), runnerCount / 2);
-    }
-
     /** The order as it may be sent now; empty where the lease has run out meanwhile. */
     private Optional<LoadOrder> loadOrder(WeightsTarget target, long expectedSequence) {
         boolean valid = ownsLease() && OrderLease.mayOrder(renewedSentNanos, System.nanoTime());
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -20,6 +20,11 @@
     private static final long FIRST_SUSPICION_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
 
+    /**
+     * Four times what a whole prompt takes on an idle runner, some 220 ms; plain calls take 20 ms.
+     */
+    private static final long SILENT_NANOS = 900_000_000L;
+
     /** The control thread asks within a round of 150 ms, and has an answer in a few. */
     private static final long DOUBT_NANOS = 400_000_000L;
 
@@ -32,6 +37,7 @@
     private int failuresInRow;
     private long suspectUntilNanos = Long.MIN_VALUE;
     private int ownRequests;
+    private long quietSinceNanos;
     private long doubtedUntilNanos = Long.MIN_VALUE;
 
     EndpointState(EndpointEntry entry, EndpointConnections connections) {
@@ -78,10 +84,28 @@
         return ownRequests;
     }
 
-    public void begin() {
+    /** A request is sent there. */
+    public void begin(long nowNanos) {
+        if (ownRequests == 0) {
+            quietSinceNanos = nowNanos;
+        }
         ownRequests++;
     }
 
+    /** Bytes of an answer have come. */
+    public void heard(long nowNanos) {
+        quietSinceNanos = nowNanos;
+    }
+
+    /**
+     * Whether nothing has come for long though something is due: the endpoint has lost its power,
+     * or the path to it is cut. Its connections stay open then, and its entry is listed for
+     * seconds.
+     */
+    public boolean isSilent(long nowNanos) {
+        return ownRequests > 0 && nowNanos - quietSinceNanos > SILENT_NANOS;
+    }
+
     public void end() {
         ownRequests--;
     }
@@ -149,6 +173,7 @@
     }
 
     public boolean isSuspect(long nowNanos) {
-        return suspectUntilNanos != Long.MIN_VALUE && nowNanos < suspectUntilNanos;
+        return isSilent(nowNanos)
+                || suspectUntilNanos != Long.MIN_VALUE && nowNanos < suspectUntilNanos;
     }
 }
