Each version is late from its own naming; streams leave a runner that is to load

Cause 2: a runner under order waits for its last stream, a second or more each. Unused bounds are gone from the settings.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -51,6 +51,9 @@
     /** After so many rounds behind a peer the own watch hangs on a dead connection. */
     private static final int HANGING_ROUNDS = 6;
 
+    /** How long older weights may be used after a start, margin included. */
+    private static final long START_WEIGHTS_MILLIS = 3_000;
+
     /** Rounds between two lists of VMs while no peer is heard. */
     private static final int LIST_ROUNDS = 10;
 
@@ -87,7 +90,7 @@
         this.settings = settings;
         this.incarnation = incarnation;
         this.trafficState = trafficState;
-        this.state = new ControlState(decoder);
+        this.state = new ControlState(decoder, unknownAgeNanos(settings));
         this.members = new MemberTable(settings.vm());
         this.gossip = new FleetGossip(control, settings.peersAddress(), this::onPeer);
         this.peerReads = new PeerReads(control, state);
@@ -99,6 +102,15 @@
         }
     }
 
+    /**
+     * A VM that starts does not know when the weights that it finds were named: perhaps nearly as
+     * long ago as older ones may be used.
+     */
+    private static long unknownAgeNanos(VmSettings settings) {
+        long millis = Math.max(0, settings.bounds().weightsMillis() - START_WEIGHTS_MILLIS);
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     @Override
     public String name() {
         return NAME;
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -23,13 +23,18 @@
     public static final String LEASE_KIND = "order-leases";
 
     private final ObjectDecoder decoder;
+    private final long unknownAgeNanos;
     private final Map<String, ObjectMirror> mirrors = new HashMap<>();
     private final EndpointList endpoints = new EndpointList();
     private final Map<String, WeightsTarget> weights = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
 
-    ControlState(ObjectDecoder decoder) {
+    /**
+     * @param unknownAgeNanos how long ago weights count as named that this VM finds at its start
+     */
+    ControlState(ObjectDecoder decoder, long unknownAgeNanos) {
         this.decoder = decoder;
+        this.unknownAgeNanos = unknownAgeNanos;
         for (String kind : kinds()) {
             mirrors.put(kind, new ObjectMirror());
         }
@@ -134,9 +139,13 @@
         if (known != null && known.version() >= named.version()) {
             return;
         }
-        weights.put(
-                named.model(),
-                new WeightsTarget(named.model(), named.version(), System.nanoTime()));
+        long nowNanos = System.nanoTime();
+        WeightsTarget target =
+                known == null
+                        ? WeightsTarget.first(
+                                named.model(), named.version(), nowNanos - unknownAgeNanos)
+                        : known.with(named.version(), nowNanos);
+        weights.put(named.model(), target);
         EventLog.info(
                 LogEvent.WEIGHTS_NAMED, "model=" + named.model() + " version=" + named.version());
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/AnswerRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AnswerRelay.java
@@ -144,13 +144,17 @@
         headers = Optional.empty();
     }
 
-    /** Whether the stream can go on after its last whole event; half an event is dropped. */
+    /** Whether the stream can go on elsewhere after its last whole event. */
+    boolean canResume() {
+        return splitting && events.lastId().isPresent();
+    }
+
+    /** Drops half an event, if the stream can go on elsewhere. */
     boolean prepareResume() {
-        if (!splitting || events.lastId().isEmpty()) {
-            return false;
+        if (canResume()) {
+            events.dropPart();
         }
-        events.dropPart();
-        return true;
+        return canResume();
     }
 
     void release() {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -13,9 +13,6 @@
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.RepeatPolicy;
 import org.bronzelug.core.routing.Route;
-import org.bronzelug.core.routing.Team;
-import org.bronzelug.log.EventLog;
-import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.endpoint.AnswerListener;
 import org.bronzelug.router.endpoint.EndpointAnswer;
 import org.bronzelug.router.endpoint.EndpointCall;
@@ -33,7 +30,7 @@
  * again only where its route allows that; and "not run" is said only where it holds for all
  * attempts. Confined to the traffic thread.
  */
-final class Exchange implements AnswerListener, CallerListener {
+final class Exchange implements AnswerListener, CallerListener, EndpointState.Leaver {
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -49,6 +46,9 @@
     /** Retry after a refusal for want of endpoints: a runner is back, or replaced, in a second. */
     private static final long NO_ENDPOINT_MILLIS = 250;
 
+    /** Plain calls take a sixth of their goal; one that takes twice the goal is stuck. */
+    private static final int OVERDUE_GOALS = 2;
+
     /** Often enough for a goal of 600 ms to be missed by little. */
     private static final long SILENCE_CHECK_MILLIS = 200;
 
@@ -66,6 +66,7 @@
     private final Set<String> sentTo = new HashSet<>();
     private final AnswerRelay relay;
     private final EndpointRequests requests;
+    private final ExchangeLog log;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private Optional<ScheduledFuture<?>> silenceCheck = Optional.empty();
@@ -76,6 +77,7 @@
     private int uncertainSends;
     private boolean prefilling;
     private long firstNanos;
+    private long sentNanos;
     private boolean done;
 
     Exchange(
@@ -94,6 +96,7 @@
         this.caller = caller;
         this.admitted = admitted;
         this.requests = new EndpointRequests(state, wire, admitted);
+        this.log = new ExchangeLog(admitted);
         this.relay = new AnswerRelay(caller, wire, admitted.route());
     }
 
@@ -127,7 +130,8 @@
         }
         EndpointState chosen = endpoint.get();
         tried.add(chosen.entry().id());
-        chosen.begin(nowNanos);
+        chosen.begin(this, nowNanos);
+        sentNanos = nowNanos;
         runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
         prefilling = runner.isPresent();
         metrics.routed(nowNanos - admitted.arrivedNanos());
@@ -166,7 +170,7 @@
     public void onUnreachable(String cause) {
         EndpointState failed = leaveEndpoint();
         failed.recordFailure(System.nanoTime());
-        note(LogEvent.REQUEST_MOVED, failed, "unreachable: " + cause);
+        log.moved(failed, sends, "unreachable: " + cause);
         dispatch();
     }
 
@@ -192,7 +196,7 @@
         if (failed && mayRepeat()) {
             cancelCall();
             answering.recordFailure(System.nanoTime());
-            note(LogEvent.REQUEST_MOVED, leaveEndpoint(), "answered " + answer.status());
+            log.moved(leaveEndpoint(), sends, "answered " + answer.status());
             dispatch();
             return;
         }
@@ -220,7 +224,7 @@
         } else {
             refusing.recordFailure(System.nanoTime());
         }
-        note(LogEvent.REQUEST_MOVED, refusing, "not executed, status " + answer.status());
+        log.moved(refusing, sends, "not executed, status " + answer.status());
         boolean again = sends < MAXIMUM_SENDS && takeRepeat();
         if (again) {
             dispatch();
@@ -272,7 +276,7 @@
         }
         relay.reset();
         if (mayRepeat()) {
-            note(LogEvent.REQUEST_MOVED, broken, cause);
+            log.moved(broken, sends, cause);
             dispatch();
             return;
         }
@@ -282,9 +286,7 @@
     /** The answer has begun: a stream goes on elsewhere if it may, anything else is broken off. */
     private void resumeOrAbort(String cause) {
         if (relay.prepareResume() && mayRepeat()) {
-            EventLog.info(
-                    LogEvent.STREAM_MOVED,
-                    "request=" + admitted.head().id() + " cause=\"" + cause + "\"");
+            log.streamMoved(cause);
             dispatch();
             return;
         }
@@ -305,8 +307,8 @@
     }
 
     /**
-     * Looks whether the endpoint still lives, while no answer has come: what may be repeated goes
-     * elsewhere, instead of waiting for a machine without power until the caller has left.
+     * Looks whether the endpoint still lives: what may be repeated goes elsewhere, instead of
+     * waiting for a machine without power until the caller has left.
      */
     private void watchSilence() {
         silenceCheck =
@@ -316,17 +318,48 @@
     }
 
     private void leaveSilent() {
-        if (done || firstNanos != 0 || endpoint.isEmpty()) {
+        if (done) {
             return;
         }
-        EndpointState waiting = endpoint.get();
-        if (waiting.isSilent(System.nanoTime()) && mayRepeat()) {
-            cancelCall();
+        if (endpoint.filter(waiting -> isOverdue(waiting, System.nanoTime())).isPresent()) {
+            moveOn("endpoint is silent");
+        }
+        if (!done) {
+            watchSilence();
+        }
+    }
+
+    private boolean isOverdue(EndpointState waiting, long nowNanos) {
+        long waitedMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI;
+        boolean slow =
+                !route().stream()
+                        && firstNanos == 0
+                        && waitedMillis > OVERDUE_GOALS * route().goalMillis();
+        return slow || waiting.isSilent(nowNanos);
+    }
+
+    /** The runner is to load weights: a stream that may go on elsewhere does not hold it up. */
+    @Override
+    public void onLeaving() {
+        if (route().repeat() == RepeatPolicy.RESUMABLE) {
+            moveOn("runner loads weights");
+        }
+    }
+
+    /** Goes to another endpoint if that is allowed; otherwise stays. */
+    private void moveOn(String cause) {
+        boolean possible = !relay.hasBegun() || relay.canResume();
+        if (!possible || !mayRepeat()) {
+            return;
+        }
+        cancelCall();
+        if (relay.hasBegun()) {
+            relay.prepareResume();
+        } else {
             relay.reset();
-            note(LogEvent.REQUEST_MOVED, leaveEndpoint(), "endpoint is silent");
-            dispatch();
         }
-        watchSilence();
+        log.moved(leaveEndpoint(), sends, cause);
+        dispatch();
     }
 
     private void onTimeout() {
@@ -389,7 +422,7 @@
     private EndpointState leaveEndpoint() {
         EndpointState left = endpoint.orElseThrow();
         endpoint = Optional.empty();
-        left.end();
+        left.end(this);
         runner.ifPresent(
                 choice -> {
                     if (prefilling) {
@@ -411,46 +444,7 @@
         silenceCheck.ifPresent(running -> running.cancel(false));
         request.release();
         relay.release();
-        long millis = (System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI;
-        metrics.finished(millis);
-        EventLog.info(
-                LogEvent.REQUEST_ENDED,
-                "request="
-                        + admitted.head().id()
-                        + " outcome="
-                        + outcome
-                        + " reason=\""
-                        + reason
-                        + "\" route="
-                        + route().name()
-                        + " team="
-                        + admitted.team().map(Team::name).orElse("-")
-                        + " tokens="
-                        + admitted.tokens()
-                        + " tried="
-                        + tried
-                        + " configuration="
-                        + admitted.configurationVersion()
-                        + " weights="
-                        + runner.map(RunnerChoice::weightsVersion).orElse(0L)
-                        + " firstMillis="
-                        + (firstNanos == 0
-                                ? -1
-                                : (firstNanos - admitted.arrivedNanos()) / NANOS_PER_MILLI)
-                        + " millis="
-                        + millis);
-    }
-
-    private void note(LogEvent event, EndpointState at, String cause) {
-        EventLog.info(
-                event,
-                "request="
-                        + admitted.head().id()
-                        + " endpoint="
-                        + at.entry().id()
-                        + " cause=\""
-                        + cause
-                        + "\" sends="
-                        + sends);
+        metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
+        log.ended(outcome, reason, tried, runner, firstNanos);
     }
 }
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -0,0 +1,69 @@
+package org.bronzelug.router.exchange;
+
+import java.util.Optional;
+import java.util.Set;
+import org.bronzelug.core.routing.Team;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.RunnerChoice;
+
+/** The log lines of one admitted request. Confined to the traffic thread. */
+final class ExchangeLog {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final Admitted admitted;
+
+    ExchangeLog(Admitted admitted) {
+        this.admitted = admitted;
+    }
+
+    /** The request leaves an endpoint. */
+    void moved(EndpointState endpoint, int sends, String cause) {
+        EventLog.info(
+                LogEvent.REQUEST_MOVED,
+                request()
+                        + (" endpoint=" + endpoint.entry().id())
+                        + (" cause=\"" + cause + "\"")
+                        + (" sends=" + sends));
+    }
+
+    /** A stream goes on after its last whole event. */
+    void streamMoved(String cause) {
+        EventLog.info(LogEvent.STREAM_MOVED, request() + " cause=\"" + cause + "\"");
+    }
+
+    /**
+     * The request is over.
+     *
+     * @param firstNanos when the answer began, by the local monotonic clock; 0: it never did
+     */
+    void ended(
+            String outcome,
+            String reason,
+            Set<String> tried,
+            Optional<RunnerChoice> runner,
+            long firstNanos) {
+        EventLog.info(
+                LogEvent.REQUEST_ENDED,
+                request()
+                        + (" outcome=" + outcome)
+                        + (" reason=\"" + reason + "\"")
+                        + (" route=" + admitted.route().name())
+                        + (" team=" + admitted.team().map(Team::name).orElse("-"))
+                        + (" tokens=" + admitted.tokens())
+                        + (" tried=" + tried)
+                        + (" configuration=" + admitted.configurationVersion())
+                        + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
+                        + (" firstMillis=" + (firstNanos == 0 ? -1 : millisTo(firstNanos)))
+                        + (" millis=" + millisTo(System.nanoTime())));
+    }
+
+    private String request() {
+        return "request=" + admitted.head().id();
+    }
+
+    private long millisTo(long nanos) {
+        return (nanos - admitted.arrivedNanos()) / NANOS_PER_MILLI;
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
+++ b/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
@@ -8,11 +8,8 @@
  * @param retrySlack repeats allowed besides in each window, over all VMs
  * @param leastVms VMs that share the slack even where fewer are known
  * @param leaseMillis between orders of two VMs to one runner
- * @param drainMillis after which a leaving endpoint gets no work
  * @param graceMillis from the request to stop until the process is ended by force
- * @param configurationMillis in which a change is in force on every VM
  * @param weightsMillis after which no request begins on older weights
- * @param loadsAtOnce runners that load weights at the same time
  */
 public record FleetBounds(
         double retryRatio,
@@ -20,8 +17,5 @@
         double retrySlack,
         int leastVms,
         long leaseMillis,
-        long drainMillis,
         long graceMillis,
-        long configurationMillis,
-        long weightsMillis,
-        int loadsAtOnce) {}
+        long weightsMillis) {}
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.core.placement.CacheBelief;
@@ -43,14 +44,15 @@
     /** Answers on older weights are worth less from 1.5 s on; requests take a moment to begin. */
     private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
 
-    /** From then on no request begins on older weights; one second before the bound. */
-    private static final long OLDER_WEIGHTS_END_NANOS = 7_000_000_000L;
+    /** A request that waits at a runner begins up to so long after it was sent there. */
+    private static final long OLDER_WEIGHTS_MARGIN_NANOS = 1_500_000_000L;
 
     /** What older weights count, as prompt tokens that wait: some 400 ms. */
     private static final int OLDER_WEIGHTS_TOKENS = 16_000;
 
     private final EndpointTable endpoints;
     private final String availabilityZone;
+    private final long olderWeightsEndNanos;
     private final PlacementPolicy policy =
             new PlacementPolicy(
                     new PlacementSettings(
@@ -63,9 +65,13 @@
     private final PrefixReads reads = new PrefixReads();
     private Map<String, WeightsTarget> weights = Map.of();
 
-    EndpointChoice(EndpointTable endpoints, String availabilityZone) {
+    /**
+     * @param weightsNanos after which no request may begin on older weights
+     */
+    EndpointChoice(EndpointTable endpoints, String availabilityZone, long weightsNanos) {
         this.endpoints = endpoints;
         this.availabilityZone = availabilityZone;
+        this.olderWeightsEndNanos = weightsNanos - OLDER_WEIGHTS_MARGIN_NANOS;
     }
 
     void update(Map<String, WeightsTarget> newest) {
@@ -173,18 +179,20 @@
     }
 
     private boolean mayBegin(EndpointState state, String model, long nowNanos) {
-        return newest(model)
-                .filter(target -> state.weights(model) < target.version())
-                .map(target -> nowNanos - target.seenNanos() < OLDER_WEIGHTS_END_NANOS)
-                .orElse(true);
+        return behindNanos(state, model, nowNanos) < olderWeightsEndNanos;
     }
 
-    private RunnerLoad load(EndpointState state, String model, long nowNanos) {
-        boolean older =
+    /** For how long the runner's weights have not been the newest; 0 where they are. */
+    private long behindNanos(EndpointState state, String model, long nowNanos) {
+        OptionalLong since =
                 newest(model)
-                        .filter(target -> state.weights(model) < target.version())
-                        .filter(target -> nowNanos - target.seenNanos() > OLDER_WEIGHTS_GRACE_NANOS)
-                        .isPresent();
+                        .map(target -> target.behindSinceNanos(state.weights(model)))
+                        .orElseGet(OptionalLong::empty);
+        return since.isPresent() ? nowNanos - since.getAsLong() : 0;
+    }
+
+    private RunnerLoad load(EndpointState state, String model, long nowNanos) {
+        boolean older = behindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
         PeerUse others = state.peerUse();
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.core.placement.LoadEstimate;
 import org.bronzelug.core.routing.EndpointEntry;
@@ -36,7 +38,7 @@
     private boolean ordered;
     private int failuresInRow;
     private long suspectUntilNanos = Long.MIN_VALUE;
-    private int ownRequests;
+    private final Set<Leaver> requests = new HashSet<>();
     private long quietSinceNanos;
     private long doubtedUntilNanos = Long.MIN_VALUE;
 
@@ -57,13 +59,25 @@
         return load;
     }
 
-    void update(EndpointEntry newer, PeerUse use, boolean nowOrdered) {
+    /**
+     * Takes in what the control thread knows.
+     *
+     * @return whether it begins to load weights
+     */
+    boolean update(EndpointEntry newer, PeerUse use, boolean nowOrdered) {
         if (!newer.weights().equals(entry.weights())) {
             doubtedUntilNanos = Long.MIN_VALUE;
         }
         entry = newer;
         peerUse = use;
+        boolean begins = nowOrdered && !ordered;
         ordered = nowOrdered;
+        return begins;
+    }
+
+    /** Lets those of its requests go elsewhere that may. */
+    void sendAway() {
+        Set.copyOf(requests).forEach(Leaver::onLeaving);
     }
 
     PeerUse peerUse() {
@@ -77,19 +91,25 @@
 
     /** Requests of all VMs, as far as known. */
     public int requests() {
-        return ownRequests + peerUse.requests();
+        return requests.size() + peerUse.requests();
     }
 
     public int ownRequests() {
-        return ownRequests;
+        return requests.size();
     }
 
     /** A request is sent there. */
-    public void begin(long nowNanos) {
-        if (ownRequests == 0) {
+    public void begin(Leaver request, long nowNanos) {
+        if (requests.isEmpty()) {
             quietSinceNanos = nowNanos;
         }
-        ownRequests++;
+        requests.add(request);
+    }
+
+    /** A request that can leave an endpoint which is to load weights. */
+    public interface Leaver {
+        /** The endpoint waits for this request before it loads. */
+        void onLeaving();
     }
 
     /** Bytes of an answer have come. */
@@ -103,11 +123,12 @@
      * seconds.
      */
     public boolean isSilent(long nowNanos) {
-        return ownRequests > 0 && nowNanos - quietSinceNanos > SILENT_NANOS;
+        return !requests.isEmpty() && nowNanos - quietSinceNanos > SILENT_NANOS;
     }
 
-    public void end() {
-        ownRequests--;
+    /** A request has left it. */
+    public void end(Leaver request) {
+        requests.remove(request);
     }
 
     /** The weights that it has: what its answers showed goes before its entry, which lags. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.traffic;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -30,11 +31,17 @@
     /** Takes in the list; calls under way at endpoints that left go on. */
     void update(TrafficUpdate update) {
         states.values().removeIf(state -> hasLeft(state, update.endpoints()));
+        List<EndpointState> beginning = new ArrayList<>();
         for (EndpointEntry entry : update.endpoints().values()) {
             PeerUse use = update.peerUse().getOrDefault(entry.id(), PeerUse.NONE);
             boolean ordered = update.ordered().contains(entry.id());
-            states.computeIfAbsent(entry.id(), id -> open(entry)).update(entry, use, ordered);
+            EndpointState state = states.computeIfAbsent(entry.id(), id -> open(entry));
+            if (state.update(entry, use, ordered)) {
+                beginning.add(state);
+            }
         }
+        // Only now: a request that leaves must not choose another one that begins to load.
+        beginning.forEach(EndpointState::sendAway);
     }
 
     private static boolean hasLeft(EndpointState state, Map<String, EndpointEntry> listed) {
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -14,6 +14,7 @@
  * replaces its part by {@link #apply}.
  */
 public final class TrafficState {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
     /**
@@ -39,7 +40,9 @@
         this.bounds = bounds;
         this.endpoints = new EndpointTable(traffic, wire);
         this.rates = new TeamRates(fleetStarts);
-        this.choice = new EndpointChoice(endpoints, availabilityZone);
+        this.choice =
+                new EndpointChoice(
+                        endpoints, availabilityZone, bounds.weightsMillis() * NANOS_PER_MILLI);
     }
 
     /** Takes in what the control thread knows. */
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -0,0 +1,81 @@
+package org.bronzelug.router.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.router.endpoint.EndpointConnections;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Requests wait for a machine without power, or are refused again and again by a runner whose
+ * weights are not those believed of it.
+ */
+class EndpointStateTest {
+    private static final long MILLI = 1_000_000L;
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EndpointState state = state(entry(1));
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully();
+    }
+
+    private static EndpointEntry entry(long version) {
+        return new EndpointEntry(
+                "a", "pool", "127.0.0.1:9", "zone", 6, false, 1, Map.of("m", version));
+    }
+
+    private EndpointState state(EndpointEntry entry) {
+        InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
+        return new EndpointState(
+                entry, new EndpointConnections(group.next(), address, new NoWireFormat()));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "nothing is due, false, -1, 5000, false",
+        "just sent, true, -1, 800, false",
+        "nothing came, true, -1, 1000, true",
+        "something came, true, 700, 1000, false",
+        "nothing more came, true, 700, 1700, true",
+    })
+    void anEndpointThatOwesAnAnswerAndSaysNothingIsSuspect(
+            String name, boolean sent, long heardMillis, long nowMillis, boolean suspect) {
+        if (sent) {
+            state.begin(() -> {}, 0);
+        }
+        if (heardMillis >= 0) {
+            state.heard(heardMillis * MILLI);
+        }
+        assertThat(state.isSuspect(nowMillis * MILLI)).isEqualTo(suspect);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"100, 1, true", "500, 1, false", "100, 2, false"})
+    void aRunnerThatRefusedItsWeightsIsLeftOutUntilTheyAreKnown(
+            long nowMillis, long versionNow, boolean loading) {
+        state.doubtWeights(0);
+        state.update(entry(versionNow), PeerUse.NONE, false);
+        assertThat(state.isLoading(nowMillis * MILLI)).isEqualTo(loading);
+    }
+
+    @Test
+    void whatMayGoElsewhereIsSentAwayOnceWhenLoadingBegins() {
+        List<String> asked = new ArrayList<>();
+        state.begin(() -> asked.add("r1"), 0);
+        assertThat(state.update(entry(1), PeerUse.NONE, true)).isTrue();
+        state.sendAway();
+        assertThat(state.update(entry(1), PeerUse.NONE, true)).isFalse();
+        assertThat(asked).containsExactly("r1");
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/traffic/NoWireFormat.java
@@ -0,0 +1,32 @@
+package org.bronzelug.router.traffic;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import org.bronzelug.router.endpoint.EndpointAnswer;
+import org.bronzelug.router.exchange.Dispatch;
+import org.bronzelug.router.exchange.RequestHead;
+import org.bronzelug.router.exchange.WireFormat;
+
+/** For tests that send nothing. Stateless. */
+final class NoWireFormat implements WireFormat {
+    @Override
+    public RequestHead decodeRequest(HttpRequest request) {
+        throw new UnsupportedOperationException("nothing is sent");
+    }
+
+    @Override
+    public HttpHeaders endpointHeaders(HttpRequest request, Dispatch dispatch) {
+        throw new UnsupportedOperationException("nothing is sent");
+    }
+
+    @Override
+    public EndpointAnswer decodeAnswer(HttpResponse response) {
+        throw new UnsupportedOperationException("nothing is sent");
+    }
+
+    @Override
+    public HttpHeaders callerHeaders(HttpResponse response) {
+        throw new UnsupportedOperationException("nothing is sent");
+    }
+}
