A prefix counts as saved once its runner has answered

Cause: a prefix sent to a runner that refused it or had no power was taken for saved and read by all others.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
@@ -34,6 +34,7 @@
     private final TrafficState state;
     private final WireFormat wire;
     private final Admitted admitted;
+    private boolean saving;
 
     EndpointRequests(TrafficState state, WireFormat wire, Admitted admitted) {
         this.state = state;
@@ -81,7 +82,7 @@
                 runner.flatMap(choice -> state.configuration())
                         .flatMap(RoutingConfiguration::cacheStore)
                         .map(CacheStore::address);
-        boolean save = runner.map(choice -> recordSent(choice, nowNanos)).orElse(false);
+        saving = runner.map(choice -> state.choice().isToBeSaved(choice, nowNanos)).orElse(false);
         return new Dispatch(
                 admitted.head().id(),
                 remainingMillis(nowNanos),
@@ -91,15 +92,15 @@
                 weightsVersion(runner),
                 runner.map(choice -> "v" + choice.weightsVersion() + "/" + admitted.wall()),
                 store,
-                store.filter(address -> save),
+                store.filter(address -> saving),
                 lastEventId.isPresent()
                         ? Optional.of(String.valueOf(lastEventId.getAsLong()))
                         : admitted.head().lastEventId());
     }
 
-    private boolean recordSent(RunnerChoice choice, long nowNanos) {
-        String model = admitted.head().prompt().orElseThrow().model();
-        return state.choice().recordSent(choice, model, nowNanos);
+    /** Whether the last request that was built tells the runner to save what it reads. */
+    boolean isSaving() {
+        return saving;
     }
 
     private OptionalLong remainingMillis(long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -253,7 +253,10 @@
 
     private void endPrefill() {
         prefilling = false;
-        runner.ifPresent(choice -> choice.endpoint().load().prefilled(choice.missingTokens()));
+        String model = admitted.head().prompt().orElseThrow().model();
+        RunnerChoice choice = runner.orElseThrow();
+        choice.endpoint().load().prefilled(choice.missingTokens());
+        state.choice().recordRead(choice, model, requests.isSaving(), System.nanoTime());
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -121,22 +121,25 @@
                                 .map(state -> runnerChoice(state, best, chain, prompt)));
     }
 
+    /** Whether the runner is to save what it reads of the prompt: nobody has yet. */
+    public boolean isToBeSaved(RunnerChoice choice, long nowNanos) {
+        return !choice.sharedCached()
+                && reads.isUnsaved(
+                        choice.chain().deepestShared().hash(), choice.weightsVersion(), nowNanos);
+    }
+
     /**
-     * Remembers that the prompt is sent to the runner.
+     * Remembers that the runner has read the prompt: its answer has begun.
+     *
+     * <p>Not sooner: a runner that refuses, or has no power, reads and saves nothing, and what is
+     * wrongly taken for saved is read again by every other runner.
      *
-     * @return whether the runner is to save what it reads: nobody has yet
+     * @param saved whether it was told to save
      */
-    public boolean recordSent(RunnerChoice choice, String model, long nowNanos) {
-        boolean save =
-                !choice.sharedCached()
-                        && reads.isUnsaved(
-                                choice.chain().deepestShared().hash(),
-                                choice.weightsVersion(),
-                                nowNanos);
-        reads.record(choice, model, save, nowNanos);
+    public void recordRead(RunnerChoice choice, String model, boolean saved, long nowNanos) {
+        reads.record(choice, model, saved, nowNanos);
         belief.recordCached(
                 choice.endpoint().entry().id(), choice.incarnation(), choice.chain(), nowNanos);
-        return save;
     }
 
     /** Takes in what other VMs have sent to runners. */
