--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -52,6 +52,13 @@
     /** Often enough for a goal of 600 ms to be missed by little. */
     private static final long SILENCE_CHECK_MILLIS = 200;
 
+    /**
+     * Half of the gap between events that callers bear at least, in steps of a datagram's round.
+     */
+    private static final int MAXIMUM_RESUME_PAUSES = 7;
+
+    private static final long RESUME_PAUSE_MILLIS = 150;
+
     /** Sends of one request that were all stated not to have run. */
     private static final int MAXIMUM_SENDS = 3;
 
@@ -65,6 +72,7 @@
     private final Set<String> tried = new HashSet<>();
     private final Set<String> sentTo = new HashSet<>();
     private final AnswerRelay relay;
+    private int resumePauses;
     private final EndpointRequests requests;
     private final ExchangeLog log;
 
@@ -225,7 +233,7 @@
             refusing.recordFailure(System.nanoTime());
         }
         log.moved(refusing, sends, "not executed, status " + answer.status());
-        boolean again = sends < MAXIMUM_SENDS && takeRepeat();
+        boolean again = !relay.hasBegun() && sends < MAXIMUM_SENDS && takeRepeat();
         if (again) {
             dispatch();
         } else {
@@ -297,6 +305,34 @@
         finish("broken", cause);
     }
 
+    /**
+     * A begun stream that no endpoint takes just now is tried again a little later.
+     *
+     * <p>The failure this prevents: it left a runner that was to load weights, the next one began
+     * to load at the same moment and refused it, and its caller saw it break off although both
+     * runners took requests again within a second. Callers bear a gap of two seconds and more.
+     */
+    private boolean waitToResume() {
+        if (!relay.canResume() || resumePauses >= MAXIMUM_RESUME_PAUSES) {
+            return false;
+        }
+        resumePauses++;
+        tried.clear();
+        traffic.schedule(this::tryToResume, RESUME_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        return true;
+    }
+
+    private void tryToResume() {
+        if (done) {
+            return;
+        }
+        if (takeRepeat()) {
+            dispatch();
+        } else {
+            giveUp("no repeat left for the stream");
+        }
+    }
+
     /** Whether a request that may have run may be sent to one more endpoint; takes the budget. */
     private boolean mayRepeat() {
         boolean repeatable = route().repeat() != RepeatPolicy.AT_MOST_ONCE;
@@ -385,8 +421,10 @@
     /** Refuses as not run where that holds, with when to come back. */
     private void giveUp(String reason) {
         if (relay.hasBegun()) {
-            caller.abort();
-            finish("broken", reason);
+            if (!waitToResume()) {
+                caller.abort();
+                finish("broken", reason);
+            }
             return;
         }
         if (uncertainSends > 0) {
