An answer without its endpoint's stamp releases the endpoint

Cause: Exchange.onHead gave up an action whose answer bears no stamp without leaving its endpoint, which then had a request under way that never ends: it counted as silent, and so as suspect, on this VM for good. Ruled out: the other ends (torn, reset, garbage, not executed) leave it. Change: leaves it and records a failure. Before: AnswerFailureTest fails in one of 24 (one request still under way); after: 24 pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -210,6 +210,7 @@
         }
         if (spoiled) {
             cancelCall();
+            leaveEndpoint().recordFailure(System.nanoTime());
             fail(BAD_GATEWAY, "the endpoint's answer is not genuine");
             return;
         }
