An endpoint with kept connections leaves the list at once; each send is logged

Cause: EndpointConnections.closeIdle walked the queue of kept connections while each closing one took itself out of it. The exception ended TrafficState.apply in the middle: the endpoint stayed usable, and new weights, peers' counts and rates of that round were lost, round after round until the queue was empty. Ruled out: the list itself (RUNNER_DOWN was logged). Also new: REQUEST_SENT, one line for each send with what the choice rests on (weights, missing and queued tokens, cost, runners considered).

--- a/core/src/main/java/org/bronzelug/core/placement/Placement.java
+++ b/core/src/main/java/org/bronzelug/core/placement/Placement.java
@@ -6,7 +6,12 @@
  * @param runner the endpoint's name
  * @param incarnation that the choice relies upon; the runner refuses the request if it has another
  * @param believedCachedTokens tokens expected in its cache
+ * @param queuedTokens that wait to be prefilled before this request
  * @param costNanos expected time to the first token
  */
 public record Placement(
-        String runner, String incarnation, int believedCachedTokens, double costNanos) {}
+        String runner,
+        String incarnation,
+        int believedCachedTokens,
+        double queuedTokens,
+        double costNanos) {}
--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -74,7 +74,12 @@
         double weighted = runner.queuedPrefillTokens() + missing * missingTokenWeight;
         double prefill = weighted * settings.nanosPerPrefillToken();
         double decode = runner.runningStreams() * settings.nanosPerRunningStream();
-        return new Placement(runner.name(), runner.incarnation(), cached, prefill + decode);
+        return new Placement(
+                runner.name(),
+                runner.incarnation(),
+                cached,
+                runner.queuedPrefillTokens(),
+                prefill + decode);
     }
 
     private static boolean better(PrefixChain chain, Placement candidate, Placement best) {
--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -36,6 +36,7 @@
     ORDER_WEIGHED(509, "a runner told what it has; it is ordered if it lags and is free"),
     REQUEST_ENDED(600, "request answered, or given up"),
     REQUEST_REFUSED(601, "request refused before it was sent anywhere"),
+    REQUEST_SENT(604, "request is sent to an endpoint"),
     REQUEST_MOVED(602, "request leaves an endpoint without an answer from it"),
     TEAM_RATE_CHANGED(603, "a team's rate or burst is another one from now on"),
     SERVING(700, "this VM takes callers"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -13,6 +13,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
@@ -60,7 +61,8 @@
 
     /** Closes the kept connections that are idle; calls under way go on. */
     public void closeIdle() {
-        idle.forEach(EndpointConnection::close);
+        // A copy: a connection that closes leaves the queue at once, in the middle of the loop.
+        List.copyOf(idle).forEach(EndpointConnection::close);
         idle.clear();
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -142,6 +142,7 @@
         sentNanos = nowNanos;
         runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
         prefilling = runner.isPresent();
+        log.sent(chosen, runner);
         metrics.routed(nowNanos - admitted.arrivedNanos());
         FullHttpRequest copy =
                 requests.build(request, chosen, runner, relay.lastEventId(), nowNanos);
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -18,6 +18,21 @@
         this.admitted = admitted;
     }
 
+    /**
+     * The request goes to an endpoint.
+     *
+     * @param runner present where tokens are generated
+     */
+    void sent(EndpointState endpoint, Optional<RunnerChoice> runner) {
+        EventLog.info(
+                LogEvent.REQUEST_SENT,
+                request()
+                        + (" endpoint=" + endpoint.entry().id())
+                        + (" requests=" + endpoint.ownRequests())
+                        + ("+" + endpoint.peerRequests())
+                        + runner.map(RunnerChoice::describe).orElse(""));
+    }
+
     /** The request leaves an endpoint. */
     void moved(EndpointState endpoint, int sends, String cause) {
         EventLog.info(
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -110,6 +110,7 @@
                         .filter(state -> mayBegin(state, prompt.model(), nowNanos))
                         .toList();
         usable = preferred(usable, nowNanos);
+        int considered = usable.size();
         PrefixChain chain = PrefixChain.ofParts(wall + prompt.model(), prompt.parts());
         List<RunnerLoad> loads =
                 usable.stream().map(state -> load(state, prompt.model(), nowNanos)).toList();
@@ -118,7 +119,10 @@
                 best ->
                         endpoints
                                 .find(best.runner())
-                                .map(state -> runnerChoice(state, best, chain, prompt)));
+                                .map(
+                                        state ->
+                                                runnerChoice(
+                                                        state, best, chain, prompt, considered)));
     }
 
     /** Whether the runner is to save what it reads of the prompt: nobody has yet. */
@@ -208,7 +212,11 @@
     }
 
     private static RunnerChoice runnerChoice(
-            EndpointState state, Placement best, PrefixChain chain, PromptSpec prompt) {
+            EndpointState state,
+            Placement best,
+            PrefixChain chain,
+            PromptSpec prompt,
+            int considered) {
         int missing = Math.max(1, chain.tokens() - best.believedCachedTokens());
         boolean sharedCached = best.believedCachedTokens() >= chain.deepestShared().tokens();
         return new RunnerChoice(
@@ -217,6 +225,8 @@
                 chain,
                 state.weights(prompt.model()),
                 missing,
-                sharedCached);
+                sharedCached,
+                best,
+                considered);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -98,6 +98,11 @@
         return requests.size();
     }
 
+    /** Requests of the other VMs, as last heard. */
+    public int peerRequests() {
+        return peerUse.requests();
+    }
+
     /** A request is sent there. */
     public void begin(Leaver request, long nowNanos) {
         if (requests.isEmpty()) {
--- a/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.traffic;
 
+import org.bronzelug.core.placement.Placement;
 import org.bronzelug.core.placement.PrefixChain;
 
 /**
@@ -11,6 +12,8 @@
  * @param weightsVersion that it is believed to have; 0: not known
  * @param missingTokens expected to be read
  * @param sharedCached whether the shared part is believed to be cached there
+ * @param placement what it was reckoned to cost
+ * @param considered runners that could take the prompt
  */
 public record RunnerChoice(
         EndpointState endpoint,
@@ -18,4 +21,17 @@
         PrefixChain chain,
         long weightsVersion,
         int missingTokens,
-        boolean sharedCached) {}
+        boolean sharedCached,
+        Placement placement,
+        int considered) {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** For the log: what the choice rests on. */
+    public String describe() {
+        return (" weights=" + weightsVersion)
+                + (" missing=" + missingTokens)
+                + (" costMillis=" + Math.round(placement.costNanos() / NANOS_PER_MILLI))
+                + (" queued=" + Math.round(placement.queuedTokens()))
+                + (" considered=" + considered);
+    }
+}
