In a large fleet few VMs read the platform; watches that fail are listed anew

(2) The turn of datagrams was a random dozen, so a third of 82 VMs was silent for longer than a VM counts as alive. Ruled out: rates of the store, the list after 410. Changes: up to two readers a zone (four where they lost the platform) watch, the others follow one of them by long polls that bring changes only; fleets of up to ten VMs work as before. Each peer has its turn. A failed watch lists. One protocol for followers and for VMs that the platform turns away. Tests: PlatformReadersTest, PeerFeedTest, KindWatchTest, ObjectMirrorTest (property: a follower by changes has the same objects).

--- /dev/null
+++ b/core/src/test/java/org/bronzelug/core/membership/PlatformReadersTest.java
@@ -0,0 +1,78 @@
+package org.bronzelug.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.bronzelug.core.membership.PlatformReaders.Candidate;
+import org.junit.jupiter.api.Test;
+
+/** Keys are withdrawn and callers go on with them, as no VM of a zone reads the platform. */
+class PlatformReadersTest {
+    private static Candidate vm(int number, boolean lost) {
+        return new Candidate("vm-" + number, "zone-" + number % 4, "address", !lost, lost);
+    }
+
+    private static boolean isReader(Candidate self, List<Candidate> all) {
+        List<Candidate> heard = new ArrayList<>(all);
+        heard.remove(self);
+        return PlatformReaders.isReader(self, heard, all.size());
+    }
+
+    /**
+     * Any VMs may have lost the platform. Each zone with a candidate that has not still has a VM
+     * that reads it; and however many are lost, the platform sees a bounded number.
+     */
+    @Property
+    void eachZoneHasReadersAndTheirNumberIsBounded(
+            @ForAll @IntRange(min = 12, max = 120) int size,
+            @ForAll @Size(max = 30) Set<@IntRange(max = 119) Integer> lost) {
+        List<Candidate> all = new ArrayList<>();
+        for (int number = 0; number < size; number++) {
+            all.add(vm(number, lost.contains(number)));
+        }
+        List<Candidate> readers = all.stream().filter(self -> isReader(self, all)).toList();
+        assertThat(readers.size()).isAtMost(4 * 4);
+        Set<String> zones =
+                readers.stream().map(Candidate::availabilityZone).collect(Collectors.toSet());
+        assertThat(zones).hasSize(4);
+    }
+
+    /** The two first of a zone are cut off: two others read instead, and the two go on trying. */
+    @Test
+    void readersThatLostThePlatformAreReplaced() {
+        List<Candidate> all = new ArrayList<>();
+        for (int number = 0; number < 40; number++) {
+            all.add(vm(number, false));
+        }
+        Set<Candidate> before =
+                all.stream().filter(self -> isReader(self, all)).collect(Collectors.toSet());
+        List<Candidate> cut =
+                all.stream()
+                        .map(
+                                vm ->
+                                        new Candidate(
+                                                vm.name(),
+                                                vm.availabilityZone(),
+                                                vm.address(),
+                                                !before.contains(vm),
+                                                before.contains(vm)))
+                        .toList();
+        List<Candidate> after = cut.stream().filter(self -> isReader(self, cut)).toList();
+        assertThat(before).hasSize(8);
+        assertThat(after).hasSize(16);
+        assertThat(PlatformReaders.sources(cut.get(0), after).stream().noneMatch(Candidate::lost))
+                .isTrue();
+    }
+
+    @Test
+    void aVmThatHearsNobodyReads() {
+        assertThat(PlatformReaders.isReader(vm(1, false), List.of(), 80)).isTrue();
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -1,12 +1,14 @@
 package org.bronzelug.router.control;
 
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
@@ -36,7 +38,7 @@
  *
  * <p>Confined to the control thread, but for start and stop.
  */
-public final class ControlService implements Service, KindWatch.Listener {
+public final class ControlService implements Service {
     public static final String NAME = "control";
 
     /**
@@ -45,12 +47,6 @@
      */
     private static final long ROUND_MILLIS = 150;
 
-    /** A peer's later revision is read from it if the own watch has not brought it by then. */
-    private static final int BEHIND_ROUNDS = 2;
-
-    /** After so many rounds behind a peer the own watch hangs on a dead connection. */
-    private static final int HANGING_ROUNDS = 6;
-
     /** How long older weights may be used after a start, margin included. */
     private static final long START_WEIGHTS_MILLIS = 3_000;
 
@@ -65,14 +61,12 @@
     private final TrafficState trafficState;
     private final MemberTable members;
     private final FleetGossip gossip;
-    private final PeerReads peerReads;
+    private final PlatformReading reading;
     private final VmRegistration registration;
     private final OrderService orders;
-    private final Map<String, KindWatch> watches = new HashMap<>();
     private TrafficReport report = TrafficReport.none();
     private long sequence;
     private int rounds;
-    private int behindRounds;
     private boolean wasServing;
     private volatile boolean stopping;
 
@@ -93,13 +87,12 @@
         this.state = new ControlState(decoder, unknownAgeNanos(settings));
         this.members = new MemberTable(settings.vm());
         this.gossip = new FleetGossip(control, settings.peersAddress(), this::onPeer);
-        this.peerReads = new PeerReads(control, state);
-        this.registration = new VmRegistration(control, store, settings, members);
+        this.reading =
+                new PlatformReading(control, store, settings, state, members, this::onChange);
+        this.registration =
+                new VmRegistration(control, store, settings, members, reading::onListed);
         this.orders =
                 new OrderService(control, store, settings, incarnation, state, members, runners);
-        for (String kind : state.kinds()) {
-            watches.put(kind, new KindWatch(kind, control, store, state.mirror(kind), this));
-        }
     }
 
     /**
@@ -126,15 +119,15 @@
         settings.seedAddresses().forEach(members::addAddress);
         control.execute(
                 () -> {
-                    watches.values().forEach(KindWatch::start);
                     registration.start();
+                    reading.start();
                 });
         control.scheduleAtFixedRate(this::guardedRound, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void stop() {
-        control.execute(() -> watches.values().forEach(KindWatch::stop));
+        control.execute(reading::stop);
     }
 
     /** From now on this VM is not named to callers and gives no orders. */
@@ -172,26 +165,17 @@
     public record FrontAddress(String address, String availabilityZone) {}
 
     /** The answer to a peer that reads the platform's objects here. */
-    public SmallAnswer objectsAnswer() {
-        return peerReads.answer();
+    public CompletableFuture<SmallAnswer> changesAnswer(QueryStringDecoder query) {
+        return reading.answer(query);
     }
 
-    @Override
-    public void onChange(String kind) {
+    private void onChange(String kind) {
         state.onChange(kind);
         orders.onChange(kind);
         orders.round(false);
         updateTraffic();
     }
 
-    @Override
-    public void onReachable(String kind, boolean reachable) {
-        boolean all = watches.values().stream().allMatch(KindWatch::isReachable);
-        if (reachable && all) {
-            state.endpointList().platformRegained(System.nanoTime());
-        }
-    }
-
     private void guardedRound() {
         try {
             round();
@@ -210,7 +194,7 @@
         boolean dropped = state.endpointList().expire(System.nanoTime());
         orders.round(dropped);
         gossip.send(ownState(), members.addresses());
-        catchUp();
+        reading.round(rounds);
         if (rounds % LIST_ROUNDS == 0 && members.live(System.nanoTime()).isEmpty()) {
             registration.list();
         }
@@ -269,6 +253,8 @@
                         .setPeersAddress(settings.peersAddress())
                         .setServing(isServing())
                         .setStopping(stopping)
+                        .setReadsPlatform(reading.isReading())
+                        .setPlatformLost(reading.isLost())
                         .addAllTeams(report.teams())
                         .addAllEndpoints(report.endpoints())
                         .addAllReads(report.reads());
@@ -303,22 +289,6 @@
         }
     }
 
-    /** Reads from a peer what the own watches have not brought. */
-    private void catchUp() {
-        List<Member> ahead =
-                members.live(System.nanoTime()).stream()
-                        .filter(member -> peerReads.isBehind(member.state().getRevisionsList()))
-                        .toList();
-        behindRounds = ahead.isEmpty() ? 0 : behindRounds + 1;
-        if (behindRounds >= BEHIND_ROUNDS) {
-            Member chosen = ahead.get(rounds % ahead.size());
-            peerReads.readFrom(chosen.state().getPeersAddress(), this);
-        }
-        if (behindRounds == HANGING_ROUNDS) {
-            watches.values().stream().filter(KindWatch::isReachable).forEach(KindWatch::restart);
-        }
-    }
-
     private void updateTraffic() {
         long nowNanos = System.nanoTime();
         List<Member> live = members.live(nowNanos);
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.bronzelug.core.routing.EndpointEntry;
 
 /**
@@ -16,20 +17,35 @@
     /** Entries are back within about two seconds of the platform's return. */
     private static final long LAPSE_NANOS = 2_000_000_000L;
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final Map<String, EndpointEntry> inUse = new HashMap<>();
     private final Map<String, Long> lapsedUntil = new HashMap<>();
     private final Map<String, Map<String, Long>> seenWeights = new HashMap<>();
     private long regainedNanos = Long.MIN_VALUE;
 
-    /** The platform answers again. */
-    void platformRegained(long nowNanos) {
-        regainedNanos = nowNanos;
+    /** The platform answers again, to this VM or to the one that it reads from, since a while. */
+    void platformRegainedBefore(long ageMillis, long nowNanos) {
+        long since = nowNanos - ageMillis * NANOS_PER_MILLI;
+        if (regainedNanos == Long.MIN_VALUE || since > regainedNanos) {
+            regainedNanos = since;
+        }
+    }
+
+    /** How long ago the platform answered again; empty where that matters no more. */
+    OptionalLong regainedAgeMillis(long nowNanos) {
+        return isJustBack(nowNanos)
+                ? OptionalLong.of((nowNanos - regainedNanos) / NANOS_PER_MILLI)
+                : OptionalLong.empty();
+    }
+
+    private boolean isJustBack(long nowNanos) {
+        return regainedNanos != Long.MIN_VALUE && nowNanos - regainedNanos < LAPSE_NANOS;
     }
 
     /** Takes in the whole list. */
     void update(Map<String, EndpointEntry> listed, long nowNanos) {
-        boolean justBack =
-                regainedNanos != Long.MIN_VALUE && nowNanos - regainedNanos < LAPSE_NANOS;
+        boolean justBack = isJustBack(nowNanos);
         for (EndpointEntry entry : Map.copyOf(inUse).values()) {
             if (listed.containsKey(entry.id())) {
                 lapsedUntil.remove(entry.id());
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -12,8 +12,13 @@
 import org.bronzelug.router.store.StoreException;
 
 /**
- * Keeps the mirror of one kind up to date: lists once, then watches; lists again where the history
- * is gone. Confined to the control thread.
+ * Keeps the mirror of one kind up to date: lists, then watches until a watch fails, and lists
+ * again. Confined to the control thread.
+ *
+ * <p>A watch that failed is not taken up at its revision. The failure this prevents: the platform
+ * loses a change's event, an empty watch returns a revision after it, and the next watch goes on
+ * from there; the VM has an older configuration until the next change. Events are lost just before
+ * watches are cut, so the list after the cut brings what they missed.
  *
  * <p>While the platform fails, tries are spaced by a random pause that doubles up to a second, so
  * that a fleet that lost the platform at one moment does not come back at one moment.
@@ -29,7 +34,7 @@
     private final Listener listener;
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean reachable = true;
-    private boolean stopped;
+    private boolean paused = true;
     private int round;
 
     KindWatch(
@@ -52,12 +57,17 @@
         void onReachable(String kind, boolean reachable);
     }
 
+    /** Lists and watches until {@link #pause}. */
     void start() {
-        list();
+        paused = false;
+        reachable = true;
+        restart();
     }
 
-    void stop() {
-        stopped = true;
+    /** Leaves the platform alone; a call under way changes nothing any more. */
+    void pause() {
+        paused = true;
+        round++;
     }
 
     boolean isReachable() {
@@ -75,11 +85,11 @@
         store.list(kind)
                 .whenComplete(
                         (list, failure) -> {
-                            if (stopped || own != round) {
+                            if (paused || own != round) {
                                 return;
                             }
                             if (failure != null) {
-                                failed(failure, this::list);
+                                failed(failure);
                             } else {
                                 listed(list);
                             }
@@ -99,7 +109,7 @@
         store.watch(kind, revision)
                 .whenComplete(
                         (changes, failure) -> {
-                            if (stopped || own != round) {
+                            if (paused || own != round) {
                                 return;
                             }
                             if (failure != null) {
@@ -127,11 +137,11 @@
             EventLog.info(LogEvent.HISTORY_GONE, "kind=" + kind + " revision=" + revision);
             list();
         } else {
-            failed(failure, () -> watch(revision));
+            failed(failure);
         }
     }
 
-    private void failed(Throwable failure, Runnable again) {
+    private void failed(Throwable failure) {
         if (reachable) {
             reachable = false;
             listener.onReachable(kind, false);
@@ -144,8 +154,8 @@
         int own = round;
         control.schedule(
                 () -> {
-                    if (!stopped && own == round) {
-                        again.run();
+                    if (!paused && own == round) {
+                        list();
                     }
                 },
                 pause,
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/PeerReader.java
@@ -0,0 +1,122 @@
+package org.bronzelug.router.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.bronzelug.api.fleet.v1.KindChanges;
+import org.bronzelug.api.fleet.v1.KindRevision;
+import org.bronzelug.api.fleet.v1.ObjectChanges;
+import org.bronzelug.api.fleet.v1.StoredObject;
+import org.bronzelug.router.http.HttpCaller;
+import org.bronzelug.router.http.HttpReply;
+import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ObjectMirror;
+import org.bronzelug.router.store.StoredItem;
+
+/**
+ * Reads the platform's objects from a peer into this VM's mirrors. Confined to the control thread.
+ */
+final class PeerReader {
+    /** A whole copy of some hundred kilobytes takes a few milliseconds; a small link takes more. */
+    private static final long ANSWER_MILLIS = 500;
+
+    private final EventLoop control;
+    private final ControlState state;
+    private final Consumer<String> onChange;
+
+    /**
+     * @param onChange takes the kinds whose objects have changed
+     */
+    PeerReader(EventLoop control, ControlState state, Consumer<String> onChange) {
+        this.control = control;
+        this.state = state;
+        this.onChange = onChange;
+    }
+
+    /** A connection to the peer at an address. */
+    HttpCaller connect(String address) {
+        return new HttpCaller(control, SocketSettings.address(address));
+    }
+
+    /** Whether a peer's revisions are later than this VM's, in any kind of object. */
+    boolean isBehind(List<KindRevision> revisions) {
+        for (KindRevision revision : revisions) {
+            ObjectMirror mirror = state.mirror(revision.getKind());
+            if (mirror != null && mirror.revision() < revision.getRevision()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Reads once; the future fails with an {@link IOException} where no whole answer comes.
+     *
+     * @param waitMillis how long the peer may wait for a change
+     */
+    CompletableFuture<Void> read(HttpCaller peer, long waitMillis) {
+        StringBuilder path = new StringBuilder(PeerFeed.PATH);
+        path.append('?').append(PeerFeed.WAIT_PARAMETER).append('=').append(waitMillis);
+        for (String kind : state.kinds()) {
+            path.append('&').append(kind).append('=').append(state.mirror(kind).revision());
+        }
+        return peer.call(
+                        HttpMethod.GET,
+                        path.toString(),
+                        Map.of(),
+                        new byte[0],
+                        waitMillis + ANSWER_MILLIS)
+                .thenCompose(this::take);
+    }
+
+    private CompletableFuture<Void> take(HttpReply reply) {
+        if (!reply.isSuccess()) {
+            return CompletableFuture.failedFuture(
+                    new IOException("a peer answered " + reply.status() + " to a read"));
+        }
+        ObjectChanges changes;
+        try {
+            changes = ObjectChanges.parseFrom(reply.body());
+        } catch (InvalidProtocolBufferException malformed) {
+            return CompletableFuture.failedFuture(malformed);
+        }
+        if (changes.getRegainedAgeMillis() >= 0) {
+            state.endpointList()
+                    .platformRegainedBefore(changes.getRegainedAgeMillis(), System.nanoTime());
+        }
+        for (KindChanges kind : changes.getKindsList()) {
+            ObjectMirror mirror = state.mirror(kind.getKind());
+            if (mirror != null && take(mirror, kind)) {
+                onChange.accept(kind.getKind());
+            }
+        }
+        return CompletableFuture.completedFuture(null);
+    }
+
+    private static boolean take(ObjectMirror mirror, KindChanges kind) {
+        List<StoredItem> objects = kind.getObjectsList().stream().map(PeerReader::item).toList();
+        if (kind.getWhole()) {
+            return mirror.replaceAll(new ItemList(objects, kind.getRevision()));
+        }
+        List<ItemChanges.ItemChange> changes = new ArrayList<>();
+        objects.forEach(item -> changes.add(new ItemChanges.ItemChange(item, false)));
+        for (String name : kind.getRemovedList()) {
+            StoredItem gone = new StoredItem(name, kind.getRevision(), new byte[0]);
+            changes.add(new ItemChanges.ItemChange(gone, true));
+        }
+        return mirror.apply(new ItemChanges(changes, kind.getRevision()));
+    }
+
+    private static StoredItem item(StoredObject object) {
+        return new StoredItem(
+                object.getName(), object.getRevision(), object.getContent().toByteArray());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
@@ -0,0 +1,314 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.core.membership.PlatformReaders;
+import org.bronzelug.core.membership.PlatformReaders.Candidate;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.fleet.Member;
+import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.http.HttpCaller;
+import org.bronzelug.router.http.HttpResponder.SmallAnswer;
+import org.bronzelug.router.settings.VmSettings;
+import org.bronzelug.router.store.ObjectStore;
+
+/**
+ * Keeps this VM's copy of the platform's objects up to date: from the platform itself, or, in a
+ * large fleet, from a peer that reads it ({@link PlatformReaders}).
+ *
+ * <p>Either way, a peer that is heard to know more is read at once. The failure this answers: the
+ * platform turns one VM away and serves the others and the operators, so keys are withdrawn that
+ * this VM would go on taking. Confined to the control thread.
+ */
+final class PlatformReading implements KindWatch.Listener {
+    /** A peer's later revision is read from it if nothing else has brought it by then. */
+    private static final int BEHIND_ROUNDS = 2;
+
+    /** After so many rounds behind a peer the own watch hangs on a dead connection. */
+    private static final int HANGING_ROUNDS = 6;
+
+    /** Rounds in which others must be seen to read before a reader stops: views of VMs differ. */
+    private static final int LEAVE_ROUNDS = 7;
+
+    /** How long a VM that starts in a large fleet waits to hear a peer that it can read from. */
+    private static final long START_MILLIS = 600;
+
+    private static final long START_CHECK_MILLIS = 20;
+
+    /** A peer answers within this even if nothing changes. */
+    private static final long POLL_MILLIS = 1_500;
+
+    /** A peer that failed a read is left out for this long, in nanoseconds. */
+    private static final long FAILED_NANOS = 1_000_000_000L;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final EventLoop control;
+    private final VmSettings settings;
+    private final ControlState state;
+    private final MemberTable members;
+    private final Consumer<String> onChange;
+    private final PeerFeed feed;
+    private final PeerReader peers;
+    private final Map<String, KindWatch> watches = new HashMap<>();
+    private final Map<String, Long> failedUntil = new HashMap<>();
+    private Optional<Source> source = Optional.empty();
+    private boolean catchingUp;
+    private boolean reading;
+    private boolean listed;
+    private boolean stopped;
+    private boolean begun;
+    private long startNanos;
+    private int notReaderRounds;
+    private int behindRounds;
+
+    /**
+     * @param onChange takes the kinds whose objects have changed
+     */
+    PlatformReading(
+            EventLoop control,
+            ObjectStore store,
+            VmSettings settings,
+            ControlState state,
+            MemberTable members,
+            Consumer<String> onChange) {
+        this.control = control;
+        this.settings = settings;
+        this.state = state;
+        this.members = members;
+        this.onChange = onChange;
+        this.feed = new PeerFeed(control, state);
+        this.peers = new PeerReader(control, state, this::onChange);
+        for (String kind : state.kinds()) {
+            watches.put(kind, new KindWatch(kind, control, store, state.mirror(kind), this));
+        }
+    }
+
+    void start() {
+        startNanos = System.nanoTime();
+        begin();
+    }
+
+    void stop() {
+        stopped = true;
+        watches.values().forEach(KindWatch::pause);
+    }
+
+    /** The VMs of the fleet were listed, or could not be. */
+    void onListed() {
+        listed = true;
+    }
+
+    /** Waits until it is known whom to read from, but not long. */
+    private void begin() {
+        if (stopped) {
+            return;
+        }
+        long waitedMillis = (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+        boolean small = listed && members.addresses().size() <= PlatformReaders.SMALL_FLEET;
+        boolean known = !sources().isEmpty();
+        if (small || known || waitedMillis >= START_MILLIS) {
+            begun = true;
+            decide();
+        } else {
+            control.schedule(this::begin, START_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Whether this VM reads the platform and reaches it. */
+    boolean isReading() {
+        return reading && !isLost();
+    }
+
+    /** Whether this VM tries to read the platform and does not reach it. */
+    boolean isLost() {
+        return reading && !watches.values().stream().allMatch(KindWatch::isReachable);
+    }
+
+    /** The answer to a peer's read. */
+    CompletableFuture<SmallAnswer> answer(QueryStringDecoder query) {
+        return feed.answer(query);
+    }
+
+    /** One step: who reads, and whether a peer knows more. */
+    void round(int rounds) {
+        if (!begun) {
+            return;
+        }
+        decide();
+        catchUp(rounds);
+    }
+
+    private void decide() {
+        boolean wanted =
+                PlatformReaders.isReader(self(), heard(), members.addresses().size())
+                        || sources().isEmpty();
+        notReaderRounds = wanted ? 0 : notReaderRounds + 1;
+        if (wanted && !reading) {
+            readPlatform();
+        } else if (reading && notReaderRounds >= LEAVE_ROUNDS) {
+            readPeers();
+        }
+        if (!reading) {
+            follow();
+        }
+    }
+
+    private void readPlatform() {
+        reading = true;
+        leaveSource();
+        EventLog.info(LogEvent.PLATFORM_READER, "vm=" + settings.vm() + " reads the platform");
+        watches.values().forEach(KindWatch::start);
+    }
+
+    private void readPeers() {
+        reading = false;
+        EventLog.info(LogEvent.PLATFORM_READER, "vm=" + settings.vm() + " reads from peers");
+        watches.values().forEach(KindWatch::pause);
+    }
+
+    private Candidate self() {
+        return new Candidate(
+                settings.vm(),
+                settings.availabilityZone(),
+                settings.peersAddress(),
+                isReading(),
+                isLost());
+    }
+
+    private List<Candidate> heard() {
+        return members.live(System.nanoTime()).stream()
+                .map(Member::state)
+                .filter(peer -> !peer.getStopping())
+                .map(PlatformReading::candidate)
+                .toList();
+    }
+
+    private static Candidate candidate(VmState peer) {
+        return new Candidate(
+                peer.getVm(),
+                peer.getAvailabilityZone(),
+                peer.getPeersAddress(),
+                peer.getReadsPlatform(),
+                peer.getPlatformLost());
+    }
+
+    private List<Candidate> sources() {
+        long nowNanos = System.nanoTime();
+        failedUntil.values().removeIf(until -> nowNanos - until >= 0);
+        return PlatformReaders.sources(self(), heard()).stream()
+                .filter(peer -> !failedUntil.containsKey(peer.address()))
+                .toList();
+    }
+
+    /** Polls the best peer; one that is no longer heard is left in the middle of a poll. */
+    private void follow() {
+        List<Candidate> usable = sources();
+        boolean still =
+                source.isPresent()
+                        && usable.stream()
+                                .anyMatch(peer -> peer.address().equals(source.get().address));
+        if (still || usable.isEmpty()) {
+            return;
+        }
+        leaveSource();
+        Source chosen = new Source(usable.get(0).address());
+        source = Optional.of(chosen);
+        EventLog.info(LogEvent.PEER_FOLLOWED, "from=" + usable.get(0).name());
+        chosen.poll();
+    }
+
+    private void leaveSource() {
+        source.ifPresent(Source::close);
+        source = Optional.empty();
+    }
+
+    /** Reads from a peer what neither the platform nor the peer that is followed has brought. */
+    private void catchUp(int rounds) {
+        List<Member> ahead =
+                members.live(System.nanoTime()).stream()
+                        .filter(member -> peers.isBehind(member.state().getRevisionsList()))
+                        .toList();
+        behindRounds = ahead.isEmpty() ? 0 : behindRounds + 1;
+        if (behindRounds >= BEHIND_ROUNDS && !catchingUp) {
+            catchingUp = true;
+            VmState chosen = ahead.get(rounds % ahead.size()).state();
+            HttpCaller peer = peers.connect(chosen.getPeersAddress());
+            peers.read(peer, 0)
+                    .whenComplete(
+                            (nothing, failure) -> {
+                                catchingUp = false;
+                                peer.close();
+                                logFailure(chosen.getVm(), failure);
+                            });
+        }
+        if (reading && behindRounds == HANGING_ROUNDS) {
+            watches.values().stream().filter(KindWatch::isReachable).forEach(KindWatch::restart);
+        }
+    }
+
+    private static void logFailure(String peer, Throwable failure) {
+        if (failure != null) {
+            EventLog.info(
+                    LogEvent.PEER_READ_FAILED,
+                    "from=" + peer + " cause=\"" + failure.getMessage() + "\"");
+        }
+    }
+
+    @Override
+    public void onChange(String kind) {
+        onChange.accept(kind);
+        feed.onChange(kind);
+    }
+
+    @Override
+    public void onReachable(String kind, boolean reachable) {
+        if (reachable && !isLost()) {
+            state.endpointList().platformRegainedBefore(0, System.nanoTime());
+        }
+    }
+
+    /** A peer that is polled for changes, until it is left. */
+    private final class Source {
+        private final String address;
+        private final HttpCaller caller;
+        private boolean left;
+
+        private Source(String address) {
+            this.address = address;
+            this.caller = peers.connect(address);
+        }
+
+        private void poll() {
+            peers.read(caller, POLL_MILLIS).whenComplete((nothing, failure) -> polled(failure));
+        }
+
+        private void polled(Throwable failure) {
+            if (left || stopped) {
+                return;
+            }
+            if (failure == null) {
+                poll();
+                return;
+            }
+            logFailure(address, failure);
+            failedUntil.put(address, System.nanoTime() + FAILED_NANOS);
+            leaveSource();
+            decide();
+        }
+
+        private void close() {
+            left = true;
+            caller.close();
+        }
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
+++ b/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
@@ -30,9 +30,19 @@
     private final ObjectStore store;
     private final VmSettings settings;
     private final MemberTable members;
+    private final Runnable onListed;
     private boolean listing;
 
-    VmRegistration(EventLoop control, ObjectStore store, VmSettings settings, MemberTable members) {
+    /**
+     * @param onListed runs after each try to list the VMs
+     */
+    VmRegistration(
+            EventLoop control,
+            ObjectStore store,
+            VmSettings settings,
+            MemberTable members,
+            Runnable onListed) {
+        this.onListed = onListed;
         this.control = control;
         this.store = store;
         this.settings = settings;
@@ -84,6 +94,7 @@
                             if (failure == null) {
                                 take(list);
                             }
+                            onListed.run();
                         });
     }
 
--- a/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
@@ -10,10 +10,14 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.kernel.Service;
@@ -31,13 +35,14 @@
 
     /**
      * Peers addressed in one round. In a small fleet that is everybody, and counts travel in one
-     * round; in a large one a random choice bounds the bytes of each VM.
+     * round; in a large one each peer has its turn, which bounds the bytes of each VM.
      */
-    private static final int PEERS_PER_ROUND = 12;
+    public static final int PEERS_PER_ROUND = 12;
 
     private final EventLoop control;
     private final String address;
     private final BiConsumer<VmState, Long> onState;
+    private final Deque<String> turn = new ArrayDeque<>();
     private Optional<Channel> channel = Optional.empty();
 
     /**
@@ -73,16 +78,31 @@
 
     /** Sends the state to peers. */
     public void send(VmState state, Iterable<String> addresses) {
-        List<String> targets = new ArrayList<>();
-        addresses.forEach(targets::add);
-        targets.remove(address);
-        Collections.shuffle(targets);
+        List<String> targets = nextInTurn(addresses);
         byte[] bytes = state.toByteArray();
-        channel.ifPresent(
-                open ->
-                        targets.stream()
-                                .limit(PEERS_PER_ROUND)
-                                .forEach(target -> write(open, bytes, target)));
+        channel.ifPresent(open -> targets.forEach(target -> write(open, bytes, target)));
+    }
+
+    /**
+     * Each peer once before any is addressed again. A random choice would leave a third of a large
+     * fleet unheard for longer than a VM counts as alive.
+     */
+    private List<String> nextInTurn(Iterable<String> addresses) {
+        Set<String> peers = new HashSet<>();
+        addresses.forEach(peers::add);
+        peers.remove(address);
+        turn.retainAll(peers);
+        if (turn.size() < PEERS_PER_ROUND) {
+            List<String> next = new ArrayList<>(peers);
+            next.removeAll(turn);
+            Collections.shuffle(next);
+            turn.addAll(next);
+        }
+        List<String> targets = new ArrayList<>();
+        while (targets.size() < PEERS_PER_ROUND && !turn.isEmpty()) {
+            targets.add(turn.pollFirst());
+        }
+        return targets;
     }
 
     private static void write(Channel open, byte[] bytes, String target) {
--- a/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -15,9 +15,17 @@
  * was held up changes nothing. Confined to the control thread.
  */
 public final class MemberTable {
-    /** Six datagrams in a row are lost, or their sender is silent. */
+    /**
+     * In a fleet that is addressed whole in each round of 150 ms: six datagrams in a row are lost,
+     * or their sender is silent.
+     */
     private static final long LIVE_NANOS = 1_000_000_000L;
 
+    /** In a larger fleet: so many turns without a datagram, and a round's delay. */
+    private static final int SILENT_TURNS = 2;
+
+    private static final long ROUND_NANOS = 150_000_000L;
+
     /** A VM silent for so long is not counted as one that may admit requests unheard. */
     private static final long GONE_NANOS = 10_000_000_000L;
 
@@ -63,11 +71,18 @@
 
     /** The VMs heard lately. */
     public List<Member> live(long nowNanos) {
+        long liveNanos = liveNanos();
         return members.values().stream()
-                .filter(member -> nowNanos - member.heardNanos() < LIVE_NANOS)
+                .filter(member -> nowNanos - member.heardNanos() < liveNanos)
                 .toList();
     }
 
+    private long liveNanos() {
+        int peers = Math.max(1, addresses.size() - 1);
+        int rounds = (peers + FleetGossip.PEERS_PER_ROUND - 1) / FleetGossip.PEERS_PER_ROUND;
+        return Math.max(LIVE_NANOS, (SILENT_TURNS * rounds + 1) * ROUND_NANOS);
+    }
+
     /** All VMs heard within the time after which a silent one counts as gone. */
     public List<Member> notGone(long nowNanos) {
         return members.values().stream()
--- a/router/src/main/java/org/bronzelug/router/http/HttpResponder.java
+++ b/router/src/main/java/org/bronzelug/router/http/HttpResponder.java
@@ -22,13 +22,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.bronzelug.kernel.Service;
 import org.bronzelug.kernel.ServiceException;
 
 /**
  * Answers small calls at one address from what the control thread knows: readiness, addresses,
- * metrics, a peer's reads. The function is called on the control thread.
+ * metrics, a peer's reads. The function is called on the control thread, and completes its answer
+ * there; a peer's read may wait for a change.
  */
 public final class HttpResponder implements Service {
     private static final int MAXIMUM_REQUEST_BYTES = 65_536;
@@ -36,7 +38,7 @@
     private final String name;
     private final EventLoop control;
     private final InetSocketAddress address;
-    private final Function<String, SmallAnswer> answers;
+    private final Function<String, CompletableFuture<SmallAnswer>> answers;
     private Optional<Channel> listener = Optional.empty();
 
     /**
@@ -46,7 +48,7 @@
             String name,
             EventLoop control,
             InetSocketAddress address,
-            Function<String, SmallAnswer> answers) {
+            Function<String, CompletableFuture<SmallAnswer>> answers) {
         this.name = name;
         this.control = control;
         this.address = address;
@@ -96,7 +98,10 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             boolean keepAlive = HttpUtil.isKeepAlive(request);
-            SmallAnswer answer = answers.apply(request.uri());
+            answers.apply(request.uri()).thenAccept(answer -> write(context, answer, keepAlive));
+        }
+
+        private void write(ChannelHandlerContext context, SmallAnswer answer, boolean keepAlive) {
             DefaultFullHttpResponse response =
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1,
--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -1,8 +1,16 @@
 package org.bronzelug.router.store;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * One kind's objects as this VM knows them, from the platform or from a peer.
@@ -12,7 +20,14 @@
  * control thread.
  */
 public final class ObjectMirror {
+    /** Some minutes of a large fleet's changes; a peer that lacks more gets all objects. */
+    private static final int MAXIMUM_LOGGED = 2_048;
+
+    private static final byte[] NO_CONTENT = new byte[0];
+
     private final Map<String, StoredItem> items = new HashMap<>();
+    private final Deque<LoggedChange> log = new ArrayDeque<>();
+    private long logStart;
     private long revision;
     private long firstRevision;
 
@@ -25,26 +40,66 @@
         for (StoredItem item : list.items()) {
             newer.put(item.name(), item);
         }
-        boolean changed = !sameRevisions(newer);
+        Set<String> changed = changedNames(newer);
         items.clear();
         items.putAll(newer);
         revision = list.revision();
         if (firstRevision == 0) {
             firstRevision = revision;
+            logStart = revision;
         }
-        return changed;
+        changed.forEach(this::log);
+        return !changed.isEmpty();
     }
 
-    /** Takes in changes. */
+    /** Takes in changes; those up to an older revision than what is known are ignored. */
     public boolean apply(ItemChanges changes) {
+        if (changes.revision() < revision) {
+            return false;
+        }
+        revision = changes.revision();
         boolean changed = false;
         for (ItemChanges.ItemChange change : changes.changes()) {
-            changed |= apply(change);
+            if (apply(change)) {
+                changed = true;
+                log(change.item().name());
+            }
         }
-        revision = Math.max(revision, changes.revision());
         return changed;
     }
 
+    private void log(String name) {
+        log.addLast(new LoggedChange(revision, name));
+        if (log.size() > MAXIMUM_LOGGED) {
+            logStart = log.pollFirst().revision();
+        }
+    }
+
+    /**
+     * What has changed since a revision; empty where that is not remembered, so that all objects
+     * must be told.
+     */
+    public Optional<ItemChanges> changesSince(long sinceRevision) {
+        if (firstRevision == 0 || sinceRevision < logStart) {
+            return Optional.empty();
+        }
+        Set<String> names = new LinkedHashSet<>();
+        for (LoggedChange change : log) {
+            if (change.revision() > sinceRevision) {
+                names.add(change.name());
+            }
+        }
+        List<ItemChanges.ItemChange> changes = new ArrayList<>();
+        for (String name : names) {
+            StoredItem item = items.get(name);
+            boolean removed = item == null;
+            changes.add(
+                    new ItemChanges.ItemChange(
+                            removed ? new StoredItem(name, revision, NO_CONTENT) : item, removed));
+        }
+        return Optional.of(new ItemChanges(changes, revision));
+    }
+
     private boolean apply(ItemChanges.ItemChange change) {
         StoredItem known = items.get(change.item().name());
         if (change.removed()) {
@@ -57,19 +112,21 @@
         return true;
     }
 
-    private boolean sameRevisions(Map<String, StoredItem> newer) {
-        if (newer.size() != items.size()) {
-            return false;
-        }
+    private Set<String> changedNames(Map<String, StoredItem> newer) {
+        Set<String> changed = new HashSet<>(items.keySet());
+        changed.removeAll(newer.keySet());
         for (StoredItem item : newer.values()) {
             StoredItem known = items.get(item.name());
             if (known == null || known.revision() != item.revision()) {
-                return false;
+                changed.add(item.name());
             }
         }
-        return true;
+        return changed;
     }
 
+    /** One object changed, or went, with the kind's revision after that. */
+    private record LoggedChange(long revision, String name) {}
+
     public Collection<StoredItem> items() {
         return items.values();
     }
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -2,12 +2,8 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.Collection;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.store.ItemChanges;
 import org.bronzelug.router.store.ItemList;
 import org.bronzelug.router.store.StoredItem;
@@ -17,9 +13,9 @@
 /** What a VM believes of objects that it finds at its start, and of those that change later. */
 class ControlStateTest {
     private static final long UNKNOWN_AGE_NANOS = TimeUnit.SECONDS.toNanos(1_000);
-    private static final String WEIGHTS = "weights";
+    private static final String WEIGHTS = OneModelDecoder.WEIGHTS;
 
-    private final ControlState state = new ControlState(new OneModel(), UNKNOWN_AGE_NANOS);
+    private final ControlState state = new ControlState(new OneModelDecoder(), UNKNOWN_AGE_NANOS);
 
     /**
      * The first new weights of a model are named while a VM runs. It takes them for named long ago,
@@ -52,37 +48,4 @@
     private static StoredItem weights(long revision) {
         return new StoredItem("m", revision, new byte[0]);
     }
-
-    /** Weights of one model, whose version is the object's revision. */
-    private static final class OneModel implements ObjectDecoder {
-        @Override
-        public String configurationKind() {
-            return "configuration";
-        }
-
-        @Override
-        public String endpointKind() {
-            return "endpoints";
-        }
-
-        @Override
-        public String weightsKind() {
-            return WEIGHTS;
-        }
-
-        @Override
-        public Optional<RoutingConfiguration> configuration(Collection<StoredItem> items) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<EndpointEntry> endpoint(StoredItem item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<NamedWeights> weights(StoredItem item) {
-            return Optional.of(new NamedWeights(item.name(), item.revision()));
-        }
-    }
 }
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
@@ -0,0 +1,97 @@
+package org.bronzelug.router.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ObjectMirror;
+import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.store.StoreException;
+import org.bronzelug.router.store.StoredItem;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A VM has an older configuration than the platform, and nothing tells it. */
+class KindWatchTest {
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully();
+    }
+
+    /**
+     * The platform changes an object, and the event is lost: the watch ends empty, with a revision
+     * after the change. Then the watches are cut. A watch that goes on from that revision never
+     * hears of the change, and callers are served by what was replaced seconds ago.
+     */
+    @Test
+    void aChangeWhoseEventWasLostIsReadAfterTheCut() throws Exception {
+        ObjectMirror mirror = new ObjectMirror();
+        CountDownLatch known = new CountDownLatch(1);
+        KindWatch.Listener listener =
+                new KindWatch.Listener() {
+                    @Override
+                    public void onChange(String kind) {
+                        if (mirror.items().stream().anyMatch(item -> item.revision() == 7)) {
+                            known.countDown();
+                        }
+                    }
+
+                    @Override
+                    public void onReachable(String kind, boolean reachable) {
+                        // The platform's being away is not what this is about.
+                    }
+                };
+        KindWatch watch = new KindWatch("kind", group.next(), new LossyStore(), mirror, listener);
+        group.next().execute(watch::start);
+        assertThat(known.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    /** Lists revision 5 at first and 7 later; its watches lose the change between. */
+    private static final class LossyStore implements ObjectStore {
+        private int lists;
+
+        @Override
+        public CompletableFuture<ItemList> list(String kind) {
+            lists++;
+            long revision = lists == 1 ? 5 : 7;
+            StoredItem item = new StoredItem("main", revision, new byte[0]);
+            long listed = lists == 1 ? 8 : 10;
+            return CompletableFuture.completedFuture(new ItemList(List.of(item), listed));
+        }
+
+        @Override
+        public CompletableFuture<ItemChanges> watch(String kind, long revision) {
+            if (revision == 8) {
+                return CompletableFuture.completedFuture(new ItemChanges(List.of(), 9));
+            }
+            return lists == 1
+                    ? CompletableFuture.failedFuture(
+                            new StoreException(StoreException.Problem.UNAVAILABLE, "cut"))
+                    : new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<StoredItem> read(String kind, String name) {
+            throw new UnsupportedOperationException("a watch reads no single object");
+        }
+
+        @Override
+        public CompletableFuture<StoredItem> create(String kind, String name, byte[] content) {
+            throw new UnsupportedOperationException("a watch writes nothing");
+        }
+
+        @Override
+        public CompletableFuture<StoredItem> replace(String kind, StoredItem item) {
+            throw new UnsupportedOperationException("a watch writes nothing");
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/control/OneModelDecoder.java
@@ -0,0 +1,42 @@
+package org.bronzelug.router.control;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.routing.RoutingConfiguration;
+import org.bronzelug.router.store.StoredItem;
+
+/** Weights of one model, whose version is the object's revision. */
+final class OneModelDecoder implements ObjectDecoder {
+    static final String WEIGHTS = "weights";
+
+    @Override
+    public String configurationKind() {
+        return "configuration";
+    }
+
+    @Override
+    public String endpointKind() {
+        return "endpoints";
+    }
+
+    @Override
+    public String weightsKind() {
+        return WEIGHTS;
+    }
+
+    @Override
+    public Optional<RoutingConfiguration> configuration(Collection<StoredItem> items) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<EndpointEntry> endpoint(StoredItem item) {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<NamedWeights> weights(StoredItem item) {
+        return Optional.of(new NamedWeights(item.name(), item.revision()));
+    }
+}
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/control/PeerFeedTest.java
@@ -0,0 +1,110 @@
+package org.bronzelug.router.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.router.http.HttpCaller;
+import org.bronzelug.router.http.HttpResponder;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.StoredItem;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A VM that reads from a peer serves by what was replaced: over real connections. */
+class PeerFeedTest {
+    private static final String KIND = OneModelDecoder.WEIGHTS;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop control = group.next();
+    private final ControlState known = new ControlState(new OneModelDecoder(), 0);
+    private final ControlState following = new ControlState(new OneModelDecoder(), 0);
+    private final PeerFeed feed = new PeerFeed(control, known);
+    private final PeerReader reader = new PeerReader(control, following, following::onChange);
+    private HttpResponder responder;
+    private HttpCaller peer;
+
+    @BeforeEach
+    void start() throws Exception {
+        InetSocketAddress address;
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            address = new InetSocketAddress(InetAddress.getLoopbackAddress(), probe.getLocalPort());
+        }
+        responder =
+                new HttpResponder(
+                        "feed", control, address, uri -> feed.answer(new QueryStringDecoder(uri)));
+        responder.start();
+        peer = new HttpCaller(control, address);
+    }
+
+    @AfterEach
+    void stop() {
+        responder.stop();
+        group.shutdownGracefully();
+    }
+
+    private <T> T onControl(Callable<T> step) throws Exception {
+        return control.submit(step).get(10, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<Void> read(long waitMillis) throws Exception {
+        return onControl(() -> reader.read(peer, waitMillis));
+    }
+
+    private static StoredItem item(String name, long revision) {
+        return new StoredItem(name, revision, new byte[] {(byte) revision});
+    }
+
+    /**
+     * The follower knows the first list and waits. An object changes and another goes; the waiting
+     * answer brings both, and the follower acts on them.
+     */
+    @Test
+    void aWaitingPeerHearsOfAChangeAndOfARemoval() throws Exception {
+        onControl(
+                () ->
+                        known.mirror(KIND)
+                                .replaceAll(new ItemList(List.of(item("m", 3), item("n", 4)), 5)));
+        read(0).get(10, TimeUnit.SECONDS);
+        assertThat(onControl(() -> following.mirror(KIND).items())).hasSize(2);
+        CompletableFuture<Void> waiting = read(60_000);
+        ItemChanges changes =
+                new ItemChanges(
+                        List.of(
+                                new ItemChanges.ItemChange(item("m", 6), false),
+                                new ItemChanges.ItemChange(item("n", 7), true)),
+                        7);
+        onControl(() -> known.mirror(KIND).apply(changes));
+        onControl(
+                () -> {
+                    feed.onChange(KIND);
+                    return true;
+                });
+        waiting.get(10, TimeUnit.SECONDS);
+        assertThat(onControl(() -> following.mirror(KIND).items())).hasSize(1);
+        assertThat(onControl(() -> following.weights().get("m").version())).isEqualTo(6);
+        assertThat(onControl(() -> following.mirror(KIND).revision())).isEqualTo(7);
+    }
+
+    /** The peer is itself behind: what it has changes nothing here. */
+    @Test
+    void anOlderPeerChangesNothing() throws Exception {
+        onControl(() -> known.mirror(KIND).replaceAll(new ItemList(List.of(item("m", 3)), 5)));
+        onControl(() -> following.mirror(KIND).replaceAll(new ItemList(List.of(), 9)));
+        read(0).get(10, TimeUnit.SECONDS);
+        assertThat(onControl(() -> following.mirror(KIND).items())).isEmpty();
+        assertThat(onControl(() -> following.mirror(KIND).revision())).isEqualTo(9);
+    }
+}
--- a/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
+++ b/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
@@ -3,6 +3,12 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.bronzelug.router.store.ItemChanges.ItemChange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -44,4 +50,49 @@
         mirror.apply(new ItemChanges(List.of(new ItemChange(item("a", 3), true)), 3));
         assertThat(mirror.items()).hasSize(1);
     }
+
+    /**
+     * A peer follows this VM by changes alone. If one is left out, the peer goes on with an
+     * endpoint that has left, or a key that was withdrawn, and nothing corrects it.
+     */
+    @Property
+    void aPeerThatFollowsByChangesHasTheSameObjects(
+            @ForAll @Size(max = 60) List<@IntRange(max = 15) Integer> steps) {
+        ObjectMirror mirror = new ObjectMirror();
+        mirror.replaceAll(new ItemList(List.of(item("n0", 1)), 1));
+        ObjectMirror peer = new ObjectMirror();
+        peer.replaceAll(new ItemList(List.copyOf(mirror.items()), 1));
+        long revision = 1;
+        for (int step : steps) {
+            revision++;
+            String name = "n" + step % 5;
+            StoredItem changed = item(name, revision);
+            switch (step / 5) {
+                case 0 -> mirror.apply(changes(new ItemChange(changed, false), revision));
+                case 1 -> mirror.apply(changes(new ItemChange(changed, true), revision));
+                default -> {
+                    ItemChanges since = mirror.changesSince(peer.revision()).orElseThrow();
+                    peer.apply(since);
+                    assertThat(revisions(peer)).isEqualTo(revisions(mirror));
+                }
+            }
+        }
+    }
+
+    @Test
+    void aPeerOfBeforeTheFirstListGetsAll() {
+        ObjectMirror mirror = new ObjectMirror();
+        mirror.replaceAll(new ItemList(List.of(item("a", 3)), 5));
+        assertThat(mirror.changesSince(4)).isEmpty();
+        assertThat(mirror.changesSince(5).orElseThrow().changes()).isEmpty();
+    }
+
+    private static ItemChanges changes(ItemChange change, long revision) {
+        return new ItemChanges(List.of(change), revision);
+    }
+
+    private static Map<String, Long> revisions(ObjectMirror mirror) {
+        return mirror.items().stream()
+                .collect(Collectors.toMap(StoredItem::name, StoredItem::revision));
+    }
 }
