--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -140,7 +140,11 @@
         tried.add(chosen.entry().id());
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
-        runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
+        runner.ifPresent(
+                choice -> {
+                    chosen.load().begin(choice.missingTokens());
+                    state.choice().recordSent(choice, nowNanos);
+                });
         prefilling = runner.isPresent();
         log.sent(chosen, runner);
         metrics.routed(nowNanos - admitted.arrivedNanos());
