Tried: placement that reckons with fetching prefixes from other runners; reverted

Conclusion: a prompt that goes where the queue is short and fetches there pushes other parts out, and its fetch often finds nothing; keeping prompts where their part is wins.

--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -1,7 +1,6 @@
 package org.bronzelug.core.placement;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.Optional;
 import org.bronzelug.core.membership.Rendezvous;
 
@@ -9,13 +8,11 @@
  * Chooses the runner of a request: the least expected time to the first token.
  *
  * <p>The cost of a runner is the prefill work that waits there plus that of the tokens missing in
- * its cache, plus the slowdown by the streams it generates for. Tokens that another runner, or a
- * store, holds are fetched where that is possible: that takes a tenth of reading them, so such a
- * prompt may go where the queue is short. Where the cache is not known, the runner that rendezvous
- * hashing names for the prompt's shared prefix is assumed to hold it. That needs no memory, so a
- * restarted VM, or all of them at once, place as before the restart. A VM that has remembered for
- * long enough, and knows who holds the prompt's root, trusts that instead: a runner without the
- * root would have to compute all of it.
+ * its cache, plus the slowdown by the streams it generates for. Where the cache is not known, the
+ * runner that rendezvous hashing names for the prompt's shared prefix is assumed to hold it. That
+ * needs no memory, so a restarted VM, or all of them at once, place as before the restart. A VM
+ * that has remembered for long enough, and knows who holds the prompt's root, trusts that instead:
+ * a runner without the root would have to compute all of it.
  *
  * <p>Stateless and thread-safe.
  */
@@ -26,32 +23,13 @@
         this.settings = settings;
     }
 
-    /**
-     * Chooses among the runners, where no store keeps prefixes.
-     *
-     * @return empty where there is no runner
-     */
-    public Optional<Placement> choose(
-            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
-        return choose(chain, runners, belief, 0, nowNanos);
-    }
-
     /**
      * Chooses among the runners.
      *
-     * @param storedTokens of the prompt that a store holds
      * @return empty where there is no runner
      */
     public Optional<Placement> choose(
-            PrefixChain chain,
-            Collection<RunnerLoad> runners,
-            CacheBelief belief,
-            int storedTokens,
-            long nowNanos) {
-        Optional<RunnerLoad> source = source(chain, runners, belief, nowNanos);
-        int held = source.map(runner -> readTokens(chain, runner, belief, nowNanos)).orElse(0);
-        int fetchable = settings.fetches() ? Math.max(held, storedTokens) : 0;
-        Optional<String> from = source.filter(runner -> held >= storedTokens).map(RunnerLoad::name);
+            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
         boolean known =
                 anyKnown(chain.deepestShared(), chain, runners, belief, nowNanos)
                         || belief.isComplete(nowNanos)
@@ -61,36 +39,12 @@
         Optional<Placement> best = Optional.empty();
         for (RunnerLoad runner : runners) {
             boolean assumeHome = home.filter(runner.name()::equals).isPresent();
-            Placement candidate =
-                    evaluate(chain, runner, assumeHome, weight, belief, fetchable, nowNanos);
+            Placement candidate = evaluate(chain, runner, assumeHome, weight, belief, nowNanos);
             if (best.isEmpty() || better(chain, candidate, best.get())) {
                 best = Optional.of(candidate);
             }
         }
-        return best.map(
-                placement -> placement.fetchedTokens() > 0 ? placement.from(from) : placement);
-    }
-
-    /** The runner that holds most of the prompt, to fetch from; of equal ones the least loaded. */
-    private Optional<RunnerLoad> source(
-            PrefixChain chain, Collection<RunnerLoad> runners, CacheBelief belief, long nowNanos) {
-        if (!settings.fetches()) {
-            return Optional.empty();
-        }
-        return runners.stream()
-                .filter(runner -> readTokens(chain, runner, belief, nowNanos) > 0)
-                .max(
-                        Comparator.comparingInt(
-                                        (RunnerLoad runner) ->
-                                                readTokens(chain, runner, belief, nowNanos))
-                                .thenComparing(
-                                        Comparator.comparingDouble(RunnerLoad::queuedPrefillTokens)
-                                                .reversed()));
-    }
-
-    private static int readTokens(
-            PrefixChain chain, RunnerLoad runner, CacheBelief belief, long nowNanos) {
-        return belief.readTokens(runner.name(), runner.incarnation(), chain, nowNanos);
+        return best;
     }
 
     /**
@@ -113,24 +67,19 @@
             boolean assumeHome,
             double missingTokenWeight,
             CacheBelief belief,
-            int fetchable,
             long nowNanos) {
         int cached = belief.cachedTokens(runner.name(), runner.incarnation(), chain, nowNanos);
-        int fetched = Math.max(0, fetchable - cached);
         int assumed = assumeHome ? chain.deepestShared().tokens() : 0;
-        int missing = chain.tokens() - Math.max(cached + fetched, assumed);
+        int missing = chain.tokens() - Math.max(cached, assumed);
         double weighted = runner.queuedPrefillTokens() + missing * missingTokenWeight;
         double prefill = weighted * settings.nanosPerPrefillToken();
-        double fetch = fetched > 0 ? fetched * settings.nanosPerFetchedToken() : 0;
         double decode = runner.runningStreams() * settings.nanosPerRunningStream();
         return new Placement(
                 runner.name(),
                 runner.incarnation(),
                 cached,
-                fetched,
-                Optional.empty(),
                 runner.queuedPrefillTokens(),
-                prefill + fetch + decode);
+                prefill + decode);
     }
 
     private static boolean better(PrefixChain chain, Placement candidate, Placement best) {
--- a/core/src/main/java/org/bronzelug/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementSettings.java
@@ -7,8 +7,6 @@
  * @param nanosPerRunningStream what a stream in generation adds to the time to a first token
  * @param missingTokenWeight how much a token missing in the cache counts, against one that waits:
  *     above 1, since a second copy of a prefix also pushes another one out
- * @param nanosPerFetchedToken what a token costs that the runner fetches from another one or from a
- *     store, its place in the runner's memory included; infinite where runners fetch nothing
  * @param tokensPerWaitingRequest a queue of so many tokens is taken for one waiting request, which
  *     each missing token in front of it delays
  */
@@ -16,14 +14,9 @@
         double nanosPerPrefillToken,
         double nanosPerRunningStream,
         double missingTokenWeight,
-        double nanosPerFetchedToken,
         double tokensPerWaitingRequest) {
     /** As found best by {@code ./measure}: docs/MEASUREMENTS.md. */
     public static PlacementSettings defaults() {
-        return new PlacementSettings(100_000, 1_000_000, 2, Double.POSITIVE_INFINITY, 1_000);
-    }
-
-    boolean fetches() {
-        return nanosPerFetchedToken < Double.POSITIVE_INFINITY;
+        return new PlacementSettings(100_000, 1_000_000, 2, 1_000);
     }
 }
--- a/core/src/main/java/org/bronzelug/core/placement/PrefixChain.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PrefixChain.java
@@ -84,11 +84,6 @@
         return levels.get(Math.max(0, levels.size() - 2));
     }
 
-    /** The innermost level: the whole prompt. */
-    public PrefixLevel deepest() {
-        return levels.get(levels.size() - 1);
-    }
-
     /** The levels that other prompts are likely to share: all up to the deepest such one. */
     public List<PrefixLevel> sharedLevels() {
         return levels.subList(0, Math.max(1, levels.size() - 1));
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
@@ -91,21 +91,13 @@
                 runner.isPresent() ? OptionalInt.of(urgency()) : OptionalInt.empty(),
                 weightsVersion(runner),
                 runner.map(choice -> "v" + choice.weightsVersion() + "/" + admitted.wall()),
-                runner.flatMap(this::source).or(() -> store),
+                store,
                 store.filter(address -> saving),
                 lastEventId.isPresent()
                         ? Optional.of(String.valueOf(lastEventId.getAsLong()))
                         : admitted.head().lastEventId());
     }
 
-    /** The runner from which cache entries are to be fetched. */
-    private Optional<String> source(RunnerChoice choice) {
-        return choice.placement()
-                .source()
-                .flatMap(state.endpoints()::find)
-                .map(source -> source.entry().address());
-    }
-
     /** Whether the last request that was built tells the runner to save what it reads. */
     boolean isSaving() {
         return saving;
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -140,11 +140,7 @@
         tried.add(chosen.entry().id());
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
-        runner.ifPresent(
-                choice -> {
-                    chosen.load().begin(choice.missingTokens());
-                    state.choice().recordSent(choice, nowNanos);
-                });
+        runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
         prefilling = runner.isPresent();
         log.sent(chosen, runner);
         metrics.routed(nowNanos - admitted.arrivedNanos());
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -16,8 +16,6 @@
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.placement.PrefixHash;
 import org.bronzelug.core.placement.RunnerLoad;
-import org.bronzelug.core.routing.EngineLimits;
-import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.exchange.PromptSpec;
 
 /**
@@ -41,13 +39,6 @@
     private static final double NANOS_PER_STREAM = 50_000;
 
     private static final double MISSING_TOKEN_WEIGHT = 3;
-
-    /**
-     * Links carry a token in 2 to 8 microseconds; the rest is for what it pushes out of the
-     * runner's memory, which will be fetched again.
-     */
-    private static final double NANOS_PER_FETCHED_TOKEN = 12_000;
-
     private static final double TOKENS_PER_WAITING_REQUEST = 20_000;
 
     /** Answers on older weights are worth less from 1.5 s on; requests take a moment to begin. */
@@ -68,7 +59,6 @@
                             NANOS_PER_PREFILL_TOKEN,
                             NANOS_PER_STREAM,
                             MISSING_TOKEN_WEIGHT,
-                            NANOS_PER_FETCHED_TOKEN,
                             TOKENS_PER_WAITING_REQUEST));
     private final CacheBelief belief =
             new CacheBelief(PREFIXES_PER_RUNNER, BELIEF_NANOS, System.nanoTime());
@@ -84,14 +74,8 @@
         this.olderWeightsEndNanos = weightsNanos - OLDER_WEIGHTS_MARGIN_NANOS;
     }
 
-    void update(Map<String, WeightsTarget> newest, Optional<RoutingConfiguration> configuration) {
+    void update(Map<String, WeightsTarget> newest) {
         weights = newest;
-        configuration.stream()
-                .flatMap(present -> present.pools().stream())
-                .flatMap(pool -> pool.engine().stream())
-                .mapToLong(EngineLimits::cacheTokens)
-                .min()
-                .ifPresent(belief::limitTokens);
     }
 
     /** The endpoint for a request without a prompt. */
@@ -130,13 +114,7 @@
         PrefixChain chain = PrefixChain.ofParts(wall + prompt.model(), prompt.parts());
         List<RunnerLoad> loads =
                 usable.stream().map(state -> load(state, prompt.model(), nowNanos)).toList();
-        Optional<Placement> placement =
-                policy.choose(
-                        chain,
-                        loads,
-                        belief,
-                        storedTokens(chain, usable, prompt.model(), nowNanos),
-                        nowNanos);
+        Optional<Placement> placement = policy.choose(chain, loads, belief, nowNanos);
         return placement.flatMap(
                 best ->
                         endpoints
@@ -147,20 +125,6 @@
                                                         state, best, chain, prompt, considered)));
     }
 
-    /** Tokens of the prompt that the store of cache entries is believed to hold. */
-    private int storedTokens(
-            PrefixChain chain, List<EndpointState> usable, String model, long nowNanos) {
-        long version = usable.stream().mapToLong(state -> state.weights(model)).max().orElse(0);
-        boolean unsaved = reads.isUnsaved(chain.deepestShared().hash(), version, nowNanos);
-        return unsaved ? 0 : chain.deepestShared().tokens();
-    }
-
-    /** A prompt is sent to a runner: others that share its prefix meet there. */
-    public void recordSent(RunnerChoice choice, long nowNanos) {
-        belief.recordExpected(
-                choice.endpoint().entry().id(), choice.incarnation(), choice.chain(), nowNanos);
-    }
-
     /** Whether the runner is to save what it reads of the prompt: nobody has yet. */
     public boolean isToBeSaved(RunnerChoice choice, long nowNanos) {
         return !choice.sharedCached()
@@ -194,16 +158,9 @@
     }
 
     private void recordLevels(EndpointState state, PrefixRead read, long nowNanos) {
-        String runner = state.entry().id();
         String incarnation = state.cacheIncarnation(read.getModel());
-        List<PrefixHash> levels = PrefixReads.hashes(read);
-        for (int level = 0; level < levels.size(); level++) {
-            int tokens = level < read.getLevelTokensCount() ? read.getLevelTokens(level) : 0;
-            belief.recordLevel(runner, incarnation, levels.get(level), tokens, nowNanos);
-        }
-        if (read.getUnsharedTokens() > 0) {
-            PrefixHash unshared = PrefixReads.unsharedName(read);
-            belief.recordLevel(runner, incarnation, unshared, read.getUnsharedTokens(), nowNanos);
+        for (PrefixHash level : PrefixReads.hashes(read)) {
+            belief.recordLevel(state.entry().id(), incarnation, level, nowNanos);
         }
     }
 
@@ -260,9 +217,8 @@
             PrefixChain chain,
             PromptSpec prompt,
             int considered) {
-        int there = best.believedCachedTokens() + best.fetchedTokens();
-        int missing = Math.max(1, chain.tokens() - there);
-        boolean sharedCached = there >= chain.deepestShared().tokens();
+        int missing = Math.max(1, chain.tokens() - best.believedCachedTokens());
+        boolean sharedCached = best.believedCachedTokens() >= chain.deepestShared().tokens();
         return new RunnerChoice(
                 state,
                 best.incarnation(),
--- a/router/src/main/java/org/bronzelug/router/traffic/PrefixReads.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/PrefixReads.java
@@ -22,11 +22,8 @@
     /** Told for four rounds, so that a lost datagram is made good. */
     private static final long TELL_NANOS = 600_000_000L;
 
-    /**
-     * The store drops what was not used for long; then a prefix is saved again. It holds some
-     * hundred prompts of 9,000 tokens, and a busy fleet saves several a second.
-     */
-    private static final long SAVED_NANOS = 15_000_000_000L;
+    /** The store drops what was not used for long; then a prefix is saved again. */
+    private static final long SAVED_NANOS = 30_000_000_000L;
 
     private static final int MAXIMUM_SAVED = 8_192;
 
@@ -55,14 +52,9 @@
                         .setModel(model)
                         .setVersion(choice.weightsVersion())
                         .setSaved(save);
-        int before = 0;
         for (PrefixLevel level : choice.chain().sharedLevels()) {
             read.addHashes(level.hash().high()).addHashes(level.hash().low());
-            read.addLevelTokens(level.tokens() - before);
-            before = level.tokens();
         }
-        read.setUnsharedTokens(choice.chain().tokens() - before);
-        read.setUnsharedHash(choice.chain().deepest().hash().low());
         told.addLast(new Told(read.build(), nowNanos));
         if (save) {
             recordSaved(choice.chain().deepestShared().hash(), choice.weightsVersion(), nowNanos);
@@ -89,11 +81,6 @@
         return hashes;
     }
 
-    /** The name of what no other prompt shares; it is never asked for again. */
-    static PrefixHash unsharedName(PrefixRead read) {
-        return new PrefixHash(0, read.getUnsharedHash());
-    }
-
     /** What the peers are told now. */
     List<PrefixRead> toTell(long nowNanos) {
         while (!told.isEmpty() && nowNanos - told.peekFirst().sinceNanos > TELL_NANOS) {
--- a/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
@@ -11,7 +11,7 @@
  * @param chain of the prompt
  * @param weightsVersion that it is believed to have; 0: not known
  * @param missingTokens expected to be read
- * @param sharedCached whether the shared part is believed to be cached there, or can be fetched
+ * @param sharedCached whether the shared part is believed to be cached there
  * @param placement what it was reckoned to cost
  * @param considered runners that could take the prompt
  */
@@ -30,8 +30,6 @@
     public String describe() {
         return (" weights=" + weightsVersion)
                 + (" missing=" + missingTokens)
-                + (" fetched=" + placement.fetchedTokens())
-                + (" from=" + placement.source().orElse("-"))
                 + (" costMillis=" + Math.round(placement.costNanos() / NANOS_PER_MILLI))
                 + (" queued=" + Math.round(placement.queuedTokens()))
                 + (" considered=" + considered);
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -50,7 +50,7 @@
         configuration = update.configuration();
         vmCount = Math.max(update.vmCount(), bounds.leastVms());
         endpoints.update(update);
-        choice.update(update.weights(), configuration);
+        choice.update(update.weights());
         choice.recordPeers(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
     }
