A restart forgives no team's debt; counts near a limit go to all VMs at once

In a fleet of 82 a VM's turn to be heard comes once a second, so a flood passes the rate meanwhile. Ruled out: replacement of a VM (its peers' level counts), give-backs. Change: a fifth of the burst at a restart; all that a peer of the same start has admitted is subtracted; teams below half of their burst are told to all VMs each 300 ms in large fleets; watches let changes gather for 150 ms.

--- a/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
@@ -65,17 +65,31 @@
     /**
      * Takes in what an incarnation of a peer has admitted since it started.
      *
-     * <p>At the first word of a peer, what it admitted before is in its own level: this VM's falls
-     * to that, since a VM that has just started does not know what was admitted before.
+     * <p>At the first word of a peer that has run for longer, what it admitted before is in its own
+     * level: this VM's falls to that, since a VM that has just started does not know what was
+     * admitted before. A peer that started with this VM knows no more than this one, so all that it
+     * has admitted is subtracted. The failure this prevents: all VMs restart while a team floods,
+     * each admits its part of a burst before it hears the others, and nobody pays for it.
+     *
+     * @param startedWithThis whether the peer has not run for longer than this VM
      */
     public void recordPeer(
-            String vm, String incarnation, long peerAdmitted, double peerLevel, long nowNanos) {
+            String vm,
+            String incarnation,
+            long peerAdmitted,
+            double peerLevel,
+            boolean startedWithThis,
+            long nowNanos) {
         accrue(nowNanos);
         PeerCount before = peers.put(vm, new PeerCount(incarnation, peerAdmitted));
-        if (before == null) {
+        if (before == null && !startedWithThis) {
             level = Math.min(level, peerLevel);
             return;
         }
+        if (before == null) {
+            level = Math.min(burst, level - peerAdmitted);
+            return;
+        }
         boolean same = before.incarnation.equals(incarnation);
         long delta = same ? peerAdmitted - before.admitted : peerAdmitted;
         level = Math.min(burst, level - delta);
@@ -109,6 +123,11 @@
         return admitted;
     }
 
+    /** The most that the bucket holds. */
+    public double burst() {
+        return burst;
+    }
+
     public double level(long nowNanos) {
         accrue(nowNanos);
         return level;
--- a/core/src/test/java/org/bronzelug/core/limit/FleetBucketTest.java
+++ b/core/src/test/java/org/bronzelug/core/limit/FleetBucketTest.java
@@ -25,6 +25,9 @@
     private static final long ROUND_MILLIS = 150;
     private static final long WINDOW_MILLIS = 8_000;
 
+    /** Callers that came while no VM ran, and come again at one moment. */
+    private static final int HERD_MILLIS = 1_500;
+
     /** What the users allow in a window: a tenth more than the rate, and this many tokens. */
     private static final double ALLOWED = (RATE * WINDOW_MILLIS / 1_000 + BURST) * 1.1 + 72_000;
 
@@ -53,6 +56,48 @@
         assertThat(mostInWindow(admitted)).isAtMost(ALLOWED);
     }
 
+    /**
+     * All VMs restart while one team floods, and its callers come back at one moment. Each VM has a
+     * part of the burst until it hears the others; what they admit together must be paid for, or
+     * the other teams' callers wait.
+     */
+    @Property(seed = "13", tries = 60)
+    void aRestartOfAllVmsInAFloodGivesNoBurstToEach(
+            @ForAll @IntRange(min = 2, max = 8) int vms,
+            @ForAll @IntRange(min = 2, max = 4) int excess,
+            @ForAll @IntRange(min = 2_000, max = 9_000) int restartMillis,
+            @ForAll long seed) {
+        Random random = new Random(seed);
+        List<FleetBucket> buckets = fleet(vms);
+        List<long[]> admitted = new ArrayList<>();
+        double perMilli = RATE * excess / 1_000 / REQUEST;
+        for (int millis = 1; millis <= 20_000; millis++) {
+            double arrivals = perMilli;
+            if (millis == restartMillis) {
+                buckets = restarted(vms, millis);
+                arrivals = perMilli * HERD_MILLIS;
+            }
+            for (double left = arrivals; left > 0; left--) {
+                FleetBucket bucket = buckets.get(random.nextInt(vms));
+                if (random.nextDouble() < left && bucket.tryTake(REQUEST, millis * MILLI)) {
+                    admitted.add(new long[] {millis, REQUEST});
+                }
+            }
+            if (millis % ROUND_MILLIS == 0) {
+                exchange(buckets, millis, false);
+            }
+        }
+        assertThat(mostInWindow(admitted)).isAtMost(ALLOWED);
+    }
+
+    private static List<FleetBucket> restarted(int vms, long millis) {
+        List<FleetBucket> buckets = new ArrayList<>();
+        for (int vm = 0; vm < vms; vm++) {
+            buckets.add(new FleetBucket(RATE, BURST, BURST / 5, millis * MILLI));
+        }
+        return buckets;
+    }
+
     private static List<FleetBucket> fleet(int vms) {
         List<FleetBucket> buckets = new ArrayList<>();
         for (int vm = 0; vm < vms; vm++) {
@@ -76,6 +121,7 @@
                             "first",
                             telling.admitted(),
                             telling.level(millis * MILLI),
+                            true,
                             millis * MILLI);
                 }
             }
@@ -100,16 +146,23 @@
     @ValueSource(longs = {0, 40_000, 90_000})
     void aVmThatStartsFallsToThePeersLevel(long level) {
         FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
-        bucket.recordPeer("vm-2", "first", 1_000_000, level, 0);
+        bucket.recordPeer("vm-2", "first", 1_000_000, level, false, 0);
         assertThat(bucket.level(0)).isEqualTo((double) level);
     }
 
+    @Test
+    void whatAPeerThatStartedWithThisVmAdmittedIsPaidFor() {
+        FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
+        bucket.recordPeer("vm-2", "first", 130_000, 0, true, 0);
+        assertThat(bucket.level(0)).isEqualTo(BURST - 130_000);
+    }
+
     @Test
     void aPeerThatRestartsCountsFromZeroAgain() {
         FleetBucket bucket = new FleetBucket(RATE, BURST, BURST, 0);
-        bucket.recordPeer("vm-2", "first", 50_000, BURST, 0);
-        bucket.recordPeer("vm-2", "second", 10_000, BURST, 0);
-        bucket.recordPeer("vm-2", "second", 10_000, BURST, 0);
+        bucket.recordPeer("vm-2", "first", 50_000, BURST, false, 0);
+        bucket.recordPeer("vm-2", "second", 10_000, BURST, true, 0);
+        bucket.recordPeer("vm-2", "second", 10_000, BURST, true, 0);
         assertThat(bucket.level(0)).isEqualTo(BURST - 10_000);
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -50,6 +50,12 @@
     /** How long older weights may be used after a start, margin included. */
     private static final long START_WEIGHTS_MILLIS = 3_000;
 
+    /** Counts of teams near their limit are told to a large fleet in every second round. */
+    private static final int COUNT_ROUNDS = 2;
+
+    /** VMs that start within this of each other know the same of what was admitted before. */
+    private static final long SAME_START_MILLIS = 2_000;
+
     /** Rounds between two lists of VMs while no peer is heard. */
     private static final int LIST_ROUNDS = 10;
 
@@ -64,6 +70,7 @@
     private final PlatformReading reading;
     private final VmRegistration registration;
     private final OrderService orders;
+    private final long startNanos = System.nanoTime();
     private TrafficReport report = TrafficReport.none();
     private long sequence;
     private int rounds;
@@ -194,6 +201,9 @@
         boolean dropped = state.endpointList().expire(System.nanoTime());
         orders.round(dropped);
         gossip.send(ownState(), members.addresses());
+        if (rounds % COUNT_ROUNDS == 0) {
+            sendPressedCounts();
+        }
         reading.round(rounds);
         if (rounds % LIST_ROUNDS == 0 && members.live(System.nanoTime()).isEmpty()) {
             registration.list();
@@ -202,6 +212,30 @@
         logServing();
     }
 
+    /**
+     * Tells all VMs what was admitted of teams that are near their limit. The failure this
+     * prevents: in a large fleet a VM's turn to hear another comes once a second; meanwhile all of
+     * them together admit a flood several times over its team's rate.
+     */
+    private void sendPressedCounts() {
+        List<TeamUse> pressed =
+                report.teams().stream()
+                        .filter(use -> report.pressed().contains(use.getTeam()))
+                        .toList();
+        if (pressed.isEmpty()) {
+            return;
+        }
+        VmState counts =
+                VmState.newBuilder()
+                        .setVm(settings.vm())
+                        .setIncarnation(incarnation)
+                        .setSequence(++sequence)
+                        .setCountsOnly(true)
+                        .addAllTeams(pressed)
+                        .build();
+        gossip.sendToAll(counts, members.addresses());
+    }
+
     private void takeReport(TrafficReport read) {
         report = read;
         orders.takeLoad(fleetLoad());
@@ -253,6 +287,7 @@
                         .setPeersAddress(settings.peersAddress())
                         .setServing(isServing())
                         .setStopping(stopping)
+                        .setAgeMillis(ageMillis())
                         .setReadsPlatform(reading.isReading())
                         .setPlatformLost(reading.isLost())
                         .addAllTeams(report.teams())
@@ -323,12 +358,19 @@
         traffic.execute(() -> trafficState.apply(update));
     }
 
-    private static PeerTeamUse teamUse(Member member, TeamUse use) {
+    private long ageMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    private PeerTeamUse teamUse(Member member, TeamUse use) {
+        long heardMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - member.heardNanos());
+        long peerAge = member.state().getAgeMillis() + heardMillis;
         return new PeerTeamUse(
                 member.state().getVm(),
                 member.state().getIncarnation(),
                 use.getTeam(),
                 use.getAdmittedTokens(),
-                use.getLevelTokens());
+                use.getLevelTokens(),
+                peerAge < ageMillis() + SAME_START_MILLIS);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -27,6 +27,13 @@
     private static final long FIRST_PAUSE_MILLIS = 60;
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
+    /**
+     * After a change, others are let gather before the next watch, since each watch is paid for and
+     * changes come in rows: runners that load weights, versions in quick succession. A tenth of
+     * what the users allow until a change is in force everywhere.
+     */
+    private static final long GATHER_MILLIS = 150;
+
     private final String kind;
     private final EventLoop control;
     private final ObjectStore store;
@@ -125,7 +132,15 @@
         if (mirror.apply(changes)) {
             listener.onChange(kind);
         }
-        watch(changes.revision());
+        int own = round;
+        control.schedule(
+                () -> {
+                    if (!paused && own == round) {
+                        watch(changes.revision());
+                    }
+                },
+                GATHER_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void watchFailed(Throwable failure, long revision) {
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -21,6 +21,7 @@
  * @param reads prompts sent to runners lately
  * @param suspects ids of endpoints that failed lately or are silent
  * @param doubted ids of runners that refused the weights believed of them
+ * @param pressed names of teams near their limit
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -28,10 +29,12 @@
         List<EndpointWeights> weights,
         List<PrefixRead> reads,
         Set<String> suspects,
-        List<String> doubted) {
+        List<String> doubted,
+        Set<String> pressed) {
     /** Before anything is known. */
     static TrafficReport none() {
-        return new TrafficReport(List.of(), List.of(), List.of(), List.of(), Set.of(), List.of());
+        return new TrafficReport(
+                List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of());
     }
 
     /** Reads the state; call on the traffic thread. */
@@ -67,7 +70,8 @@
                         .filter(endpoint -> endpoint.isSuspect(nowNanos))
                         .map(endpoint -> endpoint.entry().id())
                         .collect(Collectors.toSet());
-        return new TrafficReport(teams, endpoints, weights, reads, suspects, doubted);
+        Set<String> pressed = state.rates().pressed(nowNanos);
+        return new TrafficReport(teams, endpoints, weights, reads, suspects, doubted, pressed);
     }
 
     private static EndpointUse use(EndpointState endpoint) {
--- a/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
@@ -83,6 +83,19 @@
         channel.ifPresent(open -> targets.forEach(target -> write(open, bytes, target)));
     }
 
+    /** Sends to all peers at once, where they are more than one round reaches. */
+    public void sendToAll(VmState state, Set<String> addresses) {
+        if (addresses.size() - 1 <= PEERS_PER_ROUND) {
+            return;
+        }
+        byte[] bytes = state.toByteArray();
+        channel.ifPresent(
+                open ->
+                        addresses.stream()
+                                .filter(target -> !target.equals(address))
+                                .forEach(target -> write(open, bytes, target)));
+    }
+
     /**
      * Each peer once before any is addressed again. A random choice would leave a third of a large
      * fleet unheard for longer than a VM counts as alive.
--- a/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -3,9 +3,11 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
 
 /**
@@ -54,12 +56,33 @@
         if (older) {
             return false;
         }
+        if (state.getCountsOnly()) {
+            return known != null && hearCounts(known, state, nowNanos);
+        }
         members.put(state.getVm(), new Member(state, nowNanos));
         addresses.add(state.getPeersAddress());
         addresses.addAll(state.getKnownAddressesList());
         return true;
     }
 
+    /** Takes in some teams' counts; all else that the VM said stays as it was. */
+    private boolean hearCounts(Member known, VmState counts, long nowNanos) {
+        if (!known.state().getIncarnation().equals(counts.getIncarnation())) {
+            return false;
+        }
+        Map<String, TeamUse> teams = new LinkedHashMap<>();
+        known.state().getTeamsList().forEach(use -> teams.put(use.getTeam(), use));
+        counts.getTeamsList().forEach(use -> teams.put(use.getTeam(), use));
+        VmState merged =
+                known.state().toBuilder()
+                        .setSequence(counts.getSequence())
+                        .clearTeams()
+                        .addAllTeams(teams.values())
+                        .build();
+        members.put(counts.getVm(), new Member(merged, nowNanos));
+        return true;
+    }
+
     /** An address at which a VM may listen. */
     public void addAddress(String address) {
         addresses.add(address);
--- a/router/src/main/java/org/bronzelug/router/traffic/PeerTeamUse.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/PeerTeamUse.java
@@ -8,6 +8,12 @@
  * @param team the team's name
  * @param admittedTokens since the incarnation started
  * @param levelTokens what is left of the burst, as the peer reckons
+ * @param startedWithThis whether the peer has not run for longer than this VM
  */
 public record PeerTeamUse(
-        String vm, String incarnation, String team, long admittedTokens, long levelTokens) {}
+        String vm,
+        String incarnation,
+        String team,
+        long admittedTokens,
+        long levelTokens,
+        boolean startedWithThis) {}
--- a/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
@@ -1,7 +1,9 @@
 package org.bronzelug.router.traffic;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.bronzelug.core.limit.FleetBucket;
 import org.bronzelug.core.routing.Team;
@@ -12,9 +14,14 @@
 public final class TeamRates {
     /**
      * The part of its burst that a bucket holds at first, where the VM does not start with the
-     * whole fleet: others may have admitted a burst just before. Half of a burst twice is a burst.
+     * whole fleet: others may have admitted a burst just before, and more than that while their
+     * counts travelled. A restart must not forgive that debt; a fifth lets the first requests of a
+     * team in that keeps to its rate, until the rest accrues within a second or two.
      */
-    private static final double RESTART_PART = 0.5;
+    private static final double RESTART_PART = 0.2;
+
+    /** Below this part of its burst a team's count is told to all VMs at once. */
+    private static final double PRESSED_PART = 0.5;
 
     private final boolean fleetStarts;
     private final Map<String, FleetBucket> buckets = new HashMap<>();
@@ -37,6 +44,7 @@
                         use.incarnation(),
                         use.admittedTokens(),
                         use.levelTokens(),
+                        use.startedWithThis(),
                         nowNanos);
             }
         }
@@ -80,6 +88,23 @@
         return bucket == null ? 0 : bucket.nanosUntil(tokens, nowNanos);
     }
 
+    /**
+     * Teams that are near their limit, so that each VM's count matters to the others at once.
+     *
+     * @return their names
+     */
+    public Set<String> pressed(long nowNanos) {
+        Set<String> pressed = new HashSet<>();
+        buckets.forEach(
+                (team, bucket) -> {
+                    boolean low = bucket.level(nowNanos) < bucket.burst() * PRESSED_PART;
+                    if (low && bucket.admitted() > 0) {
+                        pressed.add(team);
+                    }
+                });
+        return pressed;
+    }
+
     /** Visits each team with a rate. */
     public void forEach(BiConsumer<String, FleetBucket> visitor) {
         buckets.forEach(visitor);
