Less urgent prompts are turned away where the runner's queue would make them late

All that is let in waits; from second 8 to 16 the first token comes after 1.0 to 2.2 s (goals 600 and 800 ms), the reading never pauses, streams stall, prefixes are pushed out and read again. Change: PromptAdmission, one bound on the wait at the chosen runner, less urgent routes only, size not counted, return after 0.7 to 1.6 s.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.placement.PromptAdmission;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.RepeatPolicy;
 import org.bronzelug.core.routing.Route;
@@ -59,6 +61,9 @@
 
     private static final long RESUME_PAUSE_MILLIS = 150;
 
+    /** Of the most urgent routes. */
+    private static final int FIRST_RANK = 0;
+
     /** Sends of one request that were all stated not to have run. */
     private static final int MAXIMUM_SENDS = 3;
 
@@ -136,6 +141,14 @@
             giveUp("no endpoint takes the request");
             return;
         }
+        OptionalLong comeBackMillis = comeBackMillis();
+        if (comeBackMillis.isPresent()) {
+            endpoint = Optional.empty();
+            refuseUnrun(
+                    "runners are full, queued=" + Math.round(runner.orElseThrow().queuedTokens()),
+                    comeBackMillis.getAsLong());
+            return;
+        }
         EndpointState chosen = endpoint.get();
         tried.add(chosen.entry().id());
         chosen.begin(this, nowNanos);
@@ -149,6 +162,20 @@
         call = Optional.of(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
     }
 
+    /** When to come back, where the prompt is not let in; only a new one is ever turned away. */
+    private OptionalLong comeBackMillis() {
+        boolean fresh =
+                tried.isEmpty() && !relay.hasBegun() && admitted.head().lastEventId().isEmpty();
+        if (!fresh || runner.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        return PromptAdmission.comeBackMillis(
+                route().priority() == FIRST_RANK,
+                route().goalMillis(),
+                state.choice().waitNanos(runner.get()),
+                ThreadLocalRandom.current().nextDouble());
+    }
+
     private Optional<EndpointState> choose(long nowNanos) {
         runner = Optional.empty();
         if (admitted.pool().isEmpty()) {
@@ -433,10 +460,15 @@
             fail(BAD_GATEWAY, reason);
             return;
         }
+        refuseUnrun(reason, NO_ENDPOINT_MILLIS);
+    }
+
+    /** Refuses what has run nowhere, and gives its tokens back. */
+    private void refuseUnrun(String reason, long comeBackMillis) {
         admitted.team().ifPresent(team -> state.rates().giveBack(team, admitted.tokens()));
         metrics.refused(UNAVAILABLE);
         finish(String.valueOf(UNAVAILABLE), reason);
-        caller.refuse(Refusal.comeBack(UNAVAILABLE, reason, "come back", NO_ENDPOINT_MILLIS));
+        caller.refuse(Refusal.comeBack(UNAVAILABLE, reason, "come back", comeBackMillis));
     }
 
     private void fail(int status, String reason) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -122,7 +122,17 @@
                                 .map(
                                         state ->
                                                 runnerChoice(
-                                                        state, best, chain, prompt, considered)));
+                                                        state,
+                                                        best,
+                                                        chain,
+                                                        prompt,
+                                                        considered,
+                                                        nowNanos)));
+    }
+
+    /** How long the prompt would wait at the runner before it is read, as far as known. */
+    public double waitNanos(RunnerChoice choice) {
+        return choice.queuedTokens() * NANOS_PER_PREFILL_TOKEN;
     }
 
     /** Whether the runner is to save what it reads of the prompt: nobody has yet. */
@@ -199,7 +209,6 @@
     }
 
     private RunnerLoad load(EndpointState state, String model, long nowNanos) {
-        boolean older = behindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
         PeerUse others = state.peerUse();
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
@@ -207,16 +216,23 @@
                 own.incarnation(),
                 own.queuedPrefillTokens()
                         + others.queuedPrefillTokens()
-                        + (older ? OLDER_WEIGHTS_TOKENS : 0),
+                        + olderWeightsTokens(state, model, nowNanos),
                 own.runningStreams() + others.requests());
     }
 
-    private static RunnerChoice runnerChoice(
+    /** What the runner's weights count as in the choice; nothing of it waits there. */
+    private int olderWeightsTokens(EndpointState state, String model, long nowNanos) {
+        boolean older = behindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
+        return older ? OLDER_WEIGHTS_TOKENS : 0;
+    }
+
+    private RunnerChoice runnerChoice(
             EndpointState state,
             Placement best,
             PrefixChain chain,
             PromptSpec prompt,
-            int considered) {
+            int considered,
+            long nowNanos) {
         int missing = Math.max(1, chain.tokens() - best.believedCachedTokens());
         boolean sharedCached = best.believedCachedTokens() >= chain.deepestShared().tokens();
         return new RunnerChoice(
@@ -226,6 +242,7 @@
                 state.weights(prompt.model()),
                 missing,
                 sharedCached,
+                best.queuedTokens() - olderWeightsTokens(state, prompt.model(), nowNanos),
                 best,
                 considered);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RunnerChoice.java
@@ -12,6 +12,7 @@
  * @param weightsVersion that it is believed to have; 0: not known
  * @param missingTokens expected to be read
  * @param sharedCached whether the shared part is believed to be cached there
+ * @param queuedTokens that wait there to be read
  * @param placement what it was reckoned to cost
  * @param considered runners that could take the prompt
  */
@@ -22,6 +23,7 @@
         long weightsVersion,
         int missingTokens,
         boolean sharedCached,
+        double queuedTokens,
         Placement placement,
         int considered) {
     private static final double NANOS_PER_MILLI = 1e6;
@@ -31,7 +33,7 @@
         return (" weights=" + weightsVersion)
                 + (" missing=" + missingTokens)
                 + (" costMillis=" + Math.round(placement.costNanos() / NANOS_PER_MILLI))
-                + (" queued=" + Math.round(placement.queuedTokens()))
+                + (" queued=" + Math.round(queuedTokens))
                 + (" considered=" + considered);
     }
 }
