--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -9,10 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import org.bronzelug.core.placement.PromptAdmission;
-import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.RepeatPolicy;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.router.endpoint.AnswerListener;
@@ -61,9 +58,6 @@
 
     private static final long RESUME_PAUSE_MILLIS = 150;
 
-    /** Of the most urgent routes. */
-    private static final int FIRST_RANK = 0;
-
     /** Sends of one request that were all stated not to have run. */
     private static final int MAXIMUM_SENDS = 3;
 
@@ -74,10 +68,10 @@
     private final FullHttpRequest request;
     private final CallerConnection caller;
     private final Admitted admitted;
-    private final Set<String> tried = new HashSet<>();
     private final Set<String> sentTo = new HashSet<>();
     private final AnswerRelay relay;
     private int resumePauses;
+    private final EndpointSelection selection;
     private final EndpointRequests requests;
     private final ExchangeLog log;
 
@@ -108,6 +102,7 @@
         this.request = request;
         this.caller = caller;
         this.admitted = admitted;
+        this.selection = new EndpointSelection(state, admitted);
         this.requests = new EndpointRequests(state, wire, admitted);
         this.log = new ExchangeLog(admitted);
         this.relay = new AnswerRelay(caller, wire, admitted.route());
@@ -136,12 +131,13 @@
 
     private void dispatch() {
         long nowNanos = System.nanoTime();
-        endpoint = choose(nowNanos);
+        endpoint = selection.choose(nowNanos);
+        runner = selection.runner();
         if (endpoint.isEmpty()) {
             giveUp("no endpoint takes the request");
             return;
         }
-        OptionalLong comeBackMillis = comeBackMillis();
+        OptionalLong comeBackMillis = selection.comeBackMillis();
         if (comeBackMillis.isPresent()) {
             endpoint = Optional.empty();
             refuseUnrun(
@@ -150,7 +146,7 @@
             return;
         }
         EndpointState chosen = endpoint.get();
-        tried.add(chosen.entry().id());
+        selection.recordTried(chosen);
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
         runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
@@ -162,46 +158,6 @@
         call = Optional.of(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
     }
 
-    /** When to come back, where the prompt is not let in; only a new one is ever turned away. */
-    private OptionalLong comeBackMillis() {
-        boolean fresh =
-                tried.isEmpty() && !relay.hasBegun() && admitted.head().lastEventId().isEmpty();
-        if (!fresh || runner.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        return PromptAdmission.comeBackMillis(
-                route().priority() == FIRST_RANK,
-                route().goalMillis(),
-                state.choice().waitNanos(runner.get()),
-                ThreadLocalRandom.current().nextDouble());
-    }
-
-    private Optional<EndpointState> choose(long nowNanos) {
-        runner = Optional.empty();
-        if (admitted.pool().isEmpty()) {
-            return Optional.empty();
-        }
-        EndpointPool pool = admitted.pool().get();
-        Optional<PromptSpec> prompt = admitted.head().prompt();
-        if (pool.engine().isEmpty() || prompt.isEmpty()) {
-            return state.choice().leastLoaded(pool.name(), this::isAllowed, nowNanos);
-        }
-        runner =
-                state.choice()
-                        .byPrefix(
-                                pool.name(),
-                                prompt.get(),
-                                admitted.wall(),
-                                this::isAllowed,
-                                nowNanos);
-        return runner.map(RunnerChoice::endpoint);
-    }
-
-    /** Whether the request has not been to an endpoint yet. */
-    private boolean isAllowed(String id) {
-        return !tried.contains(id);
-    }
-
     @Override
     public void onUnreachable(String cause) {
         EndpointState failed = leaveEndpoint();
@@ -346,7 +302,7 @@
             return false;
         }
         resumePauses++;
-        tried.clear();
+        selection.forgetTried();
         traffic.schedule(this::tryToResume, RESUME_PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         return true;
     }
@@ -520,6 +476,6 @@
         request.release();
         relay.release();
         metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
-        log.ended(outcome, reason, tried, runner, firstNanos);
+        log.ended(outcome, reason, selection.tried(), runner, firstNanos);
     }
 }
