--- a/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import io.grpc.Server;
 import io.grpc.netty.NettyServerBuilder;
 import java.io.IOException;
+import java.util.OptionalInt;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import javax.inject.Inject;
@@ -28,6 +29,7 @@
     private final Provider<RouterCalls> routerCalls;
     private final Provider<OperatorCalls> operatorCalls;
     private volatile Server server;
+    private volatile OptionalInt port = OptionalInt.empty();
 
     @Inject
     public CallerServer(
@@ -60,6 +62,7 @@
                             .addService(operatorCalls.get())
                             .build()
                             .start();
+            port = OptionalInt.of(server.getPort());
         } catch (IOException failed) {
             throw new ServiceException(
                     "listen.callers: can't listen on " + settings.listen().callers(), failed);
@@ -71,10 +74,11 @@
         if (settings.advertise().callers().isPresent()) {
             return settings.advertise().callers().get();
         }
-        Server running = server;
-        return running == null
-                ? settings.listen().callers()
-                : Addresses.withPort(settings.listen().callers(), running.getPort());
+        // Remembered: a stopped server has no port to ask for, and others still ask for the
+        // address.
+        return port.isPresent()
+                ? Addresses.withPort(settings.listen().callers(), port.getAsInt())
+                : settings.listen().callers();
     }
 
     @Override
--- a/daemon/src/test/java/org/bronzelug/daemon/DrainTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/DrainTest.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.LocateAnswer;
+import org.bronzelug.daemon.caller.CallerServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -61,6 +62,20 @@
         stopped.join();
     }
 
+    /**
+     * A VM stops while its control thread writes its entry of the roster. The server that is asked
+     * for its port has ended; the round fails, and peers keep the entry of before.
+     */
+    @Test
+    void aStoppedVmStillKnowsItsAddress() throws Exception {
+        Daemon stopping = fleet.daemons.get("vm-1");
+        CallerServer server =
+                stopping.kernel().find(CallerServer.NAME, CallerServer.class).orElseThrow();
+        String before = server.address();
+        stopping.stop();
+        assertThat(server.address()).isEqualTo(before);
+    }
+
     @Test
     void aNewRequestAtAStoppingVmIsRefusedAsNotRun() throws Exception {
         Iterator<GenerateEvent> events =
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -12,9 +12,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
 
@@ -34,8 +32,6 @@
     private final InetSocketAddress address;
     private final WireFormat wire;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
-    private final Set<EndpointConnection> open = new HashSet<>();
-    private long opened;
 
     public EndpointConnections(EventLoop traffic, InetSocketAddress address, WireFormat wire) {
         this.traffic = traffic;
@@ -66,17 +62,7 @@
         idle.clear();
     }
 
-    /** Connections opened since the start. */
-    public long openedCount() {
-        return opened;
-    }
-
-    public int openCount() {
-        return open.size();
-    }
-
     private void connect(EndpointCall call) {
-        opened++;
         EndpointConnection connection = new EndpointConnection(wire, idle::addFirst);
         Bootstrap bootstrap =
                 new Bootstrap()
@@ -94,7 +80,6 @@
                                 return;
                             }
                             connection.bind(connected.channel());
-                            open.add(connection);
                             connected
                                     .channel()
                                     .closeFuture()
@@ -104,7 +89,6 @@
     }
 
     private void forget(EndpointConnection connection) {
-        open.remove(connection);
         idle.remove(connection);
     }
 
--- a/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
@@ -75,11 +75,6 @@
         Set.copyOf(connections).forEach(CallerConnection::endWhenIdle);
     }
 
-    /** Call on the traffic thread. */
-    public int connectionCount() {
-        return connections.size();
-    }
-
     /** Requests whose answers are under way. Call on the traffic thread. */
     public long busyCount() {
         return connections.stream().filter(CallerConnection::isBusy).count();
