--- a/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
@@ -86,11 +86,7 @@
             level = Math.min(level, peerLevel);
             return;
         }
-        if (before == null) {
-            level = Math.min(burst, level - peerAdmitted);
-            return;
-        }
-        boolean same = before.incarnation.equals(incarnation);
+        boolean same = before != null && before.incarnation.equals(incarnation);
         long delta = same ? peerAdmitted - before.admitted : peerAdmitted;
         level = Math.min(burst, level - delta);
     }
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -179,7 +179,7 @@
     private void onChange(String kind) {
         state.onChange(kind);
         orders.onChange(kind);
-        orders.round(false);
+        orders.round();
         updateTraffic();
     }
 
@@ -198,8 +198,8 @@
                     TrafficReport read = TrafficReport.of(trafficState);
                     control.execute(() -> takeReport(read));
                 });
-        boolean dropped = state.endpointList().expire(System.nanoTime());
-        orders.round(dropped);
+        state.endpointList().expire(System.nanoTime());
+        orders.round();
         gossip.send(ownState(), members.addresses());
         if (rounds % COUNT_ROUNDS == 0) {
             sendPressedCounts();
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -132,15 +132,7 @@
         if (mirror.apply(changes)) {
             listener.onChange(kind);
         }
-        int own = round;
-        control.schedule(
-                () -> {
-                    if (!paused && own == round) {
-                        watch(changes.revision());
-                    }
-                },
-                GATHER_MILLIS,
-                TimeUnit.MILLISECONDS);
+        later(() -> watch(changes.revision()), GATHER_MILLIS);
     }
 
     private void watchFailed(Throwable failure, long revision) {
@@ -166,14 +158,19 @@
         }
         long pause = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
+        later(this::list, pause);
+    }
+
+    /** Runs a step after a while, unless the watch was paused or begun anew meanwhile. */
+    private void later(Runnable step, long millis) {
         int own = round;
         control.schedule(
                 () -> {
                     if (!paused && own == round) {
-                        list();
+                        step.run();
                     }
                 },
-                pause,
+                millis,
                 TimeUnit.MILLISECONDS);
     }
 
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -176,7 +176,7 @@
     }
 
     /** One step: decides whether to take the lease, and gives the next orders. */
-    public void round(boolean endpointsDropped) {
+    public void round() {
         long nowNanos = System.nanoTime();
         loseLeaseIfSlept(nowNanos);
         List<Rollout> rollouts = rollouts();
