--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequests.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import org.bronzelug.core.placement.PromptUrgency;
 import org.bronzelug.core.routing.CacheStore;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.core.routing.Team;
@@ -26,11 +27,6 @@
 final class EndpointRequests {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Urgency told to runners: the route's rank, after the most urgent, which stays free. */
-    private static final int FIRST_PRIORITY = 1;
-
-    private static final int LAST_PRIORITY = 9;
-
     private final TrafficState state;
     private final WireFormat wire;
     private final Admitted admitted;
@@ -119,12 +115,7 @@
     }
 
     private int urgency() {
-        int rank =
-                admitted.team()
-                        .map(Team::priority)
-                        .filter(OptionalInt::isPresent)
-                        .map(OptionalInt::getAsInt)
-                        .orElse(admitted.route().priority());
-        return Math.min(LAST_PRIORITY, FIRST_PRIORITY + rank);
+        OptionalInt teamRank = admitted.team().map(Team::priority).orElse(OptionalInt.empty());
+        return PromptUrgency.of(teamRank, admitted.route().priority());
     }
 }
