--- a/core/src/test/java/org/bronzelug/core/retry/RetryBudgetTest.java
+++ b/core/src/test/java/org/bronzelug/core/retry/RetryBudgetTest.java
@@ -60,6 +60,29 @@
         assertThat(granted).isEqualTo(expected);
     }
 
+    /**
+     * Streams leave a runner that is to load weights, the next one refuses them, and callers see
+     * them break off, as no repeat is left.
+     */
+    @Property(seed = "12")
+    void requestsThatMoveByChoiceLeaveHalfOfTheBudgetToThoseThatMust(
+            @ForAll @IntRange(max = 200) int requests, @ForAll @IntRange(max = 60) int slack) {
+        RetryBudget budget = new RetryBudget(WINDOW_NANOS);
+        for (int request = 0; request < requests; request++) {
+            budget.recordFirst(0);
+        }
+        int moved = 0;
+        while (budget.tryMove(0.2, slack, 1)) {
+            moved++;
+        }
+        int repeated = 0;
+        while (budget.tryRepeat(0.2, slack, 1)) {
+            repeated++;
+        }
+        assertThat(repeated).isAtLeast(moved);
+        assertThat(moved + repeated).isEqualTo((int) Math.floor(0.2 * requests + slack));
+    }
+
     @ParameterizedTest
     @CsvSource({"1", "2", "50"})
     void grantsAgainOnceTheWindowHasPassed(int windows) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -10,6 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.bronzelug.core.routing.RepeatPolicy;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.router.endpoint.AnswerListener;
@@ -320,8 +321,18 @@
 
     /** Whether a request that may have run may be sent to one more endpoint; takes the budget. */
     private boolean mayRepeat() {
+        return isRepeatable() && takeRepeat();
+    }
+
+    private boolean isRepeatable() {
         boolean repeatable = route().repeat() != RepeatPolicy.AT_MOST_ONCE;
-        return repeatable && sentTo.size() < route().maximumAttempts() && takeRepeat();
+        return repeatable && sentTo.size() < route().maximumAttempts();
+    }
+
+    private boolean takeMove() {
+        return admitted.pool()
+                .map(pool -> state.tryMove(pool.name(), System.nanoTime()))
+                .orElse(false);
     }
 
     private boolean takeRepeat() {
@@ -346,7 +357,7 @@
             return;
         }
         if (endpoint.filter(waiting -> isOverdue(waiting, System.nanoTime())).isPresent()) {
-            moveOn("endpoint is silent");
+            moveOn("endpoint is silent", this::takeRepeat);
         }
         if (!done) {
             watchSilence();
@@ -366,14 +377,14 @@
     @Override
     public void onLeaving() {
         if (route().repeat() == RepeatPolicy.RESUMABLE) {
-            moveOn("runner loads weights");
+            moveOn("runner loads weights", this::takeMove);
         }
     }
 
     /** Goes to another endpoint if that is allowed; otherwise stays. */
-    private void moveOn(String cause) {
+    private void moveOn(String cause, BooleanSupplier takeBudget) {
         boolean possible = !relay.hasBegun() || relay.canResume();
-        if (!possible || !mayRepeat()) {
+        if (!possible || !isRepeatable() || !takeBudget.getAsBoolean()) {
             return;
         }
         cancelCall();
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -78,8 +78,16 @@
 
     /** Takes one repeat out of this VM's part of the fleet's budget, if it is there. */
     public boolean tryRepeat(String pool, long nowNanos) {
-        double slack = bounds.retrySlack() * SLACK_PART / vmCount;
-        return budget(pool).tryRepeat(bounds.retryRatio(), slack, nowNanos);
+        return budget(pool).tryRepeat(bounds.retryRatio(), ownSlack(), nowNanos);
+    }
+
+    /** Takes one repeat for a request that its endpoint would still serve, if enough are left. */
+    public boolean tryMove(String pool, long nowNanos) {
+        return budget(pool).tryMove(bounds.retryRatio(), ownSlack(), nowNanos);
+    }
+
+    private double ownSlack() {
+        return bounds.retrySlack() * SLACK_PART / vmCount;
     }
 
     private RetryBudget budget(String pool) {
