--- a/core/src/main/java/org/bronzelug/core/placement/LoadEstimate.java
+++ b/core/src/main/java/org/bronzelug/core/placement/LoadEstimate.java
@@ -38,6 +38,11 @@
         othersStreams = Math.max(0, runningStreams - ownStreams);
     }
 
+    /** Tokens that this VM's requests still wait to have prefilled. */
+    public double ownTokens() {
+        return Math.max(0, ownTokens);
+    }
+
     public int ownStreams() {
         return ownStreams;
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -250,7 +250,11 @@
         String model = admitted.head().prompt().orElseThrow().model();
         RunnerChoice choice = runner.orElseThrow();
         choice.endpoint().load().prefilled(choice.missingTokens());
-        state.choice().recordRead(choice, model, requests.isSaving(), System.nanoTime());
+        long nowNanos = System.nanoTime();
+        if (requests.isSaving() && relay.lastEventId().isEmpty()) {
+            state.choice().learnRate(choice, sentNanos, nowNanos);
+        }
+        state.choice().recordRead(choice, model, requests.isSaving(), nowNanos);
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -13,6 +13,7 @@
 import org.bronzelug.core.placement.Placement;
 import org.bronzelug.core.placement.PlacementPolicy;
 import org.bronzelug.core.placement.PlacementSettings;
+import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.placement.PrefixHash;
 import org.bronzelug.core.placement.RunnerLoad;
@@ -32,14 +33,13 @@
     /** Engines evict within seconds; the home is assumed to hold a prefix after this. */
     private static final long BELIEF_NANOS = 20_000_000_000L;
 
-    /** A prompt token is read in some 25 microseconds: 40 a millisecond on the runners in use. */
-    private static final double NANOS_PER_PREFILL_TOKEN = 25_000;
-
     /** Another stream in the batch lengthens each step by some 12 microseconds. */
     private static final double NANOS_PER_STREAM = 50_000;
 
     private static final double MISSING_TOKEN_WEIGHT = 3;
-    private static final double TOKENS_PER_WAITING_REQUEST = 20_000;
+
+    /** A queue that takes so long is taken for one waiting request. */
+    private static final double NANOS_PER_WAITING_REQUEST = 500_000_000;
 
     /** Answers on older weights are worth less from 1.5 s on; requests take a moment to begin. */
     private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
@@ -47,19 +47,15 @@
     /** A request that waits at a runner begins up to so long after it was sent there. */
     private static final long OLDER_WEIGHTS_MARGIN_NANOS = 1_500_000_000L;
 
-    /** What older weights count, as prompt tokens that wait: some 400 ms. */
-    private static final int OLDER_WEIGHTS_TOKENS = 16_000;
+    /** What older weights count, as prompts that wait. */
+    private static final double OLDER_WEIGHTS_NANOS = 400_000_000;
+
+    /** A prompt that finds fewer tokens waiting is read at once. */
+    private static final double IDLE_TOKENS = 500;
 
     private final EndpointTable endpoints;
     private final String availabilityZone;
     private final long olderWeightsEndNanos;
-    private final PlacementPolicy policy =
-            new PlacementPolicy(
-                    new PlacementSettings(
-                            NANOS_PER_PREFILL_TOKEN,
-                            NANOS_PER_STREAM,
-                            MISSING_TOKEN_WEIGHT,
-                            TOKENS_PER_WAITING_REQUEST));
     private final CacheBelief belief =
             new CacheBelief(PREFIXES_PER_RUNNER, BELIEF_NANOS, System.nanoTime());
     private final PrefixReads reads = new PrefixReads();
@@ -114,7 +110,7 @@
         PrefixChain chain = PrefixChain.ofParts(wall + prompt.model(), prompt.parts());
         List<RunnerLoad> loads =
                 usable.stream().map(state -> load(state, prompt.model(), nowNanos)).toList();
-        Optional<Placement> placement = policy.choose(chain, loads, belief, nowNanos);
+        Optional<Placement> placement = policy(pool).choose(chain, loads, belief, nowNanos);
         return placement.flatMap(
                 best ->
                         endpoints
@@ -130,9 +126,35 @@
                                                         nowNanos)));
     }
 
+    private PlacementPolicy policy(String pool) {
+        double nanosPerToken = endpoints.prefillRate(pool).nanosPerToken();
+        return new PlacementPolicy(
+                new PlacementSettings(
+                        nanosPerToken,
+                        NANOS_PER_STREAM,
+                        MISSING_TOKEN_WEIGHT,
+                        NANOS_PER_WAITING_REQUEST / nanosPerToken));
+    }
+
+    private PrefillRate rate(EndpointState runner) {
+        return endpoints.prefillRate(runner.entry().pool());
+    }
+
     /** How long the prompt would wait at the runner before it is read, as far as known. */
     public double waitNanos(RunnerChoice choice) {
-        return choice.queuedTokens() * NANOS_PER_PREFILL_TOKEN;
+        return choice.queuedTokens() * rate(choice.endpoint()).nanosPerToken();
+    }
+
+    /**
+     * Learns from the first byte of an answer how fast runners read: the whole prompt was read, as
+     * nobody had read its prefix before, and at once.
+     *
+     * @param sentNanos when the request was sent
+     */
+    public void learnRate(RunnerChoice choice, long sentNanos, long nowNanos) {
+        if (choice.queuedTokens() < IDLE_TOKENS) {
+            rate(choice.endpoint()).record(choice.chain().tokens(), nowNanos - sentNanos);
+        }
     }
 
     /** Whether the runner is to save what it reads of the prompt: nobody has yet. */
@@ -223,7 +245,7 @@
     /** What the runner's weights count as in the choice; nothing of it waits there. */
     private int olderWeightsTokens(EndpointState state, String model, long nowNanos) {
         boolean older = behindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
-        return older ? OLDER_WEIGHTS_TOKENS : 0;
+        return older ? (int) (OLDER_WEIGHTS_NANOS / rate(state).nanosPerToken()) : 0;
     }
 
     private RunnerChoice runnerChoice(
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.core.placement.LoadEstimate;
+import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointAnswer;
 import org.bronzelug.router.endpoint.EndpointConnections;
@@ -22,15 +23,17 @@
     private static final long FIRST_SUSPICION_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
 
-    /**
-     * Four times what a whole prompt takes on an idle runner, some 220 ms; plain calls take 20 ms.
-     */
-    private static final long SILENT_NANOS = 900_000_000L;
+    /** Several times what a plain call or a short prompt takes. */
+    private static final long LEAST_SILENT_NANOS = 900_000_000L;
+
+    /** A runner may send nothing for this many times what reading this VM's prompts takes. */
+    private static final double SILENT_READINGS = 2;
 
     /** The control thread asks within a round of 150 ms, and has an answer in a few. */
     private static final long DOUBT_NANOS = 400_000_000L;
 
     private final EndpointConnections connections;
+    private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
     private final Map<String, Long> answeredWeights = new HashMap<>();
     private EndpointEntry entry;
@@ -42,9 +45,10 @@
     private long quietSinceNanos;
     private long doubtedUntilNanos = Long.MIN_VALUE;
 
-    EndpointState(EndpointEntry entry, EndpointConnections connections) {
+    EndpointState(EndpointEntry entry, EndpointConnections connections, PrefillRate prefillRate) {
         this.entry = entry;
         this.connections = connections;
+        this.prefillRate = prefillRate;
     }
 
     public EndpointEntry entry() {
@@ -128,7 +132,13 @@
      * seconds.
      */
     public boolean isSilent(long nowNanos) {
-        return !requests.isEmpty() && nowNanos - quietSinceNanos > SILENT_NANOS;
+        return !requests.isEmpty() && nowNanos - quietSinceNanos > silentNanos();
+    }
+
+    /** An engine that reads a long prompt alone sends nothing meanwhile. */
+    private double silentNanos() {
+        double reading = load.ownTokens() * prefillRate.nanosPerToken();
+        return Math.max(LEAST_SILENT_NANOS, SILENT_READINGS * reading);
     }
 
     /** A request has left it. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
 import org.bronzelug.router.exchange.WireFormat;
@@ -22,6 +23,7 @@
     private final EventLoop traffic;
     private final WireFormat wire;
     private final Map<String, EndpointState> states = new HashMap<>();
+    private final Map<String, PrefillRate> rates = new HashMap<>();
 
     public EndpointTable(EventLoop traffic, WireFormat wire) {
         this.traffic = traffic;
@@ -56,7 +58,13 @@
     private EndpointState open(EndpointEntry entry) {
         return new EndpointState(
                 entry,
-                new EndpointConnections(traffic, SocketSettings.address(entry.address()), wire));
+                new EndpointConnections(traffic, SocketSettings.address(entry.address()), wire),
+                prefillRate(entry.pool()));
+    }
+
+    /** How fast the runners of a pool read prompts; they run on engines of one kind. */
+    PrefillRate prefillRate(String pool) {
+        return rates.computeIfAbsent(pool, name -> new PrefillRate());
     }
 
     /** The endpoints of a pool that take new work. */
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
 import org.junit.jupiter.api.AfterEach;
@@ -38,7 +39,9 @@
     private EndpointState state(EndpointEntry entry) {
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
         return new EndpointState(
-                entry, new EndpointConnections(group.next(), address, new NoWireFormat()));
+                entry,
+                new EndpointConnections(group.next(), address, new NoWireFormat()),
+                new PrefillRate());
     }
 
     @ParameterizedTest
@@ -60,6 +63,15 @@
         assertThat(state.isSuspect(nowMillis * MILLI)).isEqualTo(suspect);
     }
 
+    /** A runner that reads one long prompt is taken for dead, and its other requests leave it. */
+    @ParameterizedTest
+    @CsvSource({"40000, 1900, false", "40000, 2100, true", "1000, 1000, true"})
+    void aRunnerMayBeSilentWhileItReadsALongPrompt(int tokens, long nowMillis, boolean suspect) {
+        state.begin(() -> {}, 0);
+        state.load().begin(tokens);
+        assertThat(state.isSuspect(nowMillis * MILLI)).isEqualTo(suspect);
+    }
+
     @ParameterizedTest
     @CsvSource({"100, 1, true", "500, 1, false", "100, 2, false"})
     void aRunnerThatRefusedItsWeightsIsLeftOutUntilTheyAreKnown(
