--- a/core/src/main/java/org/bronzelug/core/placement/PromptAdmission.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PromptAdmission.java
@@ -3,35 +3,28 @@
 import java.util.OptionalLong;
 
 /**
- * Turns prompts away that would wait for too long at the runner chosen for them.
+ * Rejects low-priority prompts when the estimated queue delay exceeds their budget.
  *
- * <p>The load it answers: a part of the runners is gone or loads weights, and prompts come faster
- * than the rest reads them. Let in, each waits a little longer than the one before, until all of
- * them are late; the reading never pauses, so streams under way get slow as well, and prefixes are
- * pushed out and read again. Turned away at once, a caller knows that nothing has run, and comes
- * back when the queue has gone.
+ * <p>The load it answers: some runners have failed or load weights, and prompts arrive faster than
+ * the others prefill them. If all are admitted, every queue grows until all first tokens are late,
+ * decoding slows down beside the continuous prefill, and cached prefixes are evicted.
  *
- * <p>Only less urgent prompts are turned away: they are the long ones, and the room that they leave
- * serves the urgent. The size of a prompt does not count, or the largest would never get in.
+ * <p>Prompts of the highest-priority routes are always admitted. The size of a prompt is not
+ * considered, since the largest ones would never be admitted.
  *
  * <p>Stateless and thread-safe.
  */
 public final class PromptAdmission {
     /**
-     * The part of a prompt's goal that it may wait before it is read. Reading takes a quarter of
-     * the goal; the rest is for what other VMs send meanwhile. Worth of the day in which a quarter
-     * of the runners is gone, mean of two sites: 0.533 without a bound, 0.586 at 0.4, 0.582 at 0.6,
-     * 0.575 at 0.9 (the users' bench without processor accounting, one run each).
+     * The part of a prompt's goal that it may spend in the queue. The rest is for its own prefill
+     * and for prompts that other VMs send at the same time.
      */
-    private static final double WAIT_PART = 0.6;
+    private static final double QUEUE_PART = 0.6;
 
-    /**
-     * The shortest time until a caller is asked to come back. A wave of load lasts seconds; callers
-     * wait a third of their time at most.
-     */
-    private static final long FIRST_RETURN_MILLIS = 700;
+    /** The shortest retry delay; overload rarely ends sooner. */
+    private static final long LEAST_RETRY_MILLIS = 700;
 
-    /** Returns are spread over this, so that those turned away together do not meet again. */
+    /** Retry delays are spread over this, so that callers rejected together retry apart. */
     private static final long SPREAD_MILLIS = 900;
 
     private static final double NANOS_PER_MILLI = 1e6;
@@ -39,20 +32,19 @@
     private PromptAdmission() {}
 
     /**
-     * When a prompt that is turned away may come back; empty where it is let in.
+     * The delay after which the caller of a rejected prompt should retry; empty if it is admitted.
      *
-     * @param urgent whether its route is of the first rank
-     * @param goalMillis within which its first token is worth most
-     * @param queuedNanos that the runner needs for what waits there
-     * @param draw uniform in [0, 1), to spread the returns
+     * @param urgent whether its route has the highest priority
+     * @param goalMillis target time to the first token
+     * @param queuedNanos estimated queue delay at the runner
+     * @param draw uniform in [0, 1), to spread the delays
      */
-    public static OptionalLong comeBackMillis(
+    public static OptionalLong retryAfterMillis(
             boolean urgent, long goalMillis, double queuedNanos, double draw) {
-        double waitMillis = queuedNanos / NANOS_PER_MILLI;
-        double borneMillis = WAIT_PART * goalMillis;
-        if (urgent || waitMillis <= borneMillis) {
+        double queuedMillis = queuedNanos / NANOS_PER_MILLI;
+        if (urgent || queuedMillis <= QUEUE_PART * goalMillis) {
             return OptionalLong.empty();
         }
-        return OptionalLong.of(FIRST_RETURN_MILLIS + (long) (draw * SPREAD_MILLIS));
+        return OptionalLong.of(LEAST_RETRY_MILLIS + (long) (draw * SPREAD_MILLIS));
     }
 }
--- a/core/src/test/java/org/bronzelug/core/placement/PromptAdmissionTest.java
+++ b/core/src/test/java/org/bronzelug/core/placement/PromptAdmissionTest.java
@@ -34,13 +34,13 @@
     void turnsLessUrgentPromptsAwayFromLongQueues(
             String name, boolean urgent, long queueMillis, boolean turnedAway) {
         OptionalLong back =
-                PromptAdmission.comeBackMillis(urgent, LONG_GOAL_MILLIS, queueMillis * 1e6, 0.5);
+                PromptAdmission.retryAfterMillis(urgent, LONG_GOAL_MILLIS, queueMillis * 1e6, 0.5);
         assertThat(back.isPresent()).isEqualTo(turnedAway);
     }
 
     /**
      * Eight seconds in which prompts come a quarter faster than five runners read them. Those
-     * turned away come back once, when they were told to. More callers than without the bound get
+     * rejected retry once, after the delay they were given. More callers than without the bound get
      * their first token in time, and nearly all urgent ones do.
      */
     @ParameterizedTest
@@ -99,7 +99,7 @@
             double waitMillis = queuedTokens[runner] / TOKENS_PER_MILLI;
             OptionalLong back =
                     bounded
-                            ? PromptAdmission.comeBackMillis(
+                            ? PromptAdmission.retryAfterMillis(
                                     isUrgent,
                                     LONG_GOAL_MILLIS,
                                     waitMillis * 1e6,
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -12,7 +12,7 @@
 import org.bronzelug.router.traffic.TrafficState;
 
 /**
- * Which endpoint one admitted request goes to next, and whether it is let in at all.
+ * Selects the endpoint for the next attempt of a request, and rejects prompts under overload.
  *
  * <p>Invariant: an endpoint is chosen at most once, until {@link #forgetTried}. Confined to the
  * traffic thread.
@@ -64,13 +64,13 @@
         return runner;
     }
 
-    /** When to come back, where the prompt is not let in; only a new one is ever turned away. */
-    OptionalLong comeBackMillis() {
+    /** The retry delay of a prompt that is rejected; one that was sent before never is. */
+    OptionalLong retryAfterMillis() {
         boolean begun = sent || admitted.head().lastEventId().isPresent();
         if (begun || runner.isEmpty()) {
             return OptionalLong.empty();
         }
-        return PromptAdmission.comeBackMillis(
+        return PromptAdmission.retryAfterMillis(
                 admitted.route().priority() == FIRST_RANK,
                 admitted.route().goalMillis(),
                 state.choice().waitNanos(runner.get()),
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -30,7 +30,7 @@
  * again only where its route allows that; and "not run" is said only where it holds for all
  * attempts. Confined to the traffic thread.
  */
-final class Exchange implements AnswerListener, CallerListener, EndpointState.Leaver {
+final class Exchange implements AnswerListener, CallerListener, EndpointState.DrainListener {
     private static final int BAD_GATEWAY = 502;
     private static final int UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -138,12 +138,12 @@
             giveUp("no endpoint takes the request");
             return;
         }
-        OptionalLong comeBackMillis = selection.comeBackMillis();
-        if (comeBackMillis.isPresent()) {
+        OptionalLong retryAfterMillis = selection.retryAfterMillis();
+        if (retryAfterMillis.isPresent()) {
             endpoint = Optional.empty();
             refuseUnrun(
                     "runners are full, queued=" + Math.round(runner.orElseThrow().queuedTokens()),
-                    comeBackMillis.getAsLong());
+                    retryAfterMillis.getAsLong());
             return;
         }
         EndpointState chosen = endpoint.get();
@@ -377,9 +377,9 @@
         return slow || waiting.isSilent(nowNanos);
     }
 
-    /** The runner is to load weights: a stream that may go on elsewhere does not hold it up. */
+    /** Moves a resumable stream to another runner, so that this one loads weights sooner. */
     @Override
-    public void onLeaving() {
+    public void onDrain() {
         if (route().repeat() == RepeatPolicy.RESUMABLE) {
             moveOn("runner loads weights", this::takeMove);
         }
@@ -418,7 +418,7 @@
         }
     }
 
-    /** Refuses as not run where that holds, with when to come back. */
+    /** Refuses as not run where that holds, with a retry delay. */
     private void giveUp(String reason) {
         if (relay.hasBegun()) {
             if (!waitToResume()) {
@@ -435,11 +435,11 @@
     }
 
     /** Refuses what has run nowhere, and gives its tokens back. */
-    private void refuseUnrun(String reason, long comeBackMillis) {
+    private void refuseUnrun(String reason, long retryAfterMillis) {
         admitted.team().ifPresent(team -> state.rates().giveBack(team, admitted.tokens()));
         metrics.refused(UNAVAILABLE);
         finish(String.valueOf(UNAVAILABLE), reason);
-        caller.refuse(Refusal.comeBack(UNAVAILABLE, reason, "come back", comeBackMillis));
+        caller.refuse(Refusal.retryLater(UNAVAILABLE, reason, "retry later", retryAfterMillis));
     }
 
     private void fail(int status, String reason) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -94,10 +94,10 @@
                     head.id(),
                     request,
                     caller,
-                    Refusal.comeBack(
+                    Refusal.retryLater(
                             UNAVAILABLE,
                             "no configuration known yet",
-                            "come back",
+                            "retry later",
                             NO_CONFIGURATION_MILLIS));
         }
         return admit(head, request, caller, known.get(), arrivedNanos);
@@ -157,10 +157,10 @@
 
     private Refusal overRate(Team team, long tokens, long nowNanos) {
         long millis = state.rates().nanosUntil(team, tokens, nowNanos) / NANOS_PER_MILLI + 1;
-        return Refusal.comeBack(
+        return Refusal.retryLater(
                 TOO_MANY,
                 "team " + team.name() + " over its rate by " + tokens + " tokens",
-                "come back",
+                "retry later",
                 millis);
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/Refusal.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Refusal.java
@@ -9,7 +9,7 @@
  * @param status of HTTP
  * @param reason for logs and metrics
  * @param remedy what the caller can do
- * @param retryAfterMillis when to come back
+ * @param retryAfterMillis when to retry
  * @param close whether the connection's state is uncertain, so that it ends after the answer
  */
 public record Refusal(
@@ -18,7 +18,7 @@
         return new Refusal(status, reason, remedy, OptionalLong.empty(), false);
     }
 
-    public static Refusal comeBack(
+    public static Refusal retryLater(
             int status, String reason, String remedy, long retryAfterMillis) {
         return new Refusal(status, reason, remedy, OptionalLong.of(retryAfterMillis), false);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -22,23 +22,23 @@
 /**
  * Chooses the endpoint of a request. Confined to the traffic thread.
  *
- * <p>For prompts: by prefix and load ({@link PlacementPolicy}); of the runners, those that are
- * loading weights, or failed lately, are left out while there are others, and those with older
- * weights are put back as the newer ones grow older.
+ * <p>Prompts are placed by prefix and load ({@link PlacementPolicy}). Runners that load weights or
+ * failed lately are excluded while there are others. Runners with older weights get a penalty, and
+ * are excluded before the bound on older weights is reached.
  */
 public final class EndpointChoice {
-    /** Prefixes remembered of one runner; its memory holds some 30 of the usual size. */
+    /** Bounds the memory of this VM, not that of the runner. */
     private static final int PREFIXES_PER_RUNNER = 256;
 
-    /** Engines evict within seconds; the home is assumed to hold a prefix after this. */
+    /** Entries that were not used for so long are taken for evicted. */
     private static final long BELIEF_NANOS = 20_000_000_000L;
 
-    /** Another stream in the batch lengthens each step by some 12 microseconds. */
+    /** Cost of a stream in the batch: it lengthens each decoding step a little. */
     private static final double NANOS_PER_STREAM = 50_000;
 
     private static final double MISSING_TOKEN_WEIGHT = 3;
 
-    /** A queue that takes so long is taken for one waiting request. */
+    /** A queue that takes so long counts as one waiting request. */
     private static final double NANOS_PER_WAITING_REQUEST = 500_000_000;
 
     /** Answers on older weights are worth less from 1.5 s on; requests take a moment to begin. */
@@ -47,10 +47,10 @@
     /** A request that waits at a runner begins up to so long after it was sent there. */
     private static final long OLDER_WEIGHTS_MARGIN_NANOS = 1_500_000_000L;
 
-    /** What older weights count, as prompts that wait. */
+    /** Penalty of older weights, as a queue delay. */
     private static final double OLDER_WEIGHTS_NANOS = 400_000_000;
 
-    /** A prompt that finds fewer tokens waiting is read at once. */
+    /** Below this, a queue does not delay a prompt noticeably. */
     private static final double IDLE_TOKENS = 500;
 
     private final EndpointTable endpoints;
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -41,7 +41,7 @@
     private boolean ordered;
     private int failuresInRow;
     private long suspectUntilNanos = Long.MIN_VALUE;
-    private final Set<Leaver> requests = new HashSet<>();
+    private final Set<DrainListener> requests = new HashSet<>();
     private long quietSinceNanos;
     private long doubtedUntilNanos = Long.MIN_VALUE;
 
@@ -79,9 +79,9 @@
         return begins;
     }
 
-    /** Lets those of its requests go elsewhere that may. */
-    void sendAway() {
-        Set.copyOf(requests).forEach(Leaver::onLeaving);
+    /** Asks its requests to move to other endpoints, as it is to load weights. */
+    void drain() {
+        Set.copyOf(requests).forEach(DrainListener::onDrain);
     }
 
     PeerUse peerUse() {
@@ -107,21 +107,21 @@
         return peerUse.requests();
     }
 
-    /** A request is sent there. */
-    public void begin(Leaver request, long nowNanos) {
+    /** Counts a request that is sent there. */
+    public void begin(DrainListener request, long nowNanos) {
         if (requests.isEmpty()) {
             quietSinceNanos = nowNanos;
         }
         requests.add(request);
     }
 
-    /** A request that can leave an endpoint which is to load weights. */
-    public interface Leaver {
-        /** The endpoint waits for this request before it loads. */
-        void onLeaving();
+    /** A request under way at an endpoint. */
+    public interface DrainListener {
+        /** The endpoint waits for the end of this request before it loads weights. */
+        void onDrain();
     }
 
-    /** Bytes of an answer have come. */
+    /** Notes that bytes of an answer have arrived. */
     public void heard(long nowNanos) {
         quietSinceNanos = nowNanos;
     }
@@ -141,8 +141,8 @@
         return Math.max(LEAST_SILENT_NANOS, SILENT_READINGS * reading);
     }
 
-    /** A request has left it. */
-    public void end(Leaver request) {
+    /** Counts the end of a request there. */
+    public void end(DrainListener request) {
         requests.remove(request);
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -33,17 +33,17 @@
     /** Takes in the list; calls under way at endpoints that left go on. */
     void update(TrafficUpdate update) {
         states.values().removeIf(state -> hasLeft(state, update.endpoints()));
-        List<EndpointState> beginning = new ArrayList<>();
+        List<EndpointState> draining = new ArrayList<>();
         for (EndpointEntry entry : update.endpoints().values()) {
             PeerUse use = update.peerUse().getOrDefault(entry.id(), PeerUse.NONE);
             boolean ordered = update.ordered().contains(entry.id());
             EndpointState state = states.computeIfAbsent(entry.id(), id -> open(entry));
             if (state.update(entry, use, ordered)) {
-                beginning.add(state);
+                draining.add(state);
             }
         }
-        // Only now: a request that leaves must not choose another one that begins to load.
-        beginning.forEach(EndpointState::sendAway);
+        // Only after all updates: a moved request must not select an endpoint that loads as well.
+        draining.forEach(EndpointState::drain);
     }
 
     private static boolean hasLeft(EndpointState state, Map<String, EndpointEntry> listed) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -86,7 +86,7 @@
         List<String> asked = new ArrayList<>();
         state.begin(() -> asked.add("r1"), 0);
         assertThat(state.update(entry(1), PeerUse.NONE, true)).isTrue();
-        state.sendAway();
+        state.drain();
         assertThat(state.update(entry(1), PeerUse.NONE, true)).isFalse();
         assertThat(asked).containsExactly("r1");
     }
