--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -18,7 +18,7 @@
 final class RunnerOrder {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** A load takes some 400 ms, and requests under way come first. */
+    /** Often enough to notice the end of a load soon, seldom enough for a runner to answer. */
     private static final long ASK_AGAIN_MILLIS = 250;
 
     private final EndpointEntry runner;
