--- a/core/src/main/java/org/bronzelug/core/placement/PrefillRate.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PrefillRate.java
@@ -3,19 +3,18 @@
 import java.util.Arrays;
 
 /**
- * How long a model engine takes to prefill one prompt token, learned from prompts that it read
- * whole and with nothing queued before them.
+ * Estimates the prefill time of one prompt token from prompts that an engine prefilled in whole and
+ * without queueing.
  *
- * <p>The estimate is the median of the last samples. Requests of other VMs that arrived at the same
- * time only lengthen a sample, and a wrong belief in a cached prefix only shortens it; neither
- * moves the median unless most samples are wrong. Until enough samples are there, the window holds
- * a start value.
+ * <p>The estimate is the median of the last samples, so it tolerates a minority of wrong ones:
+ * concurrent requests of other VMs lengthen a sample, and a prefix that was cached after all
+ * shortens it. The window is initially filled with a default.
  *
  * <p>Invariant: the estimate is between {@link #LEAST_NANOS} and {@link #MOST_NANOS}. Not
  * thread-safe: guarded by its owner.
  */
 public final class PrefillRate {
-    /** Of an engine that reads 40 tokens a millisecond. */
+    /** The default: 40 tokens a millisecond. */
     static final double START_NANOS = 25_000;
 
     static final double LEAST_NANOS = 1_000;
@@ -35,7 +34,7 @@
     }
 
     /**
-     * Takes in one prompt; one that is too short to tell is ignored.
+     * Records the prefill of one prompt; short prompts are ignored.
      *
      * @param tokens that were prefilled
      * @param nanos from sending the request to the first byte of its answer
--- a/core/src/main/java/org/bronzelug/core/placement/PromptUrgency.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PromptUrgency.java
@@ -3,11 +3,11 @@
 import java.util.OptionalInt;
 
 /**
- * The order in which a runner admits prompts that wait there.
+ * Maps the ranks of a team and a route to the priority by which runners admit queued prompts.
  *
- * <p>The load it answers: runners are full of long prompts of a less urgent route, whose teams have
- * the same rank as everybody else's. Without the route's rank a short urgent prompt waits for each
- * long one that came before it, and misses its goal though it needs little time itself.
+ * <p>The load it answers: all teams have one rank, and runners prefill long prompts of a less
+ * urgent route. Without the route's rank, short urgent prompts queue behind every long one that
+ * arrived earlier and miss their goal.
  *
  * <p>Invariant: a team's rank goes before all routes' ranks. Stateless and thread-safe.
  */
@@ -17,7 +17,7 @@
 
     public static final int LAST = 9;
 
-    /** Ranks of routes that are told apart within one rank of teams. */
+    /** Ranks of routes that are distinguished within one rank of teams. */
     private static final int ROUTE_RANKS = 3;
 
     private PromptUrgency() {}
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -140,14 +140,14 @@
         return endpoints.prefillRate(runner.entry().pool());
     }
 
-    /** How long the prompt would wait at the runner before it is read, as far as known. */
+    /** The estimated queue delay of the prompt at the runner. */
     public double waitNanos(RunnerChoice choice) {
         return choice.queuedTokens() * rate(choice.endpoint()).nanosPerToken();
     }
 
     /**
-     * Learns from the first byte of an answer how fast runners read: the whole prompt was read, as
-     * nobody had read its prefix before, and at once.
+     * Records the time to the first byte of a prompt that no runner had cached, if it did not
+     * queue.
      *
      * @param sentNanos when the request was sent
      */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -23,10 +23,10 @@
     private static final long FIRST_SUSPICION_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
 
-    /** Several times what a plain call or a short prompt takes. */
+    /** Several times the latency of a plain call or of a short prompt. */
     private static final long LEAST_SILENT_NANOS = 900_000_000L;
 
-    /** A runner may send nothing for this many times what reading this VM's prompts takes. */
+    /** Multiple of the prefill time of this VM's prompts during which a runner may be silent. */
     private static final double SILENT_READINGS = 2;
 
     /** The control thread asks within a round of 150 ms, and has an answer in a few. */
@@ -135,7 +135,7 @@
         return !requests.isEmpty() && nowNanos - quietSinceNanos > silentNanos();
     }
 
-    /** An engine that reads a long prompt alone sends nothing meanwhile. */
+    /** An engine sends nothing while it prefills a long prompt alone. */
     private double silentNanos() {
         double reading = load.ownTokens() * prefillRate.nanosPerToken();
         return Math.max(LEAST_SILENT_NANOS, SILENT_READINGS * reading);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -62,7 +62,7 @@
                 prefillRate(entry.pool()));
     }
 
-    /** How fast the runners of a pool read prompts; they run on engines of one kind. */
+    /** The prefill rate of a pool; its runners have engines of one kind. */
     PrefillRate prefillRate(String pool) {
         return rates.computeIfAbsent(pool, name -> new PrefillRate());
     }
