--- a/core/src/main/java/org/bronzelug/core/retry/RetryBudget.java
+++ b/core/src/main/java/org/bronzelug/core/retry/RetryBudget.java
@@ -15,9 +15,6 @@
 public final class RetryBudget {
     private static final int SLICES = 16;
 
-    /** The part of the budget that repeats by choice may use. */
-    private static final double CHOICE_PART = 0.5;
-
     private final long sliceNanos;
     private final int[] firstAttempts = new int[SLICES + 1];
     private final int[] repeats = new int[SLICES + 1];
@@ -36,26 +33,16 @@
     /**
      * Takes one repeat out of the budget, if it is there.
      *
+     * <p>Repeats by choice leave a part of it. The failure this prevents: streams leave a runner
+     * that is to load weights and use up the budget, the next runner refuses them, and they are
+     * broken off for want of another repeat.
+     *
      * @param ratio repeats allowed for each first attempt
      * @param slack repeats allowed besides, for this VM alone
      */
-    public boolean tryRepeat(double ratio, double slack, long nowNanos) {
-        return tryWithin(1, ratio, slack, nowNanos);
-    }
-
-    /**
-     * Takes one repeat for a request that its endpoint would still serve.
-     *
-     * <p>The failure this prevents: streams leave a runner that is to load weights and use up the
-     * budget, the next runner refuses them, and they are broken off for want of another repeat.
-     */
-    public boolean tryMove(double ratio, double slack, long nowNanos) {
-        return tryWithin(CHOICE_PART, ratio, slack, nowNanos);
-    }
-
-    private boolean tryWithin(double part, double ratio, double slack, long nowNanos) {
+    public boolean tryRepeat(RepeatKind kind, double ratio, double slack, long nowNanos) {
         advance(nowNanos);
-        if (sum(repeats) + 1 > part * (ratio * sum(firstAttempts) + slack)) {
+        if (sum(repeats) + 1 > kind.budgetPart() * (ratio * sum(firstAttempts) + slack)) {
             return false;
         }
         repeats[index(currentSlice)]++;
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -10,7 +10,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
+import org.bronzelug.core.retry.RepeatKind;
 import org.bronzelug.core.routing.RepeatPolicy;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.router.endpoint.AnswerListener;
@@ -219,7 +219,8 @@
             refusing.recordFailure(System.nanoTime());
         }
         log.moved(refusing, sends, "not executed, status " + answer.status());
-        boolean again = !relay.hasBegun() && sends < MAXIMUM_SENDS && takeRepeat();
+        boolean again =
+                !relay.hasBegun() && sends < MAXIMUM_SENDS && takeRepeat(RepeatKind.REQUIRED);
         if (again) {
             dispatch();
         } else {
@@ -316,7 +317,7 @@
         if (done) {
             return;
         }
-        if (takeRepeat()) {
+        if (takeRepeat(RepeatKind.REQUIRED)) {
             dispatch();
         } else {
             giveUp("no repeat left for the stream");
@@ -325,7 +326,7 @@
 
     /** Whether a request that may have run may be sent to one more endpoint; takes the budget. */
     private boolean mayRepeat() {
-        return isRepeatable() && takeRepeat();
+        return isRepeatable() && takeRepeat(RepeatKind.REQUIRED);
     }
 
     private boolean isRepeatable() {
@@ -333,15 +334,9 @@
         return repeatable && sentTo.size() < route().maximumAttempts();
     }
 
-    private boolean takeMove() {
+    private boolean takeRepeat(RepeatKind kind) {
         return admitted.pool()
-                .map(pool -> state.tryMove(pool.name(), System.nanoTime()))
-                .orElse(false);
-    }
-
-    private boolean takeRepeat() {
-        return admitted.pool()
-                .map(pool -> state.tryRepeat(pool.name(), System.nanoTime()))
+                .map(pool -> state.tryRepeat(kind, pool.name(), System.nanoTime()))
                 .orElse(false);
     }
 
@@ -361,7 +356,7 @@
             return;
         }
         if (endpoint.filter(waiting -> isOverdue(waiting, System.nanoTime())).isPresent()) {
-            moveOn("endpoint is silent", this::takeRepeat);
+            moveOn("endpoint is silent", RepeatKind.REQUIRED);
         }
         if (!done) {
             watchSilence();
@@ -381,14 +376,14 @@
     @Override
     public void onDrain() {
         if (route().repeat() == RepeatPolicy.RESUMABLE) {
-            moveOn("runner loads weights", this::takeMove);
+            moveOn("runner loads weights", RepeatKind.BY_CHOICE);
         }
     }
 
     /** Goes to another endpoint if that is allowed; otherwise stays. */
-    private void moveOn(String cause, BooleanSupplier takeBudget) {
+    private void moveOn(String cause, RepeatKind kind) {
         boolean possible = !relay.hasBegun() || relay.canResume();
-        if (!possible || !isRepeatable() || !takeBudget.getAsBoolean()) {
+        if (!possible || !isRepeatable() || !takeRepeat(kind)) {
             return;
         }
         cancelCall();
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -13,7 +13,6 @@
 import org.bronzelug.core.placement.Placement;
 import org.bronzelug.core.placement.PlacementPolicy;
 import org.bronzelug.core.placement.PlacementSettings;
-import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.placement.PrefixHash;
 import org.bronzelug.core.placement.RunnerLoad;
@@ -136,13 +135,9 @@
                         NANOS_PER_WAITING_REQUEST / nanosPerToken));
     }
 
-    private PrefillRate rate(EndpointState runner) {
-        return endpoints.prefillRate(runner.entry().pool());
-    }
-
     /** The estimated queue delay of the prompt at the runner. */
     public double waitNanos(RunnerChoice choice) {
-        return choice.queuedTokens() * rate(choice.endpoint()).nanosPerToken();
+        return choice.queuedTokens() * choice.endpoint().prefillRate().nanosPerToken();
     }
 
     /**
@@ -153,7 +148,7 @@
      */
     public void learnRate(RunnerChoice choice, long sentNanos, long nowNanos) {
         if (choice.queuedTokens() < IDLE_TOKENS) {
-            rate(choice.endpoint()).record(choice.chain().tokens(), nowNanos - sentNanos);
+            choice.endpoint().prefillRate().record(choice.chain().tokens(), nowNanos - sentNanos);
         }
     }
 
@@ -245,7 +240,7 @@
     /** What the runner's weights count as in the choice; nothing of it waits there. */
     private int olderWeightsTokens(EndpointState state, String model, long nowNanos) {
         boolean older = behindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
-        return older ? (int) (OLDER_WEIGHTS_NANOS / rate(state).nanosPerToken()) : 0;
+        return older ? (int) (OLDER_WEIGHTS_NANOS / state.prefillRate().nanosPerToken()) : 0;
     }
 
     private RunnerChoice runnerChoice(
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -59,6 +59,11 @@
         return connections;
     }
 
+    /** The prefill rate of its pool. */
+    PrefillRate prefillRate() {
+        return prefillRate;
+    }
+
     public LoadEstimate load() {
         return load;
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.bronzelug.core.retry.RepeatKind;
 import org.bronzelug.core.retry.RetryBudget;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.exchange.WireFormat;
@@ -77,17 +78,9 @@
     }
 
     /** Takes one repeat out of this VM's part of the fleet's budget, if it is there. */
-    public boolean tryRepeat(String pool, long nowNanos) {
-        return budget(pool).tryRepeat(bounds.retryRatio(), ownSlack(), nowNanos);
-    }
-
-    /** Takes one repeat for a request that its endpoint would still serve, if enough are left. */
-    public boolean tryMove(String pool, long nowNanos) {
-        return budget(pool).tryMove(bounds.retryRatio(), ownSlack(), nowNanos);
-    }
-
-    private double ownSlack() {
-        return bounds.retrySlack() * SLACK_PART / vmCount;
+    public boolean tryRepeat(RepeatKind kind, String pool, long nowNanos) {
+        double slack = bounds.retrySlack() * SLACK_PART / vmCount;
+        return budget(pool).tryRepeat(kind, bounds.retryRatio(), slack, nowNanos);
     }
 
     private RetryBudget budget(String pool) {
