The metrics show for each kind how long the platform has been silent, and the version in force

Change: gauges platform_unanswered_millis_KIND, platform_revision_KIND and configuration_version; event 201 names the revision and how long the call waited. No decision reads them; no figure was measured for this change.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -13,6 +13,7 @@
 import org.bronzelug.api.fleet.v1.KindRevision;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.kernel.Service;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
@@ -20,6 +21,7 @@
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.http.HttpResponder.SmallAnswer;
+import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
@@ -136,6 +138,18 @@
         control.execute(this::guardedRound);
     }
 
+    /** Shows what is known of the platform, and how long its calls have been unanswered. */
+    public void addMetrics(RouterMetrics metrics) {
+        metrics.gauge(
+                "configuration_version",
+                () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
+        for (String kind : state.kinds()) {
+            metrics.gauge("platform_revision_" + kind, () -> state.mirror(kind).revision());
+            metrics.gauge(
+                    "platform_unanswered_millis_" + kind, () -> reading.unansweredMillis(kind));
+        }
+    }
+
     /** Whether this VM takes callers. */
     public boolean isServing() {
         return !stopping && state.isComplete();
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -42,6 +42,8 @@
     /** A change that comes within this of the watch's start follows the one before. */
     private static final long FOLLOWING_NANOS = 1_000_000_000L;
 
+    private static final long NO_CALL = 0;
+
     private final String kind;
     private final EventLoop control;
     private final ObjectStore store;
@@ -53,6 +55,8 @@
     private boolean reachable = true;
     private boolean paused = true;
     private int round;
+    private boolean callUnderWay;
+    private long calledNanos;
 
     KindWatch(
             String kind,
@@ -84,6 +88,7 @@
     /** Leaves the platform alone; a call under way changes nothing any more. */
     void pause() {
         paused = true;
+        callUnderWay = false;
         round++;
     }
 
@@ -91,6 +96,16 @@
         return reachable;
     }
 
+    /**
+     * How long the call under way has had no answer. A watch waits for changes, so this alone does
+     * not show that the platform is lost.
+     */
+    long unansweredMillis() {
+        return callUnderWay
+                ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledNanos)
+                : NO_CALL;
+    }
+
     /** Drops the watch under way, which may hang on a silent connection, and lists anew. */
     void restart() {
         round++;
@@ -99,12 +114,14 @@
 
     private void list() {
         int own = round;
+        called();
         store.list(kind)
                 .whenComplete(
                         (list, failure) -> {
                             if (paused || own != round) {
                                 return;
                             }
+                            callUnderWay = false;
                             if (failure != null) {
                                 failed(failure);
                             } else {
@@ -113,6 +130,11 @@
                         });
     }
 
+    private void called() {
+        callUnderWay = true;
+        calledNanos = System.nanoTime();
+    }
+
     private void listed(ItemList list) {
         reached();
         if (mirror.replaceAll(list)) {
@@ -124,12 +146,14 @@
     private void watch(long revision) {
         int own = round;
         watchedSinceNanos = System.nanoTime();
+        called();
         store.watch(kind, revision)
                 .whenComplete(
                         (changes, failure) -> {
                             if (paused || own != round) {
                                 return;
                             }
+                            callUnderWay = false;
                             if (failure != null) {
                                 watchFailed(failure, revision);
                             } else {
@@ -168,7 +192,15 @@
             listener.onReachable(kind, false);
             EventLog.warn(
                     LogEvent.PLATFORM_LOST,
-                    "kind=" + kind + " cause=\"" + cause(failure).getMessage() + "\"");
+                    "kind="
+                            + kind
+                            + " revision="
+                            + mirror.revision()
+                            + " unansweredMillis="
+                            + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - calledNanos)
+                            + " cause=\""
+                            + cause(failure).getMessage()
+                            + "\"");
         }
         long pause = pauseMillis / 2 + ThreadLocalRandom.current().nextLong(pauseMillis);
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, pauseMillis * 2);
--- a/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
@@ -165,6 +165,11 @@
         return reading && !watches.values().stream().allMatch(KindWatch::isReachable);
     }
 
+    /** How long the call under way for a kind has had no answer from the platform. */
+    long unansweredMillis(String kind) {
+        return watches.get(kind).unansweredMillis();
+    }
+
     /** The answer to a peer's read. */
     CompletableFuture<SmallAnswer> answer(QueryStringDecoder query) {
         return feed.answer(query);
