--- a/core/src/main/java/org/bronzelug/core/membership/PlatformReaders.java
+++ b/core/src/main/java/org/bronzelug/core/membership/PlatformReaders.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Which VMs read the platform themselves, and from whom the others read.
@@ -84,6 +85,20 @@
         return ranked(zone(self, known)).indexOf(self.name());
     }
 
+    /**
+     * Whether a VM checks for all that no change was missed: the first of those that reach the
+     * platform. Where two VMs disagree, both check.
+     */
+    public static boolean isChecker(Candidate self, Collection<Candidate> heard) {
+        List<String> reaching =
+                heard.stream()
+                        .filter(other -> other.reads() && !other.lost())
+                        .map(Candidate::name)
+                        .collect(Collectors.toCollection(ArrayList::new));
+        reaching.add(self.name());
+        return self.reads() && Rendezvous.order(KEY, reaching).get(0).equals(self.name());
+    }
+
     private static List<Candidate> zone(Candidate self, Collection<Candidate> others) {
         List<Candidate> zone = new ArrayList<>();
         zone.add(self);
--- a/core/src/test/java/org/bronzelug/core/membership/PlatformReadersTest.java
+++ b/core/src/test/java/org/bronzelug/core/membership/PlatformReadersTest.java
@@ -88,6 +88,28 @@
         assertThat(ranks).containsExactly(0, 1, 2, 3, 4, 5, 6, 7, 8, 9);
     }
 
+    /** Nobody checks, and a lost watch hides a withdrawn key; or all check, and pay for it. */
+    @Property
+    void oneOfTheVmsThatReachThePlatformChecks(
+            @ForAll @IntRange(min = 1, max = 120) int size,
+            @ForAll @Size(max = 30) Set<@IntRange(max = 119) Integer> lost) {
+        List<Candidate> all = new ArrayList<>();
+        for (int number = 0; number < size; number++) {
+            all.add(vm(number, lost.contains(number)));
+        }
+        List<Candidate> checkers =
+                all.stream()
+                        .filter(
+                                self -> {
+                                    List<Candidate> heard = new ArrayList<>(all);
+                                    heard.remove(self);
+                                    return PlatformReaders.isChecker(self, heard);
+                                })
+                        .toList();
+        assertThat(checkers).hasSize(all.stream().allMatch(Candidate::lost) ? 0 : 1);
+        assertThat(checkers.stream().noneMatch(Candidate::lost)).isTrue();
+    }
+
     @Test
     void aVmThatHearsNobodyReads() {
         assertThat(PlatformReaders.isReader(vm(1, false), List.of(), 80)).isTrue();
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,12 +41,16 @@
         }
     }
 
+    /** The kinds that this VM keeps a copy of. */
     List<String> kinds() {
-        return List.of(
-                decoder.configurationKind(),
-                decoder.endpointKind(),
-                decoder.weightsKind(),
-                LEASE_KIND);
+        List<String> kinds = new ArrayList<>(readKinds());
+        kinds.add(LEASE_KIND);
+        return kinds;
+    }
+
+    /** The kinds that others write. */
+    List<String> readKinds() {
+        return List.of(decoder.configurationKind(), decoder.endpointKind(), decoder.weightsKind());
     }
 
     public ObjectMirror mirror(String kind) {
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.control;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.log.EventLog;
@@ -44,6 +45,9 @@
 
     private static final long NO_CALL = 0;
 
+    /** A watch tells a change that peers know within this, if the platform received it. */
+    private static final long EXPECTED_MILLIS = 500;
+
     private final String kind;
     private final EventLoop control;
     private final ObjectStore store;
@@ -106,6 +110,62 @@
                 : NO_CALL;
     }
 
+    /** Whether a watch is under way, by which the platform is to tell the next change. */
+    boolean isWaiting() {
+        return !paused && reachable && callUnderWay && mirror.isKnown();
+    }
+
+    /**
+     * Asks for changes that the watch under way should have told. Where there are any, or no answer
+     * comes, that watch is lost.
+     *
+     * @return the platform's revision
+     */
+    CompletableFuture<Long> check() {
+        int own = round;
+        return store.changes(kind, mirror.revision())
+                .whenComplete(
+                        (changes, failure) -> {
+                            if (paused || own != round) {
+                                return;
+                            }
+                            if (failure != null) {
+                                round++;
+                                watchFailed(failure, mirror.revision());
+                            } else {
+                                checked(changes);
+                            }
+                        })
+                .thenApply(ItemChanges::revision);
+    }
+
+    private void checked(ItemChanges changes) {
+        if (!mirror.apply(changes)) {
+            return;
+        }
+        listener.onChange(kind);
+        if (callUnderWay) {
+            round++;
+            watch(changes.revision());
+        }
+    }
+
+    /**
+     * A peer has told a change. The watch under way should tell it too; one that does not is lost.
+     */
+    void expectChange() {
+        long expectedOf = calledNanos;
+        if (isWaiting()) {
+            later(
+                    () -> {
+                        if (callUnderWay && calledNanos == expectedOf) {
+                            restart();
+                        }
+                    },
+                    EXPECTED_MILLIS);
+        }
+    }
+
     /** Drops the watch under way, which may hang on a silent connection, and lists anew. */
     void restart() {
         round++;
--- a/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
@@ -70,6 +70,7 @@
     private final PeerFeed feed;
     private final PeerReader peers;
     private final Map<String, KindWatch> watches = new HashMap<>();
+    private final WatchCheck check;
     private final Map<String, Long> failedUntil = new HashMap<>();
     private Optional<Source> source = Optional.empty();
     private boolean catchingUp;
@@ -101,10 +102,12 @@
         this.members = members;
         this.onChange = onChange;
         this.feed = new PeerFeed(control, state);
-        this.peers = new PeerReader(control, state, this::onChange);
+        this.peers = new PeerReader(control, state, this::onPeerChange);
         for (String kind : state.kinds()) {
             watches.put(kind, new KindWatch(kind, control, store, state.mirror(kind), this));
         }
+        this.check =
+                new WatchCheck(state, state.readKinds(), watches, settings.bounds().changeMillis());
     }
 
     void start() {
@@ -185,6 +188,9 @@
             decide();
         }
         catchUp(rounds);
+        if (PlatformReaders.isChecker(self(), heard())) {
+            check.round();
+        }
     }
 
     private void decide() {
@@ -311,6 +317,13 @@
         feed.onChange(kind);
     }
 
+    private void onPeerChange(String kind) {
+        onChange(kind);
+        if (reading) {
+            watches.get(kind).expectChange();
+        }
+    }
+
     @Override
     public void onReachable(String kind, boolean reachable) {
         if (reachable && !isLost()) {
--- a/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
+++ b/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
@@ -10,6 +10,7 @@
  * @param leaseMillis between orders of two VMs to one runner
  * @param graceMillis from the request to stop until the process is ended by force
  * @param weightsMillis after which no request begins on older weights
+ * @param changeMillis within which a change of the configuration must be in force everywhere
  */
 public record FleetBounds(
         double retryRatio,
@@ -18,4 +19,5 @@
         int leastVms,
         long leaseMillis,
         long graceMillis,
-        long weightsMillis) {}
+        long weightsMillis,
+        long changeMillis) {}
--- a/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
@@ -14,6 +14,9 @@
     /** Waits for changes after a revision, for a while; no change is no failure. */
     CompletableFuture<ItemChanges> watch(String kind, long revision);
 
+    /** The changes after a revision so far, without waiting for one. */
+    CompletableFuture<ItemChanges> changes(String kind, long revision);
+
     /** One object. */
     CompletableFuture<StoredItem> read(String kind, String name);
 
--- a/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -79,8 +80,91 @@
         assertThat(store.watches.get()).isAtLeast(3);
     }
 
+    /**
+     * The platform never receives a watch. A check finds the change that the watch should have
+     * told, and the next change comes by a new watch.
+     */
+    @Test
+    void aCheckReplacesAWatchThatWasNeverReceived() throws Exception {
+        SwallowingStore store = new SwallowingStore();
+        ObjectMirror mirror = new ObjectMirror();
+        KindWatch watch = new KindWatch("kind", group.next(), store, mirror, IGNORING);
+        group.next().submit(watch::start).get();
+        assertThat(group.next().submit(watch::isWaiting).get()).isTrue();
+        long revision = group.next().submit(watch::check).get().get(10, TimeUnit.SECONDS);
+        assertThat(revision).isEqualTo(7);
+        assertThat(group.next().submit(mirror::revision).get()).isEqualTo(7);
+        assertThat(store.watchedFrom).containsExactly(5L, 7L).inOrder();
+    }
+
+    /** The watch is alive and nothing has changed: it must not be sent again. */
+    @Test
+    void aCheckWithoutChangesLeavesTheWatchAlone() throws Exception {
+        SwallowingStore store = new SwallowingStore();
+        store.changed = false;
+        KindWatch watch = new KindWatch("kind", group.next(), store, new ObjectMirror(), IGNORING);
+        group.next().submit(watch::start).get();
+        group.next().submit(watch::check).get().get(10, TimeUnit.SECONDS);
+        assertThat(store.watchedFrom).containsExactly(5L);
+    }
+
+    /** A peer tells a change, and the watch that should have told it stays silent. */
+    @Test
+    void aWatchThatDoesNotTellWhatAPeerToldIsReplaced() throws Exception {
+        SwallowingStore store = new SwallowingStore();
+        KindWatch watch = new KindWatch("kind", group.next(), store, new ObjectMirror(), IGNORING);
+        group.next().submit(watch::start).get();
+        group.next().submit(watch::expectChange).get();
+        assertThat(store.watchedTwice.await(10, TimeUnit.SECONDS)).isTrue();
+    }
+
+    private static final KindWatch.Listener IGNORING =
+            new KindWatch.Listener() {
+                @Override
+                public void onChange(String kind) {
+                    // The mirror shows what has changed.
+                }
+
+                @Override
+                public void onReachable(String kind, boolean reachable) {
+                    // The platform answers lists and checks all the time.
+                }
+            };
+
+    /** Never answers a watch; a change that it should have told is there when it is asked. */
+    private static final class SwallowingStore extends WatchedStore {
+        private final List<Long> watchedFrom = new CopyOnWriteArrayList<>();
+        private final CountDownLatch watchedTwice = new CountDownLatch(2);
+        private volatile boolean changed = true;
+
+        @Override
+        public CompletableFuture<ItemList> list(String kind) {
+            return CompletableFuture.completedFuture(new ItemList(List.of(), 5));
+        }
+
+        @Override
+        public CompletableFuture<ItemChanges> watch(String kind, long revision) {
+            watchedFrom.add(revision);
+            watchedTwice.countDown();
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<ItemChanges> changes(String kind, long revision) {
+            StoredItem item = new StoredItem("main", 7, new byte[0]);
+            List<ItemChanges.ItemChange> changes =
+                    changed ? List.of(new ItemChanges.ItemChange(item, false)) : List.of();
+            return CompletableFuture.completedFuture(new ItemChanges(changes, 7));
+        }
+    }
+
     /** Is listed and watched only. */
     private abstract static class WatchedStore implements ObjectStore {
+        @Override
+        public CompletableFuture<ItemChanges> changes(String kind, long revision) {
+            throw new UnsupportedOperationException("nothing is checked");
+        }
+
         @Override
         public CompletableFuture<StoredItem> read(String kind, String name) {
             throw new UnsupportedOperationException("a watch reads no single object");
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -22,7 +22,8 @@
 
 /** Guards against a fleet that restarts and spends the platform's calls on its own members. */
 class VmRegistrationTest {
-    private static final FleetBounds BOUNDS = new FleetBounds(0.2, 10, 50, 8, 3_000, 8_000, 8_000);
+    private static final FleetBounds BOUNDS =
+            new FleetBounds(0.2, 10, 50, 8, 3_000, 8_000, 8_000, 2_000);
 
     private final Store store = new Store();
     private final DefaultEventLoop control = new DefaultEventLoop();
@@ -104,5 +105,10 @@
         public CompletableFuture<ItemChanges> watch(String kind, long sinceRevision) {
             throw new UnsupportedOperationException("registration watches nothing");
         }
+
+        @Override
+        public CompletableFuture<ItemChanges> changes(String kind, long sinceRevision) {
+            throw new UnsupportedOperationException("registration watches nothing");
+        }
     }
 }
