The limit that an endpoint names is read and logged; nothing decides by it yet

Change: the adapter decodes the header into NamedLimit; events 510 and 511 tell when a limit is named, changed, ended, or no number.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -37,6 +37,8 @@
     ORDER_FAILED(507, "order was not carried out"),
     ORDER_LEASE_NOT_TAKEN(508, "another VM has taken or renewed the right to give orders"),
     ORDER_WEIGHED(509, "a runner told what it has; it is ordered if it lags and is free"),
+    ENDPOINT_LIMIT_CHANGED(510, "an endpoint names another limit on its requests, or none"),
+    ENDPOINT_LIMIT_MALFORMED(511, "an endpoint names a limit that is no number; it is ignored"),
     REQUEST_ENDED(600, "request answered, or given up"),
     REQUEST_REFUSED(601, "request refused before it was sent anywhere"),
     REQUEST_SENT(604, "request is sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointAnswer.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointAnswer.java
@@ -12,6 +12,7 @@
  * @param genuine whether it bears the endpoint's own stamp
  * @param notExecuted whether the endpoint states that the request did not run
  * @param load as of this answer
+ * @param limit on the requests of all VMs together, as long as answers name it
  * @param weightsVersion that generates the answer
  * @param idleMillis for how long the endpoint keeps the connection open between requests
  * @param keepsOpen whether the connection takes another request afterwards
@@ -23,6 +24,7 @@
         boolean genuine,
         boolean notExecuted,
         Optional<EndpointLoad> load,
+        NamedLimit limit,
         OptionalLong weightsVersion,
         OptionalLong idleMillis,
         boolean keepsOpen) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -10,8 +10,11 @@
 import org.bronzelug.core.placement.LoadEstimate;
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.endpoint.EndpointAnswer;
 import org.bronzelug.router.endpoint.EndpointConnections;
+import org.bronzelug.router.endpoint.NamedLimit;
 
 /**
  * What this VM knows of one start of one endpoint. Confined to the traffic thread.
@@ -38,6 +41,7 @@
     private final Map<String, Long> answeredWeights = new HashMap<>();
     private EndpointEntry entry;
     private PeerUse peerUse = PeerUse.NONE;
+    private NamedLimit limit = new NamedLimit.None();
     private boolean ordered;
     private int failuresInRow;
     private long suspectUntilNanos = Long.MIN_VALUE;
@@ -201,12 +205,38 @@
     }
 
     public void recordAnswer(EndpointAnswer answer) {
+        observeLimit(answer);
         if (!answer.isServerError() || answer.genuine()) {
             failuresInRow = 0;
             suspectUntilNanos = Long.MIN_VALUE;
         }
     }
 
+    /** An answer that the endpoint did not stamp may lack what the endpoint says. */
+    private void observeLimit(EndpointAnswer answer) {
+        switch (answer.limit()) {
+            case NamedLimit.Rate named -> takeLimit(named);
+            case NamedLimit.None none -> {
+                if (answer.genuine()) {
+                    takeLimit(none);
+                }
+            }
+            case NamedLimit.Malformed malformed ->
+                    EventLog.warn(
+                            LogEvent.ENDPOINT_LIMIT_MALFORMED,
+                            "endpoint=" + entry.id() + " limit=\"" + malformed.text() + "\"");
+        }
+    }
+
+    private void takeLimit(NamedLimit named) {
+        if (!named.equals(limit)) {
+            EventLog.info(
+                    LogEvent.ENDPOINT_LIMIT_CHANGED,
+                    "endpoint=" + entry.id() + " limit=" + named + " before=" + limit);
+            limit = named;
+        }
+    }
+
     public void recordFailure(long nowNanos) {
         int doublings = Math.min(failuresInRow, MAXIMUM_DOUBLINGS);
         failuresInRow++;
