After a time-out the other kept connections to the platform are not used

Change: a call that times out ends the idle connections to the same address. Ruled out: the same for endpoints, where a new connection is paid for and the probes bound it. Figures: HttpCallerTest with 2 and 5 silent connections failed on the code before ("no answer in 400 ms" a second time), and passes; with 1 it passed before.

--- a/router/src/main/java/org/bronzelug/router/http/HttpCaller.java
+++ b/router/src/main/java/org/bronzelug/router/http/HttpCaller.java
@@ -25,6 +25,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -108,11 +109,13 @@
 
     /** Ends all kept connections that are idle. */
     public void close() {
-        loop.execute(
-                () -> {
-                    idle.forEach(connection -> connection.channel.close());
-                    idle.clear();
-                });
+        loop.execute(this::closeIdle);
+    }
+
+    private void closeIdle() {
+        // A copy: a connection that closes leaves the queue at once, in the middle of the loop.
+        List.copyOf(idle).forEach(connection -> connection.channel.close());
+        idle.clear();
     }
 
     /** One connection with at most one call under way. */
@@ -127,12 +130,21 @@
             timeout =
                     Optional.of(
                             loop.schedule(
-                                    () -> fail("no answer in " + timeoutMillis + " ms"),
+                                    () -> timedOut(timeoutMillis),
                                     timeoutMillis,
                                     TimeUnit.MILLISECONDS));
             channel.writeAndFlush(request);
         }
 
+        /**
+         * Ends the kept connections as well: they were opened at the same time over the same path,
+         * and each that has gone silent with this one would cost one more call its time-out.
+         */
+        private void timedOut(long timeoutMillis) {
+            fail("no answer in " + timeoutMillis + " ms");
+            closeIdle();
+        }
+
         private ChannelInitializer<SocketChannel> pipeline() {
             return new ChannelInitializer<>() {
                 @Override
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/http/HttpCallerTest.java
@@ -0,0 +1,123 @@
+package org.bronzelug.router.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Calls to the platform over connections that have gone silent. */
+class HttpCallerTest {
+    private static final long TIMEOUT_MILLIS = 400;
+
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully();
+    }
+
+    /** One kept connection after the other costs a time-out, though new ones are answered. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 5})
+    void afterATimeoutTheOtherKeptConnectionsAreNotUsed(int connections) throws Exception {
+        try (SilencedServer server = new SilencedServer(connections)) {
+            HttpCaller caller = new HttpCaller(group.next(), server.address());
+            List<CompletableFuture<HttpReply>> first =
+                    Stream.generate(() -> call(caller)).limit(connections).toList();
+            for (CompletableFuture<HttpReply> reply : first) {
+                assertThat(reply.get(10, TimeUnit.SECONDS).status()).isEqualTo(200);
+            }
+            assertThrows(ExecutionException.class, () -> call(caller).get(10, TimeUnit.SECONDS));
+            assertThat(call(caller).get(10, TimeUnit.SECONDS).status()).isEqualTo(200);
+        }
+    }
+
+    private static CompletableFuture<HttpReply> call(HttpCaller caller) {
+        return caller.call(HttpMethod.GET, "/", Map.of(), new byte[0], TIMEOUT_MILLIS);
+    }
+
+    /** Its first connections are answered once each, all at one moment, and never again. */
+    private static final class SilencedServer implements AutoCloseable {
+        private final ServerSocket server =
+                new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final int silenced;
+        private int asked;
+
+        private SilencedServer(int silenced) throws IOException {
+            this.silenced = silenced;
+            Thread.ofVirtual().start(this::accept);
+        }
+
+        private InetSocketAddress address() {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+        }
+
+        private void accept() {
+            try {
+                for (int number = 0; true; number++) {
+                    Socket socket = server.accept();
+                    boolean silent = number < silenced;
+                    Thread.ofVirtual().start(() -> serve(socket, silent));
+                }
+            } catch (IOException closed) {
+                // The test is over.
+            }
+        }
+
+        private void serve(Socket socket, boolean silent) {
+            try (socket) {
+                BufferedReader reader =
+                        new BufferedReader(
+                                new InputStreamReader(
+                                        socket.getInputStream(), StandardCharsets.US_ASCII));
+                boolean answers = true;
+                for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                    if (line.isEmpty() && answers) {
+                        awaitOthers(silent);
+                        socket.getOutputStream()
+                                .write(
+                                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                                                .getBytes(StandardCharsets.US_ASCII));
+                        answers = !silent;
+                    }
+                }
+            } catch (IOException | InterruptedException closed) {
+                // The caller gave the connection up.
+            }
+        }
+
+        /** Each of the first calls is to have a connection of its own. */
+        private synchronized void awaitOthers(boolean silent) throws InterruptedException {
+            asked++;
+            notifyAll();
+            while (silent && asked < silenced) {
+                wait();
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+}
