An endpoint at its limit takes the larger requests, where others can take the rest

Change: of the requests that would go to a limited endpoint the largest are let in, as many as it takes, where an endpoint without a limit can take the others. The size from which they are let in follows from the latest 64 and from the demand of all VMs.

--- a/core/src/main/java/org/bronzelug/core/limit/EndpointLimit.java
+++ b/core/src/main/java/org/bronzelug/core/limit/EndpointLimit.java
@@ -1,5 +1,8 @@
 package org.bronzelug.core.limit;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
  * One VM's view of the limit that one start of an endpoint has named on the requests of all VMs.
  *
@@ -24,9 +27,16 @@
     /** Requests that may follow each other at once, besides those of one second. */
     private static final double LEAST_BURST = 1;
 
+    /** Sizes of the latest requests by which the larger ones are told. */
+    private static final int MAXIMUM_SIZES = 64;
+
+    /** A bucket that is fuller than this is about to lose what accrues. */
+    private static final double UNUSED_PART = 0.9;
+
     private static final NamedLimit NONE = new NamedLimit.None();
 
     private final FleetBucket bucket;
+    private final Deque<Long> sizes = new ArrayDeque<>();
     private NamedLimit limit = NONE;
     private long observedNanos;
     private long reportedAdmitted;
@@ -83,10 +93,37 @@
     /**
      * Takes one request out of what the endpoint takes; always possible without a limit.
      *
+     * <p>The limit counts requests of any size, so where smaller ones can go elsewhere the larger
+     * ones are let in: as many as the endpoint takes of those that would go there.
+     *
+     * @param size of the request, in any unit that the requests of the endpoint share
+     * @param elsewhere whether an endpoint without a limit can take it
      * @param draw uniform in [0, 1)
      */
-    public boolean tryTake(double draw, long nowNanos) {
-        return !isNamed() || bucket.tryTake(REQUEST, draw, nowNanos);
+    public boolean tryTake(long size, boolean elsewhere, double draw, long nowNanos) {
+        if (!isNamed()) {
+            return true;
+        }
+        sizes.addLast(size);
+        if (sizes.size() > MAXIMUM_SIZES) {
+            sizes.removeFirst();
+        }
+        if (elsewhere && size < leastSize(nowNanos)) {
+            bucket.offer(REQUEST, nowNanos);
+            return false;
+        }
+        return bucket.tryTake(REQUEST, draw, nowNanos);
+    }
+
+    /** The size from which requests are let in; 0 while the endpoint takes more than it is sent. */
+    private long leastSize(long nowNanos) {
+        double demand = bucket.demandRate(nowNanos);
+        boolean unused = bucket.level(nowNanos) > UNUSED_PART * bucket.burst();
+        if (unused || demand <= bucket.rate()) {
+            return 0;
+        }
+        long[] sorted = sizes.stream().mapToLong(Long::longValue).sorted().toArray();
+        return sorted[(int) ((1 - bucket.rate() / demand) * (sorted.length - 1))];
     }
 
     /** A request that was taken did not reach the endpoint. */
--- a/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
@@ -59,8 +59,7 @@
      * @param draw uniform in [0, 1): decides where only a part of the requests is admitted
      */
     public boolean tryTake(long amount, double draw, long nowNanos) {
-        offered += amount;
-        ownDemand.add(amount, heardPart, nowNanos);
+        offer(amount, nowNanos);
         double level = level(nowNanos);
         if (level < amount || draw >= admittedPart(level, nowNanos)) {
             return false;
@@ -69,6 +68,17 @@
         return true;
     }
 
+    /** Counts what is asked for, admitted or not. */
+    public void offer(long amount, long nowNanos) {
+        offered += amount;
+        ownDemand.add(amount, heardPart, nowNanos);
+    }
+
+    /** What all VMs that are heard are asked for in a second. */
+    public double demandRate(long nowNanos) {
+        return demandRate(ownDemand, nowNanos) + demandRate(peerDemand, nowNanos);
+    }
+
     /**
      * The part of the requests that is admitted: what the bucket holds, of what is expected to be
      * asked of the peers until their counts arrive.
--- a/core/src/test/java/org/bronzelug/core/limit/EndpointLimitTest.java
+++ b/core/src/test/java/org/bronzelug/core/limit/EndpointLimitTest.java
@@ -2,11 +2,14 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** An endpoint in need is flooded by a fleet, or starved by it. */
 class EndpointLimitTest {
@@ -132,9 +135,33 @@
     void anEndpointThatTakesNothingIsAskedNowAndThen() {
         EndpointLimit limit = new EndpointLimit(0);
         limit.observe(rate(0), 1, 1);
-        assertThat(limit.tryTake(0, 2)).isFalse();
-        assertThat(limit.tryTake(0, 15 * NANOS_PER_SECOND)).isTrue();
-        assertThat(limit.tryTake(0, 15 * NANOS_PER_SECOND + 1)).isFalse();
+        assertThat(limit.tryTake(1, true, 0, 2)).isFalse();
+        assertThat(limit.tryTake(1, true, 0, 15 * NANOS_PER_SECOND)).isTrue();
+        assertThat(limit.tryTake(1, true, 0, 15 * NANOS_PER_SECOND + 1)).isFalse();
+    }
+
+    /**
+     * The limit counts requests, and small ones that could go elsewhere use it up; the large ones
+     * crowd the other endpoints. Where nothing else takes them, small ones are let in.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 0, 15", "false, 5, 16"})
+    void largerRequestsAreLetInWhereSmallerOnesCanGoElsewhere(
+            boolean elsewhere, int leastSmall, int leastTogether) {
+        EndpointLimit limit = new EndpointLimit(0);
+        limit.observe(rate(2), 1, 1);
+        Random random = new Random(7);
+        int small = 0;
+        int large = 0;
+        for (long millis = 1; millis <= 10_000; millis += 50) {
+            boolean isLarge = random.nextInt(4) == 0;
+            boolean taken = limit.tryTake(isLarge ? 9_000 : 800, elsewhere, 0, millis * 1_000_000L);
+            large += taken && isLarge ? 1 : 0;
+            small += taken && !isLarge ? 1 : 0;
+        }
+        assertThat(large + small).isAtLeast(leastTogether);
+        assertThat(small).isAtLeast(leastSmall);
+        assertThat(elsewhere && small > large / 4).isFalse();
     }
 
     /** A number that no bucket can hold must not end in an overflow that stops all requests. */
@@ -143,7 +170,7 @@
         EndpointLimit limit = new EndpointLimit(0);
         limit.observe(rate(999_999_999_999_999_999.0), 1, 1);
         for (int request = 1; request <= 10_000; request++) {
-            assertThat(limit.tryTake(0.5, NANOS_PER_SECOND + request)).isTrue();
+            assertThat(limit.tryTake(1, true, 0.5, NANOS_PER_SECOND + request)).isTrue();
         }
     }
 
--- a/core/src/test/java/org/bronzelug/core/limit/LimitedFleet.java
+++ b/core/src/test/java/org/bronzelug/core/limit/LimitedFleet.java
@@ -176,7 +176,7 @@
                 return;
             }
             asked.add(millis);
-            if (!limit.tryTake(random.nextDouble(), nanos())) {
+            if (!limit.tryTake(1, true, random.nextDouble(), nanos())) {
                 return;
             }
             arrivals.add(new Arrival(millis, toldMillis));
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -56,7 +56,26 @@
     private boolean tryTake(EndpointState endpoint, long nowNanos) {
         taken = endpoint.limit().filter(EndpointLimit::isNamed);
         return taken.isEmpty()
-                || taken.get().tryTake(ThreadLocalRandom.current().nextDouble(), nowNanos);
+                || taken.get()
+                        .tryTake(
+                                size(),
+                                hasUnlimited(nowNanos),
+                                ThreadLocalRandom.current().nextDouble(),
+                                nowNanos);
+    }
+
+    /** Requests without a prompt are taken to be alike. */
+    private long size() {
+        return admitted.head().prompt().map(prompt -> (long) prompt.totalTokens()).orElse(1L);
+    }
+
+    /** Whether the request can go to an endpoint that has named no limit. */
+    private boolean hasUnlimited(long nowNanos) {
+        return state.endpoints().takingWork(admitted.pool().orElseThrow().name()).stream()
+                .filter(endpoint -> isAllowed(endpoint.entry().id()))
+                .filter(endpoint -> !endpoint.isSuspect(nowNanos))
+                .filter(endpoint -> !endpoint.isLoading(nowNanos))
+                .anyMatch(endpoint -> endpoint.limit().filter(EndpointLimit::isNamed).isEmpty());
     }
 
     /** The request did not reach the endpoint that was chosen last. */
