--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -19,7 +19,6 @@
 import org.bronzelug.router.ingress.CallerListener;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.traffic.EndpointState;
-import org.bronzelug.router.traffic.RunnerChoice;
 import org.bronzelug.router.traffic.TrafficState;
 
 /**
@@ -71,14 +70,13 @@
     private final EndpointSelection selection;
     private final Attempts attempts;
     private final EndpointRequests requests;
+    private final PrefillProgress prefill;
     private final ExchangeLog log;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private Optional<ScheduledFuture<?>> silenceCheck = Optional.empty();
     private Optional<EndpointState> endpoint = Optional.empty();
-    private Optional<RunnerChoice> runner = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
-    private boolean prefilling;
     private long firstNanos;
     private long sentNanos;
     private boolean done;
@@ -101,6 +99,7 @@
         this.selection = new EndpointSelection(state, admitted);
         this.attempts = new Attempts(state, admitted);
         this.requests = new EndpointRequests(state, wire, admitted);
+        this.prefill = new PrefillProgress(state, admitted);
         this.log = new ExchangeLog(admitted);
         this.relay = new AnswerRelay(caller, wire, admitted.route());
     }
@@ -133,7 +132,6 @@
             return;
         }
         endpoint = selection.choose(nowNanos);
-        runner = selection.runner();
         if (endpoint.isEmpty()) {
             giveUpUnplaced(nowNanos);
             return;
@@ -142,7 +140,8 @@
         if (retryAfterMillis.isPresent()) {
             endpoint = Optional.empty();
             refuseUnrun(
-                    "runners are full, queued=" + Math.round(runner.orElseThrow().queuedTokens()),
+                    "runners are full, queued="
+                            + Math.round(selection.runner().orElseThrow().queuedTokens()),
                     retryAfterMillis.getAsLong());
             return;
         }
@@ -151,12 +150,11 @@
         selection.recordTried(chosen);
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
-        runner.ifPresent(choice -> chosen.load().begin(choice.missingTokens()));
-        prefilling = runner.isPresent();
-        log.sent(chosen, runner, selection.limited());
+        prefill.begin(selection.runner(), nowNanos);
+        log.sent(chosen, prefill.runner(), selection.limited());
         metrics.routed(nowNanos - admitted.arrivedNanos());
         FullHttpRequest copy =
-                requests.build(request, chosen, runner, relay.lastEventId(), nowNanos);
+                requests.build(request, chosen, prefill.runner(), relay.lastEventId(), nowNanos);
         call = Optional.of(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
     }
 
@@ -209,7 +207,7 @@
         EndpointState answering = endpoint.orElseThrow();
         answering.recordAnswer(answer);
         answering.heard(System.nanoTime());
-        runner.ifPresent(choice -> learnWeights(answering, answer));
+        prefill.answered(answering, answer);
         if (answer.notExecuted() || answer.status() == MISDIRECTED) {
             onNotExecuted(answer);
             return;
@@ -232,11 +230,6 @@
         relay.begin(answer, response);
     }
 
-    private void learnWeights(EndpointState answering, EndpointAnswer answer) {
-        String model = admitted.head().prompt().orElseThrow().model();
-        answer.weightsVersion().ifPresent(version -> answering.recordWeights(model, version));
-    }
-
     /** The endpoint states that nothing ran: the request may go elsewhere, within the budget. */
     private void onNotExecuted(EndpointAnswer answer) {
         cancelCall();
@@ -262,9 +255,8 @@
         if (firstNanos == 0) {
             firstNanos = nowNanos;
         }
-        if (prefilling) {
-            endPrefill();
-        }
+        boolean wholePrompt = requests.isSaving() && relay.lastEventId().isEmpty();
+        prefill.received(wholePrompt, requests.isSaving(), nowNanos);
         if (!relay.data(data)) {
             cancelCall();
             leaveEndpoint();
@@ -273,18 +265,6 @@
         }
     }
 
-    private void endPrefill() {
-        prefilling = false;
-        String model = admitted.head().prompt().orElseThrow().model();
-        RunnerChoice choice = runner.orElseThrow();
-        choice.endpoint().load().prefilled(choice.missingTokens());
-        long nowNanos = System.nanoTime();
-        if (requests.isSaving() && relay.lastEventId().isEmpty()) {
-            state.choice().learnRate(choice, sentNanos, nowNanos);
-        }
-        state.choice().recordRead(choice, model, requests.isSaving(), nowNanos);
-    }
-
     @Override
     public void onComplete() {
         leaveEndpoint();
@@ -479,14 +459,7 @@
         EndpointState left = endpoint.orElseThrow();
         endpoint = Optional.empty();
         left.end(this);
-        runner.ifPresent(
-                choice -> {
-                    if (prefilling) {
-                        left.load().prefilled(choice.missingTokens());
-                    }
-                    left.load().end();
-                });
-        prefilling = false;
+        prefill.end();
         call = Optional.empty();
         return left;
     }
@@ -501,6 +474,6 @@
         request.release();
         relay.release();
         metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
-        log.ended(outcome, reason, selection.tried(), runner, firstNanos);
+        log.ended(outcome, reason, selection.tried(), selection.runner(), firstNanos);
     }
 }
