An answer under way is given up only for an endpoint that takes the request

Callers got 502 for a safe call that took twice its goal, and for one that its endpoint had failed with 500 or 504, where no other endpoint took it: the only one of a pool, or the others at their limits (found by FleetLimitTest beside load). Cause: the call was cancelled first, and the other endpoint chosen then. Change: the other endpoint is chosen, and taken out of its limit, before the call is cancelled; where there is none the request stays, and the endpoint's own failure is passed on.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -44,7 +44,6 @@
      */
     Optional<EndpointState> choose(long nowNanos) {
         limited.clear();
-        taken = Optional.empty();
         Optional<EndpointState> best = best(nowNanos);
         while (best.isPresent() && !isRejected() && !tryTake(best.get(), nowNanos)) {
             limited.add(best.get());
@@ -54,14 +53,15 @@
     }
 
     private boolean tryTake(EndpointState endpoint, long nowNanos) {
-        taken = endpoint.limit().filter(EndpointLimit::isNamed);
-        return taken.isEmpty()
-                || taken.get()
-                        .tryTake(
-                                size(),
-                                hasUnlimited(nowNanos),
-                                ThreadLocalRandom.current().nextDouble(),
-                                nowNanos);
+        Optional<EndpointLimit> limit = endpoint.limit().filter(EndpointLimit::isNamed);
+        double draw = ThreadLocalRandom.current().nextDouble();
+        boolean takes =
+                limit.isEmpty()
+                        || limit.get().tryTake(size(), hasUnlimited(nowNanos), draw, nowNanos);
+        if (takes) {
+            taken = limit;
+        }
+        return takes;
     }
 
     /** Requests without a prompt are taken to be alike. */
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -145,7 +145,12 @@
                     retryAfterMillis.getAsLong());
             return;
         }
-        EndpointState chosen = endpoint.get();
+        send(endpoint.get(), nowNanos);
+    }
+
+    /** Sends to an endpoint that was chosen. */
+    private void send(EndpointState chosen, long nowNanos) {
+        endpoint = Optional.of(chosen);
         chargeRepeat();
         selection.recordTried(chosen);
         chosen.begin(this, nowNanos);
@@ -214,12 +219,15 @@
         }
         boolean spoiled = answer.isSuccess() && !answer.genuine();
         boolean failed = spoiled || answer.isServerError();
-        if (failed && attempts.tryRepeat()) {
-            cancelCall();
-            answering.recordFailure(System.nanoTime());
-            log.moved(leaveEndpoint(), attempts.sends(), "answered " + answer.status());
-            dispatch();
-            return;
+        if (failed) {
+            Optional<EndpointState> other = takeOther(RepeatKind.REQUIRED);
+            if (other.isPresent()) {
+                cancelCall();
+                answering.recordFailure(System.nanoTime());
+                log.moved(leaveEndpoint(), attempts.sends(), "answered " + answer.status());
+                send(other.get(), System.nanoTime());
+                return;
+            }
         }
         if (spoiled) {
             cancelCall();
@@ -371,10 +379,28 @@
         }
     }
 
-    /** Goes to another endpoint if that is allowed; otherwise stays. */
+    /**
+     * An endpoint that takes the request now, for one that may be repeated; it is chosen before the
+     * answer that is under way is given up, as there may be none.
+     */
+    private Optional<EndpointState> takeOther(RepeatKind kind) {
+        long nowNanos = System.nanoTime();
+        if (!attempts.isRepeatable() || requests.isExpired(nowNanos)) {
+            return Optional.empty();
+        }
+        Optional<EndpointState> other = selection.choose(nowNanos);
+        if (other.isPresent() && !attempts.takeRepeat(kind)) {
+            selection.giveBack(nowNanos);
+            return Optional.empty();
+        }
+        return other;
+    }
+
+    /** Goes to another endpoint if that is allowed and one takes the request; otherwise stays. */
     private void moveOn(String cause, RepeatKind kind) {
         boolean possible = !relay.hasBegun() || relay.canResume();
-        if (!possible || !attempts.isRepeatable() || !attempts.takeRepeat(kind)) {
+        Optional<EndpointState> other = possible ? takeOther(kind) : Optional.empty();
+        if (other.isEmpty()) {
             return;
         }
         cancelCall();
@@ -384,7 +410,7 @@
             relay.reset();
         }
         log.moved(leaveEndpoint(), attempts.sends(), cause);
-        dispatch();
+        send(other.get(), System.nanoTime());
     }
 
     private void onTimeout() {
@@ -474,6 +500,11 @@
         request.release();
         relay.release();
         metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
-        log.ended(outcome, reason, selection.tried(), selection.runner(), firstNanos);
+        log.ended(
+                outcome,
+                reason,
+                selection.tried(),
+                prefill.runner().or(selection::runner),
+                firstNanos);
     }
 }
