--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -48,9 +48,6 @@
     /** Plain calls take a sixth of their goal; one that takes twice the goal is stuck. */
     private static final int OVERDUE_GOALS = 2;
 
-    /** Often enough for a goal of 600 ms to be missed by little. */
-    private static final long SILENCE_CHECK_MILLIS = 200;
-
     /**
      * Half of the gap between events that callers bear at least, in steps of a datagram's round.
      */
@@ -71,10 +68,10 @@
     private final Attempts attempts;
     private final EndpointRequests requests;
     private final PrefillProgress prefill;
+    private final SilenceWatch silence;
     private final ExchangeLog log;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
-    private Optional<ScheduledFuture<?>> silenceCheck = Optional.empty();
     private Optional<EndpointState> endpoint = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
     private long firstNanos;
@@ -100,6 +97,7 @@
         this.attempts = new Attempts(state, admitted);
         this.requests = new EndpointRequests(state, wire, admitted);
         this.prefill = new PrefillProgress(state, admitted);
+        this.silence = new SilenceWatch(traffic, this::leaveSilent);
         this.log = new ExchangeLog(admitted);
         this.relay = new AnswerRelay(caller, wire, admitted.route());
     }
@@ -120,7 +118,7 @@
         admitted.pool()
                 .ifPresent(pool -> state.recordFirstAttempt(pool.name(), admitted.arrivedNanos()));
         if (route().repeat() != RepeatPolicy.AT_MOST_ONCE) {
-            watchSilence();
+            silence.start();
         }
         dispatch();
     }
@@ -339,27 +337,10 @@
         }
     }
 
-    /**
-     * Looks whether the endpoint still lives: what may be repeated goes elsewhere, instead of
-     * waiting for a machine without power until the caller has left.
-     */
-    private void watchSilence() {
-        silenceCheck =
-                Optional.of(
-                        traffic.schedule(
-                                this::leaveSilent, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS));
-    }
-
     private void leaveSilent() {
-        if (done) {
-            return;
-        }
         if (endpoint.filter(waiting -> isOverdue(waiting, System.nanoTime())).isPresent()) {
             moveOn("endpoint is silent", RepeatKind.REQUIRED);
         }
-        if (!done) {
-            watchSilence();
-        }
     }
 
     private boolean isOverdue(EndpointState waiting, long nowNanos) {
@@ -496,7 +477,7 @@
         }
         done = true;
         timeout.ifPresent(running -> running.cancel(false));
-        silenceCheck.ifPresent(running -> running.cancel(false));
+        silence.stop();
         request.release();
         relay.release();
         metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -0,0 +1,46 @@
+package org.bronzelug.router.exchange;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Checks at intervals whether a request's endpoint still lives: what may be repeated goes
+ * elsewhere, instead of waiting for a machine without power until the caller has left.
+ *
+ * <p>Invariant: no check runs after {@link #stop}. Confined to the traffic thread.
+ */
+final class SilenceWatch {
+    /** Often enough for a goal of 600 ms to be missed by little. */
+    private static final long CHECK_MILLIS = 200;
+
+    private final EventLoop traffic;
+    private final Runnable check;
+    private Optional<ScheduledFuture<?>> next = Optional.empty();
+    private boolean stopped;
+
+    SilenceWatch(EventLoop traffic, Runnable check) {
+        this.traffic = traffic;
+        this.check = check;
+    }
+
+    void start() {
+        next = Optional.of(traffic.schedule(this::run, CHECK_MILLIS, TimeUnit.MILLISECONDS));
+    }
+
+    private void run() {
+        if (stopped) {
+            return;
+        }
+        check.run();
+        if (!stopped) {
+            start();
+        }
+    }
+
+    void stop() {
+        stopped = true;
+        next.ifPresent(scheduled -> scheduled.cancel(false));
+    }
+}
