--- a/core/src/main/java/org/bronzelug/core/limit/EndpointLimit.java
+++ b/core/src/main/java/org/bronzelug/core/limit/EndpointLimit.java
@@ -6,10 +6,10 @@
 /**
  * One VM's view of the limit that one start of an endpoint has named on the requests of all VMs.
  *
- * <p>Answers an endpoint in need: it goes on taking what it named, and the rest goes elsewhere. All
- * VMs draw on one {@link FleetBucket} without asking each other. The limit lasts until a later
- * answer, to any VM, names another one or none; silence does not end it, since where nothing is
- * sent nothing is answered.
+ * <p>Answers an overloaded endpoint: it gets what it named, and the rest goes elsewhere. All VMs
+ * draw on one {@link FleetBucket} without asking each other. The limit lasts until a later answer,
+ * to any VM, names another one or none; silence does not end it, since where nothing is sent
+ * nothing is answered.
  *
  * <p>Invariant: of the observations of all VMs the latest holds. Not thread-safe: guarded by its
  * owner. Times are the local monotonic clock's nanoseconds.
@@ -19,8 +19,8 @@
     private static final long REQUEST = 1_000;
 
     /**
-     * Least requests a second. An endpoint that takes nothing is asked now and then, or its limit
-     * would never be seen to end.
+     * Least requests a second. An endpoint that takes nothing is sent a request now and then, or
+     * its limit would never be seen to end.
      */
     private static final double LEAST_RATE = 0.1;
 
--- a/core/src/test/java/org/bronzelug/core/limit/EndpointLimitTest.java
+++ b/core/src/test/java/org/bronzelug/core/limit/EndpointLimitTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** An endpoint in need is flooded by a fleet, or starved by it. */
+/** An overloaded endpoint is flooded by a fleet, or starved by it. */
 class EndpointLimitTest {
     private static final long WINDOW_MILLIS = 4_000;
 
