--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -31,4 +31,18 @@
     public boolean isSameStart(EndpointEntry other) {
         return bornMillis == other.bornMillis && address.equals(other.address);
     }
+
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public String toString() {
+        return "id="
+                + id
+                + (" pool=" + pool)
+                + (" address=" + address)
+                + (" availabilityZone=" + availabilityZone)
+                + (" slots=" + slots)
+                + (" draining=" + draining)
+                + (" bornMillis=" + bornMillis)
+                + (" weights=" + weights);
+    }
 }
--- a/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/DaemonMain.java
@@ -23,6 +23,8 @@
     public static void main(String[] arguments) {
         ArgumentParser parser =
                 ArgumentParsers.newFor("bronzelugd")
+                        // Detecting the width starts a child process.
+                        .terminalWidthDetection(false)
                         .build()
                         .description("The daemon of one VM: routes requests to endpoints.")
                         .epilog(
--- a/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
+++ b/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
@@ -31,6 +31,8 @@
     private static ArgumentParser parser() {
         ArgumentParser parser =
                 ArgumentParsers.newFor("measure")
+                        // Detecting the width starts a child process.
+                        .terminalWidthDetection(false)
                         .build()
                         .description("Compares the production routing policy with baselines.");
         parser.addArgument("--profile")
--- a/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
+++ b/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
@@ -21,4 +21,18 @@
         long leaseMillis,
         long graceMillis,
         long weightsMillis,
-        long changeMillis) {}
+        long changeMillis) {
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public String toString() {
+        return "retryRatio="
+                + retryRatio
+                + (" retryWindowSeconds=" + retryWindowSeconds)
+                + (" retrySlack=" + retrySlack)
+                + (" leastVms=" + leastVms)
+                + (" leaseMillis=" + leaseMillis)
+                + (" graceMillis=" + graceMillis)
+                + (" weightsMillis=" + weightsMillis)
+                + (" changeMillis=" + changeMillis);
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
+++ b/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
@@ -24,4 +24,17 @@
     public VmSettings {
         seedAddresses = List.copyOf(seedAddresses);
     }
+
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public String toString() {
+        return "vm="
+                + vm
+                + (" availabilityZone=" + availabilityZone)
+                + (" callersAddress=" + callersAddress)
+                + (" peersAddress=" + peersAddress)
+                + (" seedAddresses=" + seedAddresses)
+                + (" fleetStarts=" + fleetStarts)
+                + (" " + bounds);
+    }
 }
--- a/standin/src/main/java/org/bronzelug/standin/StandinMain.java
+++ b/standin/src/main/java/org/bronzelug/standin/StandinMain.java
@@ -30,6 +30,8 @@
     private static ArgumentParser parser() {
         ArgumentParser parser =
                 ArgumentParsers.newFor("bronzelug-standin")
+                        // Detecting the width starts a child process.
+                        .terminalWidthDetection(false)
                         .build()
                         .description("Simulated outside systems for tests and demonstrations");
         Subparsers programs = parser.addSubparsers().dest("program");
--- a/tools/src/main/java/org/bronzelug/cli/BronzelugMain.java
+++ b/tools/src/main/java/org/bronzelug/cli/BronzelugMain.java
@@ -80,6 +80,8 @@
     private static ArgumentParser parser() {
         ArgumentParser parser =
                 ArgumentParsers.newFor("bronzelug")
+                        // Detecting the width starts a child process.
+                        .terminalWidthDetection(false)
                         .build()
                         .description("Administers a bronzelug system and sends requests to it.")
                         .epilog(
