End a request's wait for a rate share once its VM is stale

Cause: RateGate.reserve waited for the share's holder until the request's own deadline. A VM that is cut off becomes stale after 2 s, but a request accepted just before waited up to 30 s and then got RATE_UNAVAILABLE instead of NOT_FRESH. This is how KeyFailureTest#vmThatIsCutOffRejectsAllRequests failed: its first request after the cut waited as long as the test does. Change: the wait ends when the VM is stale, and the request is rejected as NOT_FRESH with the staleness bound as retry delay. Other waits on peers: forwarded actions stay in doubt until the peer answers, since the answer may still come.

--- a/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/generate/GenerateService.java
@@ -86,7 +86,7 @@
         validate(request);
         PoolObject pool = pool(request.getModel());
         Generation generation = prepare(team, pool, request, sink);
-        String reservation = reserve(generation, request);
+        String reservation = reserve(key, generation, request);
         String id = team + "/" + request.getRequestId();
         running.put(id, generation);
         try {
@@ -148,7 +148,7 @@
                 sink);
     }
 
-    private String reserve(Generation generation, GenerateRequest request)
+    private String reserve(KeyDigest key, Generation generation, GenerateRequest request)
             throws RejectionException {
         String id = UUID.randomUUID().toString();
         double tokens =
@@ -163,6 +163,8 @@
             }
             case Admission.NotHeld notHeld -> {
                 metrics.countRateUnavailable(generation.team());
+                // Rejects the request if this VM has become stale while the request waited.
+                keys.teamOf(key);
                 throw RejectionException.notRun(
                         ProblemCode.RATE_UNAVAILABLE,
                         "the VM that holds the team's rate is being replaced",
--- a/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
@@ -24,8 +24,9 @@
  * Reserves tokens of a team's rate for requests, on this VM or on the VM that holds the team's rate
  * share (a group of teams' rates that one VM at a time admits from).
  *
- * <p>While a share moves to another VM, a request waits for the new holder until its deadline,
- * since it may be within the team's rate. A request beyond the rate is rejected immediately. Each
+ * <p>While a share moves to another VM, a request waits for the new holder, since it may be within
+ * the team's rate. The wait ends at the request's deadline, or when this VM has become stale and
+ * may no longer serve the request. A request beyond the rate is rejected immediately. Each
  * reservation has an id, so a retry after a lost answer does not take tokens twice.
  *
  * <p>Blocking; called on traffic threads. Thread-safe.
@@ -48,12 +49,17 @@
         peers.setHandler(Envelope.BodyCase.SETTLE, this::handleSettle);
     }
 
-    /** Reserves tokens for a request; waits while the share moves, at most until the deadline. */
+    /**
+     * Reserves tokens for a request; waits while the share moves, at most until the deadline and
+     * while this VM is fresh.
+     */
     public Admission reserve(String id, String team, double tokens, long deadlineNanos) {
         while (true) {
             Admission admission = tryReserve(id, team, tokens);
             boolean shareMoving = admission instanceof Admission.NotHeld;
-            if (!shareMoving || System.nanoTime() >= deadlineNanos) {
+            long nowNanos = System.nanoTime();
+            boolean mayWait = nowNanos < deadlineNanos && state.view().isFresh(nowNanos);
+            if (!shareMoving || !mayWait) {
                 return admission;
             }
             Pause.millis(RETRY_DELAY_MILLIS);
--- a/daemon/src/test/java/org/bronzelug/daemon/KeyFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/KeyFailureTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Path;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.RouterGrpc;
+import org.bronzelug.core.limit.RateShares;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -76,6 +77,30 @@
                 () -> outcome(openConnection).equals("KEY_REFUSED"));
     }
 
+    /**
+     * Guards against a request that waits for a rate share held by another VM until its own
+     * deadline, although its VM is cut off and has become stale in the meantime.
+     */
+    @Test
+    void requestThatWaitsForRateShareIsRejectedOnceItsVmIsStale() throws Exception {
+        assertThat(outcome(fleet.router("vm-1", key))).isEqualTo("served");
+        String holder =
+                fleet.daemons
+                        .get("vm-1")
+                        .view()
+                        .catalog()
+                        .share(RateShares.groupOf(TestFleet.TEAM))
+                        .orElseThrow()
+                        .holder()
+                        .vm();
+        String cutVm = holder.equals("vm-3") ? "vm-2" : "vm-3";
+        RouterGrpc.RouterBlockingStub openConnection = fleet.router(cutVm, key);
+        assertThat(outcome(openConnection)).isEqualTo("served");
+        fleet.platformLinks.get(cutVm).cut();
+        fleet.peerLinks.values().forEach(CuttableLink::cut);
+        assertThat(outcome(openConnection)).isEqualTo("NOT_FRESH");
+    }
+
     @Test
     void unknownKeyIsRejectedAndEachTeamHasItsOwnCacheSalt() throws Exception {
         assertThat(outcome(fleet.router("vm-1", "blk_guess"))).isEqualTo("KEY_REFUSED");
