Move a begun stream only once the other runner has accepted it

Cause: a resumable stream left a runner that was to load weights at once, by cancelling its attempt, and then asked another runner. If that one and the next ones rejected it (they load, drain or are full at the same moment), or the VM's part of the retry budget was used up, the stream tried again seven times, 150 ms apart, and its connection was then closed in the middle of the response. Same for a stream that leaves a silent runner. Ruled out: a reserve in the budget (a third runner may reject as well); staying on the old runner always (each load would wait for its longest stream). Change: StreamMover sends the request to the other runner while the current one goes on; its events are held back until the other one answers. Accepted: the current attempt is cancelled. Rejected, unreachable, broken, or silent for 250 ms while events are held back: the stream stays. If the current runner fails meanwhile, the other one takes over.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -44,6 +44,7 @@
     ORDER_WEIGHED(509, "runner reported its weights; ordering it if it is behind and idle"),
     ENDPOINT_LIMIT_CHANGED(510, "endpoint advertises a changed limit on its requests, or none"),
     ENDPOINT_LIMIT_MALFORMED(511, "endpoint advertises a limit that is not a number; ignoring it"),
+    STREAM_STAYED(512, "stream stays at its runner, since no other runner took it over"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.exchange;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.core.routing.Team;
@@ -24,10 +25,24 @@
         Optional<EndpointPool> pool,
         long configurationVersion,
         long arrivedNanos) {
+    /**
+     * How long after the caller's deadline the response is awaited. The endpoint knows the deadline
+     * and responds by then; its response takes a moment to arrive.
+     */
+    private static final long DEADLINE_GRACE_MILLIS = 150;
+
     /**
      * Returns a name that separates a dedicated team's cache entries; empty for all other teams.
      */
     String cachePartition() {
         return team.filter(Team::dedicated).map(Team::name).orElse("");
     }
+
+    /** Returns how long a response is awaited after the arrival of the request. */
+    long timeoutMillis() {
+        OptionalLong deadline = head.deadlineMillis();
+        return deadline.isPresent()
+                ? Math.min(route.timeoutMillis(), deadline.getAsLong() + DEADLINE_GRACE_MILLIS)
+                : route.timeoutMillis();
+    }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
@@ -58,6 +58,13 @@
         return uncertainSends > 0;
     }
 
+    /** Charges the team's rate again if the request may have run in an earlier attempt. */
+    void chargeRetry() {
+        if (mayHaveRun()) {
+            admitted.team().ifPresent(team -> state.rates().charge(team, admitted.tokens()));
+        }
+    }
+
     /**
      * Takes one retry out of the pool's budget for a request that the last endpoint did not
      * execute.
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -30,7 +30,7 @@
  * A resumable stream is resumed at another endpoint after the last event that was forwarded.
  * Otherwise the caller gets an error, or its connection is closed. A request whose endpoint is
  * stalled, and a resumable stream whose endpoint is about to load weights, also move to another
- * endpoint, but only after that one has been chosen.
+ * endpoint; a begun stream does so only once that one has accepted it ({@link StreamMove}).
  *
  * <p>Invariants: a request that may have run, since it was written to a connection and not reported
  * as not executed, is sent again only if its route allows retries. A response states that the
@@ -44,23 +44,9 @@
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /**
-     * How long after the caller's deadline the response is awaited. The endpoint knows the deadline
-     * and responds by then; its response takes a moment to arrive.
-     */
-    private static final long DEADLINE_GRACE_MILLIS = 150;
-
     /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 250;
 
-    /** Plain requests take a sixth of their goal time; one that takes twice the goal is stuck. */
-    private static final int STALLED_GOAL_MULTIPLE = 2;
-
-    /** Half of the event gap that callers tolerate; a delay lasts one round of state updates. */
-    private static final int MAXIMUM_RESUME_DELAYS = 7;
-
-    private static final long RESUME_DELAY_MILLIS = 150;
-
     private final EventLoop traffic;
     private final TrafficState state;
     private final WireFormat wire;
@@ -69,17 +55,18 @@
     private final CallerConnection caller;
     private final AdmittedRequest admitted;
     private final ResponseRelay relay;
-    private int resumeDelays;
+    private final ResumeDelay resumeDelay;
     private final EndpointSelection selection;
     private final Attempts attempts;
     private final EndpointRequestBuilder builder;
-    private final PrefillProgress prefill;
+    private final StreamMover mover;
     private final SilenceWatch silence;
     private final ExchangeLog log;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private Optional<EndpointState> endpoint = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
+    private PrefillProgress prefill;
     private long firstDataNanos;
     private long sentNanos;
     private boolean done;
@@ -103,9 +90,14 @@
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
         this.prefill = new PrefillProgress(state, admitted);
+        this.resumeDelay = new ResumeDelay(traffic);
         this.silence = new SilenceWatch(traffic, this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
         this.relay = new ResponseRelay(caller, wire, admitted.route());
+        this.mover =
+                new StreamMover(
+                        this, state, wire, request, admitted, selection, attempts, builder, relay,
+                        log);
     }
 
     private Route route() {
@@ -113,14 +105,10 @@
     }
 
     void start() {
-        long timeoutMillis = route().timeoutMillis();
-        OptionalLong deadline = admitted.head().deadlineMillis();
-        if (deadline.isPresent()) {
-            timeoutMillis = Math.min(timeoutMillis, deadline.getAsLong() + DEADLINE_GRACE_MILLIS);
-        }
         timeout =
                 Optional.of(
-                        traffic.schedule(this::onTimeout, timeoutMillis, TimeUnit.MILLISECONDS));
+                        traffic.schedule(
+                                this::onTimeout, admitted.timeoutMillis(), TimeUnit.MILLISECONDS));
         admitted.pool()
                 .ifPresent(pool -> state.recordFirstAttempt(pool.name(), admitted.arrivedNanos()));
         if (route().retryPolicy() != RetryPolicy.AT_MOST_ONCE) {
@@ -155,7 +143,7 @@
     /** Starts an attempt at the chosen endpoint. */
     private void send(EndpointState chosen, long nowNanos) {
         endpoint = Optional.of(chosen);
-        chargeRetry();
+        attempts.chargeRetry();
         selection.recordTried(chosen);
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
@@ -177,13 +165,6 @@
         }
     }
 
-    /** Charges the team's rate again if the request may have run in an earlier attempt. */
-    private void chargeRetry() {
-        if (attempts.mayHaveRun()) {
-            admitted.team().ifPresent(team -> state.rates().charge(team, admitted.tokens()));
-        }
-    }
-
     @Override
     public boolean beforeSend(HttpHeaders headers) {
         long nowNanos = System.nanoTime();
@@ -270,15 +251,23 @@
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
         prefill.recordData(wholePrompt, builder.isSaving(), nowNanos);
         if (!relay.forward(data)) {
-            cancelCall();
-            endAttempt();
-            caller.abort();
-            finish("broken", "an event of the stream is missing");
+            abortStream();
         }
     }
 
+    /** Closes the caller's connection, since an event of the stream is missing. */
+    void abortStream() {
+        cancelCall();
+        endAttempt();
+        caller.abort();
+        finish("broken", "an event of the stream is missing");
+    }
+
     @Override
     public void onComplete() {
+        if (mover.isMoving() && !mover.stay("the response is complete")) {
+            return;
+        }
         endAttempt();
         if (relay.complete()) {
             finish(String.valueOf(relay.status()), "complete");
@@ -289,6 +278,11 @@
 
     @Override
     public void onBroken(String cause) {
+        if (mover.isMoving()) {
+            endpoint.orElseThrow().recordFailure(System.nanoTime());
+            mover.accept();
+            return;
+        }
         EndpointState broken = endAttempt();
         broken.recordFailure(System.nanoTime());
         if (relay.hasBegun()) {
@@ -315,23 +309,13 @@
         finish("broken", cause);
     }
 
-    /**
-     * Schedules another attempt for a begun stream that no endpoint accepts now.
-     *
-     * <p>Without this, a stream that left a runner which was to load weights was interrupted if the
-     * next runner began to load at the same moment and rejected it, although both accepted requests
-     * again within a second. Callers tolerate a gap of at least two seconds.
-     *
-     * @return whether another attempt is scheduled
-     */
+    /** Schedules another attempt for a begun stream that no endpoint accepts now. */
     private boolean scheduleResume() {
-        if (!relay.canResume() || resumeDelays >= MAXIMUM_RESUME_DELAYS) {
-            return false;
+        boolean scheduled = relay.canResume() && resumeDelay.schedule(this::resume);
+        if (scheduled) {
+            selection.clearTried();
         }
-        resumeDelays++;
-        selection.clearTried();
-        traffic.schedule(this::resume, RESUME_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        return true;
+        return scheduled;
     }
 
     private void resume() {
@@ -346,18 +330,15 @@
     }
 
     private void moveIfStalled() {
-        if (endpoint.filter(current -> isStalled(current, System.nanoTime())).isPresent()) {
+        if (mover.isMoving()) {
+            mover.stayIfOverdue(System.nanoTime());
+        } else if (endpoint.filter(current -> isStalled(current)).isPresent()) {
             moveToOtherEndpoint("endpoint is silent", RetryKind.REQUIRED);
         }
     }
 
-    private boolean isStalled(EndpointState current, long nowNanos) {
-        long waitedMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI;
-        boolean slow =
-                !route().stream()
-                        && firstDataNanos == 0
-                        && waitedMillis > STALLED_GOAL_MULTIPLE * route().goalMillis();
-        return slow || current.isSilent(nowNanos);
+    private boolean isStalled(EndpointState current) {
+        return silence.isStalled(current, route(), sentNanos, firstDataNanos != 0);
     }
 
     /** Moves a resumable stream to another runner, so that its runner can load weights sooner. */
@@ -387,21 +368,32 @@
 
     /** Moves the request if that is allowed and another endpoint accepts it; otherwise it stays. */
     private void moveToOtherEndpoint(String cause, RetryKind kind) {
-        boolean possible = !relay.hasBegun() || relay.canResume();
+        boolean possible = !mover.isMoving() && (!relay.hasBegun() || relay.canResume());
         Optional<EndpointState> other = possible ? chooseForRetry(kind) : Optional.empty();
         if (other.isEmpty()) {
             return;
         }
-        cancelCall();
         if (relay.hasBegun()) {
-            relay.prepareResume();
-        } else {
-            relay.reset();
+            mover.begin(other.get(), cause, System.nanoTime());
+            return;
         }
+        cancelCall();
+        relay.reset();
         log.moved(endAttempt(), attempts.sends(), cause);
         send(other.get(), System.nanoTime());
     }
 
+    /** Continues the stream at the endpoint that has accepted it. */
+    void takeOver(StreamMove accepted) {
+        cancelCall();
+        relay.prepareResume();
+        log.moved(endAttempt(), attempts.sends(), accepted.cause());
+        endpoint = Optional.of(accepted.target());
+        call = accepted.call();
+        prefill = accepted.prefill();
+        sentNanos = accepted.startNanos();
+    }
+
     private void onTimeout() {
         timeout = Optional.empty();
         if (done) {
@@ -485,6 +477,7 @@
             return;
         }
         done = true;
+        mover.cancel();
         timeout.ifPresent(running -> running.cancel(false));
         silence.stop();
         request.release();
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -64,6 +64,13 @@
                         + (" sends=" + sends));
     }
 
+    /** Logs that a begun stream stays at its endpoint, since the other one did not take it over. */
+    void stayed(EndpointState target, String reason) {
+        EventLog.info(
+                LogEvent.STREAM_STAYED,
+                request() + (" endpoint=" + target.entry().id()) + (" reason=\"" + reason + "\""));
+    }
+
     /** Logs that a stream is to be resumed after its last whole event. */
     void streamMoved(String cause) {
         EventLog.info(LogEvent.STREAM_MOVED, request() + " cause=\"" + cause + "\"");
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -34,6 +34,7 @@
     private int status;
     private boolean splitsEvents;
     private boolean begun;
+    private boolean holding;
 
     ResponseRelay(CallerConnection caller, WireFormat wire, Route route) {
         this.caller = caller;
@@ -88,7 +89,7 @@
     boolean forward(ByteBuf data) {
         if (splitsEvents) {
             events.add(data);
-            return forwardEvents();
+            return holding || forwardEvents();
         }
         if (begun) {
             caller.writeData(data);
@@ -105,6 +106,26 @@
         return true;
     }
 
+    /** Holds back the events that arrive from now on, until {@link #forwardHeld}. */
+    void hold() {
+        holding = true;
+    }
+
+    /** Returns whether bytes have arrived since {@link #hold}. */
+    boolean isHoldingData() {
+        return holding && events.hasPartialEvent();
+    }
+
+    /**
+     * Forwards the events held back and all later ones.
+     *
+     * @return false if an event is missing, so the stream must be broken off
+     */
+    boolean forwardHeld() {
+        holding = false;
+        return forwardEvents();
+    }
+
     private boolean forwardEvents() {
         Optional<ByteBuf> event = events.next();
         while (event.isPresent()) {
@@ -151,11 +172,12 @@
     }
 
     /**
-     * Drops an incomplete event if the stream can be resumed.
+     * Drops an incomplete event and the events held back if the stream can be resumed.
      *
      * @return whether the stream can be resumed
      */
     boolean prepareResume() {
+        holding = false;
         if (canResume()) {
             events.dropPartialEvent();
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -4,6 +4,8 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.routing.Route;
+import org.bronzelug.router.traffic.EndpointState;
 
 /**
  * Runs a periodic check of whether a request's endpoint has stalled.
@@ -17,6 +19,11 @@
     /** Short enough that a goal of 600 ms is exceeded only slightly. */
     private static final long CHECK_MILLIS = 200;
 
+    /** Plain requests take a sixth of their goal time; one that takes twice the goal is stuck. */
+    private static final int STALLED_GOAL_MULTIPLE = 2;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final EventLoop traffic;
     private final Runnable check;
     private Optional<ScheduledFuture<?>> next = Optional.empty();
@@ -41,6 +48,20 @@
         }
     }
 
+    /**
+     * Returns whether an attempt waits in vain: its endpoint is silent, or it is a plain request
+     * without any data of a response for far longer than its goal.
+     */
+    boolean isStalled(EndpointState current, Route route, long sentNanos, boolean dataReceived) {
+        long nowNanos = System.nanoTime();
+        long waitedMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI;
+        boolean slow =
+                !route.stream()
+                        && !dataReceived
+                        && waitedMillis > STALLED_GOAL_MULTIPLE * route.goalMillis();
+        return slow || current.isSilent(nowNanos);
+    }
+
     void stop() {
         stopped = true;
         next.ifPresent(scheduled -> scheduled.cancel(false));
