--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -9,6 +9,7 @@
  * @param pool the pool to which the endpoint belongs
  * @param address IP:port
  * @param availabilityZone the zone in which the endpoint runs
+ * @param softwareVersion version of the software that the endpoint runs; empty if it names none
  * @param slots requests that the endpoint serves concurrently
  * @param draining whether the endpoint is leaving and accepts no new requests
  * @param bornMillis start time of the endpoint, which differs for another start under the same id
@@ -19,6 +20,7 @@
         String pool,
         String address,
         String availabilityZone,
+        String softwareVersion,
         int slots,
         boolean draining,
         long bornMillis,
@@ -40,6 +42,7 @@
                 + (" pool=" + pool)
                 + (" address=" + address)
                 + (" availabilityZone=" + availabilityZone)
+                + (" softwareVersion=" + softwareVersion)
                 + (" slots=" + slots)
                 + (" draining=" + draining)
                 + (" bornMillis=" + bornMillis)
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -144,6 +144,7 @@
                 entry.pool(),
                 entry.address(),
                 entry.availabilityZone(),
+                entry.softwareVersion(),
                 entry.slots(),
                 entry.draining(),
                 entry.bornMillis(),
--- a/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
+++ b/router/src/main/java/org/bronzelug/router/settings/FleetBounds.java
@@ -12,6 +12,8 @@
  * @param weightsMillis time after the publication of a version of weights from which no request
  *     begins on older weights
  * @param changeMillis time within which a change of the configuration must be in force everywhere
+ * @param exposureShare maximum fraction of a pool's requests that go to a software version which is
+ *     being rolled out; 0 if the installation has no rollouts
  */
 public record FleetBounds(
         double retryRatio,
@@ -21,7 +23,8 @@
         long leaseMillis,
         long graceMillis,
         long weightsMillis,
-        long changeMillis) {
+        long changeMillis,
+        double exposureShare) {
     /** Written out, since the generated method links several method handles at each start. */
     @Override
     public String toString() {
@@ -33,6 +36,7 @@
                 + (" leaseMillis=" + leaseMillis)
                 + (" graceMillis=" + graceMillis)
                 + (" weightsMillis=" + weightsMillis)
-                + (" changeMillis=" + changeMillis);
+                + (" changeMillis=" + changeMillis)
+                + (" exposureShare=" + exposureShare);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
@@ -23,6 +23,7 @@
                 "pool",
                 "10.0.0.1:80",
                 "zone",
+                "v1",
                 6,
                 draining,
                 startMillis,
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -26,7 +26,7 @@
  */
 class VmRegistrationTest {
     private static final FleetBounds BOUNDS =
-            new FleetBounds(0.2, 10, 50, 8, 3_000, 8_000, 8_000, 2_000);
+            new FleetBounds(0.2, 10, 50, 8, 3_000, 8_000, 8_000, 2_000, 0);
 
     private final Store store = new Store();
     private final DefaultEventLoop control = new DefaultEventLoop();
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -38,7 +38,7 @@
 
     private static EndpointEntry entry(long version) {
         return new EndpointEntry(
-                "a", "pool", "127.0.0.1:9", "zone", 6, false, 1, Map.of("m", version));
+                "a", "pool", "127.0.0.1:9", "zone", "v1", 6, false, 1, Map.of("m", version));
     }
 
     private EndpointState state(EndpointEntry entry) {
