Roll out software versions of a pool's endpoints

Cause: operators can order that a pool's traffic moves to endpoints of another software version; the router ignored the order and sent each version its part of all requests at once. Change: RolloutService follows the orders. Late in the time limit traffic shifts to a version without evidence of faults, and its end is written once the version before has no requests left. No lease: the status is written under the order's revision, VMs write by rank, and the others follow what is written. The alternative, a lease as for orders to load weights, costs two writes a second while it lasts and a wait of 4.4 s after its holder's death; it is not needed for a status that is written once. Found on the way by the test: an order for the version that already runs rejected all requests of the pool.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -23,6 +23,7 @@
 import org.bronzelug.router.http.SmallHttpServer.SmallResponse;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.order.OrderService;
+import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.traffic.TrafficState;
@@ -57,6 +58,7 @@
     private final PlatformReading reading;
     private final VmRegistration registration;
     private final OrderService orders;
+    private final RolloutService rollouts;
     private final FleetUpdates updates;
     private final RoundPeriod period = new RoundPeriod();
     private final long startNanos = System.nanoTime();
@@ -97,7 +99,8 @@
                 new VmRegistration(control, store, settings, members, reading::onListed);
         this.orders =
                 new OrderService(control, store, settings, incarnation, state, members, runners);
-        this.updates = new FleetUpdates(state, members, orders, startNanos);
+        this.rollouts = new RolloutService(store, decoder, settings, incarnation, state, members);
+        this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
     }
 
     /**
@@ -202,6 +205,7 @@
     private void onChange(String kind) {
         state.onChange(kind);
         orders.onChange(kind);
+        rollouts.onChange(kind);
         orders.round();
         updateTraffic();
     }
@@ -288,7 +292,9 @@
         reportPending = false;
         period.record(newReport.isQuiet() && orders.ordersInProgress().isEmpty());
         sendStateUpdates();
-        orders.updateLoad(fleetLoad());
+        Map<String, Integer> load = fleetLoad();
+        orders.updateLoad(load);
+        rollouts.round(newReport.rollouts(), load);
         newReport.weights().forEach(this::recordObservedWeights);
         newReport.runnersWithUnknownWeights().forEach(orders::queryWeights);
     }
@@ -350,7 +356,8 @@
                         .addAllTeams(report.teams())
                         .addAllEndpoints(report.endpoints())
                         .addAllReads(report.reads())
-                        .addAllLimits(report.limits());
+                        .addAllLimits(report.limits())
+                        .addAllRollouts(report.rollouts());
         for (String kind : state.kinds()) {
             builder.addRevisions(
                     KindRevision.newBuilder()
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -52,7 +52,12 @@
 
     /** Returns the mirrored kinds that the VMs only read. */
     List<String> readOnlyKinds() {
-        return List.of(decoder.configurationKind(), decoder.endpointKind(), decoder.weightsKind());
+        List<String> kinds = new ArrayList<>();
+        kinds.add(decoder.configurationKind());
+        kinds.add(decoder.endpointKind());
+        kinds.add(decoder.weightsKind());
+        decoder.rolloutKind().ifPresent(kinds::add);
+        return kinds;
     }
 
     public ObjectMirror mirror(String kind) {
--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -18,6 +18,7 @@
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.order.OrderService;
+import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.traffic.PeerEndpointUsage;
 import org.bronzelug.router.traffic.PeerLimitUsage;
 import org.bronzelug.router.traffic.PeerTeamUsage;
@@ -40,16 +41,23 @@
     private final ControlState state;
     private final MemberTable members;
     private final OrderService orders;
+    private final RolloutService rollouts;
     private final long startNanos;
     private long lastUpdateNanos;
 
     /**
      * @param startNanos when this VM started, by its monotonic clock
      */
-    FleetUpdates(ControlState state, MemberTable members, OrderService orders, long startNanos) {
+    FleetUpdates(
+            ControlState state,
+            MemberTable members,
+            OrderService orders,
+            RolloutService rollouts,
+            long startNanos) {
         this.state = state;
         this.members = members;
         this.orders = orders;
+        this.rollouts = rollouts;
         this.startNanos = startNanos;
         this.lastUpdateNanos = startNanos;
     }
@@ -91,6 +99,7 @@
                 limits,
                 reads,
                 ordered,
+                rollouts.views(),
                 members.reachableFraction(nowNanos),
                 1 + members.notExpired(nowNanos).size(),
                 propagationDelayNanos);
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -9,6 +9,7 @@
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.api.fleet.v1.PrefixRead;
+import org.bronzelug.api.fleet.v1.RolloutUse;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointLimit;
@@ -31,6 +32,7 @@
  * @param limits usage of endpoints that advertise a limit
  * @param contendedLimits those of the limits whose usage by this VM has changed since the last
  *     report
+ * @param rollouts what this VM has seen of each rollout of a software version
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -41,17 +43,21 @@
         List<String> runnersWithUnknownWeights,
         Set<String> contendedTeams,
         List<EndpointLimitUse> limits,
-        List<EndpointLimitUse> contendedLimits) {
+        List<EndpointLimitUse> contendedLimits,
+        List<RolloutUse> rollouts) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of());
+                List.of(), List.of(), List.of());
     }
 
     /** Returns whether this VM has no requests and had none recently. */
     boolean isQuiet() {
-        return endpoints.isEmpty() && reads.isEmpty() && contendedTeams.isEmpty();
+        return endpoints.isEmpty()
+                && reads.isEmpty()
+                && contendedTeams.isEmpty()
+                && rollouts.isEmpty();
     }
 
     /** Returns a snapshot of the state; call on the traffic thread. */
@@ -111,7 +117,8 @@
                 runnersWithUnknownWeights,
                 contendedTeams,
                 limits,
-                contendedLimits);
+                contendedLimits,
+                state.rollouts().report());
     }
 
     private static EndpointLimitUse limitUsage(
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -5,8 +5,10 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.placement.PromptAdmission;
+import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
@@ -122,15 +124,29 @@
     }
 
     private Optional<EndpointState> selectBest(long nowNanos) {
-        runner = Optional.empty();
-        retryAfterMillis = OptionalLong.empty();
         if (admitted.pool().isEmpty()) {
             return Optional.empty();
         }
         EndpointPool pool = admitted.pool().get();
+        return switch (state.rollouts().preference(pool.name(), !sentBefore)) {
+            case ANY -> selectBest(pool, this::isAllowed, nowNanos);
+            case CURRENT_ONLY -> selectBest(pool, this::isAllowedCurrent, nowNanos);
+            case TARGET_FIRST -> {
+                Optional<EndpointState> target = selectBest(pool, this::isAllowedTarget, nowNanos);
+                yield target.isPresent() && !isRejected()
+                        ? target
+                        : selectBest(pool, this::isAllowedCurrent, nowNanos);
+            }
+        };
+    }
+
+    private Optional<EndpointState> selectBest(
+            EndpointPool pool, Predicate<String> allowed, long nowNanos) {
+        runner = Optional.empty();
+        retryAfterMillis = OptionalLong.empty();
         Optional<PromptSpec> prompt = admitted.head().prompt();
         if (pool.engine().isEmpty() || prompt.isEmpty()) {
-            return state.choice().leastLoadedEndpoint(pool.name(), this::isAllowed, nowNanos);
+            return state.choice().leastLoadedEndpoint(pool.name(), allowed, nowNanos);
         }
         runner =
                 state.choice()
@@ -138,7 +154,7 @@
                                 pool.name(),
                                 prompt.get(),
                                 admitted.cachePartition(),
-                                this::isAllowed,
+                                allowed,
                                 nowNanos);
         retryAfterMillis = overloadRetryMillis();
         return runner.map(RunnerChoice::endpoint);
@@ -150,6 +166,18 @@
                 && limited.stream().noneMatch(endpoint -> endpoint.entry().id().equals(id));
     }
 
+    private boolean isAllowedCurrent(String id) {
+        return isAllowed(id) && entry(id).filter(state.rollouts()::isCurrent).isPresent();
+    }
+
+    private boolean isAllowedTarget(String id) {
+        return isAllowed(id) && entry(id).filter(state.rollouts()::isTarget).isPresent();
+    }
+
+    private Optional<EndpointEntry> entry(String id) {
+        return state.endpoints().find(id).map(EndpointState::entry);
+    }
+
     /** Returns the details of the last choice; empty for requests without a prompt. */
     Optional<RunnerChoice> runner() {
         return runner;
@@ -177,6 +205,7 @@
     }
 
     void recordTried(EndpointState endpoint) {
+        state.rollouts().recordSent(endpoint.entry());
         tried.add(endpoint.entry().id());
         sentBefore = true;
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -202,6 +202,9 @@
             onNotExecuted(head);
             return;
         }
+        if (head.genuine()) {
+            prefill.recordResponse(responding, head, System.nanoTime() - sentNanos);
+        }
         boolean notGenuine = head.isSuccess() && !head.genuine();
         boolean failed = notGenuine || head.isServerError();
         if (failed) {
--- a/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
@@ -15,6 +15,11 @@
  * the traffic thread.
  */
 final class PrefillProgress {
+    /** Time to the first token of a prompt without anything to prefill. */
+    private static final double FIXED_PROMPT_NANOS = 30_000_000;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final TrafficState state;
     private final AdmittedRequest admitted;
     private Optional<RunnerChoice> runner = Optional.empty();
@@ -51,6 +56,27 @@
         }
     }
 
+    /**
+     * Records an endpoint's own response for the comparison of software versions. The response time
+     * of a prompt is taken in percent of the time that it was expected to wait and be prefilled, so
+     * that an endpoint without cached prefixes does not look slow.
+     */
+    void recordResponse(EndpointState responding, EndpointResponse head, long elapsedNanos) {
+        double expectedNanos =
+                runner.map(choice -> state.choice().expectedNanos(choice)).orElse(0.0);
+        double millis = (double) elapsedNanos / NANOS_PER_MILLI;
+        double relativeMillis =
+                runner.isEmpty()
+                        ? millis
+                        : 100 * elapsedNanos / (FIXED_PROMPT_NANOS + expectedNanos);
+        state.rollouts()
+                .recordResponse(
+                        responding.entry(),
+                        admitted.route().name(),
+                        head.isServerError(),
+                        relativeMillis);
+    }
+
     /**
      * Records that bytes of the response body have arrived; the first ones show that the prompt has
      * been prefilled.
--- a/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
@@ -31,4 +31,11 @@
      * another.
      */
     CompletableFuture<StoredItem> replace(String kind, StoredItem item);
+
+    /**
+     * Replaces an object's status if the object has this revision; fails with {@code CONFLICT} if
+     * it has another.
+     */
+    CompletableFuture<StoredItem> writeStatus(
+            String kind, String name, long revision, byte[] status);
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -160,6 +160,12 @@
         return choice.queuedTokens() * choice.endpoint().prefillRate().nanosPerToken();
     }
 
+    /** Returns the estimated time until the prompt is prefilled at the runner. */
+    public double expectedNanos(RunnerChoice choice) {
+        double tokens = choice.queuedTokens() + choice.missingTokens();
+        return tokens * choice.endpoint().prefillRate().nanosPerToken();
+    }
+
     /**
      * Records the time to the first byte of a prompt that was prefilled in whole, if the prompt was
      * not queued.
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.bronzelug.core.retry.RetryBudget;
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.core.routing.RoutingConfiguration;
@@ -30,6 +31,7 @@
     private final EndpointTable endpoints;
     private final TeamRates rates;
     private final EndpointChoice choice;
+    private final RolloutTable rollouts;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
@@ -43,6 +45,7 @@
         this.bounds = bounds;
         this.endpoints = new EndpointTable(traffic, wire);
         this.rates = new TeamRates(fleetStarts);
+        this.rollouts = new RolloutTable(bounds.exposureShare());
         this.choice =
                 new EndpointChoice(
                         endpoints, availabilityZone, bounds.weightsMillis() * NANOS_PER_MILLI);
@@ -52,10 +55,21 @@
     public void apply(TrafficUpdate update) {
         configuration = update.configuration();
         vmCount = Math.max(update.vmCount(), bounds.leastVms());
+        Set<String> shifting = rollouts.update(update.rollouts(), update.endpoints().values());
         endpoints.update(update);
         choice.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
+        shifting.forEach(this::emptyCurrentVersion);
+    }
+
+    /** Asks the requests at a pool's current version to move to the target version. */
+    private void emptyCurrentVersion(String pool) {
+        for (EndpointState endpoint : endpoints.acceptingRequests(pool)) {
+            if (rollouts.isCurrent(endpoint.entry())) {
+                endpoint.drain();
+            }
+        }
     }
 
     public Optional<RoutingConfiguration> configuration() {
@@ -70,6 +84,10 @@
         return choice;
     }
 
+    public RolloutTable rollouts() {
+        return rollouts;
+    }
+
     public TeamRates rates() {
         return rates;
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -24,6 +24,7 @@
  * @param peerReads prefixes that peers' prompts made runners prefill, as reported since the
  *     previous update
  * @param loadOrdered ids of the endpoints that have an order to load weights
+ * @param rollouts the rollouts of software versions, by pool
  * @param reachableFraction fraction of the fleet's VMs that are reachable, this VM included; in (0,
  *     1]
  * @param vmCount number of VMs of the fleet, this VM included
@@ -38,6 +39,7 @@
         List<PeerLimitUsage> peerLimits,
         List<PrefixRead> peerReads,
         Set<String> loadOrdered,
+        Map<String, RolloutView> rollouts,
         double reachableFraction,
         int vmCount,
         long propagationDelayNanos) {
@@ -49,5 +51,6 @@
         peerLimits = List.copyOf(peerLimits);
         peerReads = List.copyOf(peerReads);
         loadOrdered = Set.copyOf(loadOrdered);
+        rollouts = Map.copyOf(rollouts);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
@@ -187,6 +187,12 @@
         public CompletableFuture<StoredItem> replace(String kind, StoredItem item) {
             throw new UnsupportedOperationException("a watch writes nothing");
         }
+
+        @Override
+        public CompletableFuture<StoredItem> writeStatus(
+                String kind, String name, long revision, byte[] status) {
+            throw new UnsupportedOperationException("a watch writes nothing");
+        }
     }
 
     /** Responds to each watch at once with a change. */
--- a/router/src/test/java/org/bronzelug/router/control/OneModelDecoder.java
+++ b/router/src/test/java/org/bronzelug/router/control/OneModelDecoder.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import org.bronzelug.core.rollout.RolloutOrder;
+import org.bronzelug.core.rollout.RolloutStage;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.store.StoredItem;
@@ -25,6 +27,21 @@
         return WEIGHTS;
     }
 
+    @Override
+    public Optional<String> rolloutKind() {
+        return Optional.empty();
+    }
+
+    @Override
+    public Optional<RolloutOrder> rollout(StoredItem item) {
+        return Optional.empty();
+    }
+
+    @Override
+    public byte[] rolloutStatus(RolloutStage stage, String target) {
+        throw new UnsupportedOperationException("there are no rollouts");
+    }
+
     @Override
     public Optional<RoutingConfiguration> configuration(Collection<StoredItem> items) {
         return Optional.empty();
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -113,5 +113,11 @@
         public CompletableFuture<ItemChanges> changes(String kind, long sinceRevision) {
             throw new UnsupportedOperationException("registration watches nothing");
         }
+
+        @Override
+        public CompletableFuture<StoredItem> writeStatus(
+                String kind, String name, long sinceRevision, byte[] status) {
+            throw new UnsupportedOperationException("writes no status");
+        }
     }
 }
