--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.bronzelug.core.routing.EndpointEntry;
 
@@ -28,6 +29,7 @@
     private final Map<String, EndpointEntry> inUse = new HashMap<>();
     private final Map<String, Long> missingUntil = new HashMap<>();
     private final Map<String, Map<String, Long>> observedWeights = new HashMap<>();
+    private Optional<Map<String, EndpointEntry>> entries = Optional.empty();
     private long outageEndNanos = Long.MIN_VALUE;
 
     /**
@@ -90,6 +92,7 @@
     }
 
     private void put(EndpointEntry entry) {
+        entries = Optional.empty();
         EndpointEntry previous = inUse.put(entry.id(), entry);
         if (previous != null && !previous.isSameStart(entry)) {
             observedWeights.remove(entry.id());
@@ -97,6 +100,7 @@
     }
 
     private void remove(String id) {
+        entries = Optional.empty();
         inUse.remove(id);
         missingUntil.remove(id);
         observedWeights.remove(id);
@@ -119,14 +123,21 @@
             return false;
         }
         observed.put(model, version);
+        entries = Optional.empty();
         return true;
     }
 
-    /** Returns all endpoints by id, each with the newest known version of its weights. */
+    /**
+     * Returns all endpoints by id, each with the newest known version of its weights. The same map
+     * is returned until one of them changes.
+     */
     Map<String, EndpointEntry> entries() {
-        Map<String, EndpointEntry> entries = new HashMap<>();
-        inUse.forEach((id, entry) -> entries.put(id, withObservedWeights(entry)));
-        return entries;
+        if (entries.isEmpty()) {
+            Map<String, EndpointEntry> newEntries = new HashMap<>();
+            inUse.forEach((id, entry) -> newEntries.put(id, withObservedWeights(entry)));
+            entries = Optional.of(Map.copyOf(newEntries));
+        }
+        return entries.get();
     }
 
     /** Returns the weights that are newer than those in the entries, by endpoint and model. */
@@ -135,6 +146,9 @@
     }
 
     private EndpointEntry withObservedWeights(EndpointEntry entry) {
+        if (!observedWeights.containsKey(entry.id())) {
+            return entry;
+        }
         Map<String, Long> weights = new HashMap<>(entry.weights());
         observedWeights
                 .getOrDefault(entry.id(), Map.of())
--- a/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
@@ -100,24 +100,22 @@
 
     /** Sends the state to one peer at once, regardless of its turn. */
     public void sendTo(VmState state, String target) {
-        channel.ifPresent(open -> write(open, state.toByteArray(), target));
+        channel.ifPresent(open -> writeToAll(open, state.toByteArray(), List.of(target)));
     }
 
     /** Sends the state to the peers whose turn it is in this round. */
     public void send(VmState state, Iterable<String> addresses) {
         List<String> targets = nextTargets(addresses);
         byte[] bytes = state.toByteArray();
-        channel.ifPresent(open -> targets.forEach(target -> write(open, bytes, target)));
+        channel.ifPresent(open -> writeToAll(open, bytes, targets));
     }
 
     /** Sends the state to all peers at once. */
     public void sendToAll(VmState state, Set<String> addresses) {
         byte[] bytes = state.toByteArray();
-        channel.ifPresent(
-                open ->
-                        addresses.stream()
-                                .filter(target -> !target.equals(address))
-                                .forEach(target -> write(open, bytes, target)));
+        List<String> targets =
+                addresses.stream().filter(target -> !target.equals(address)).toList();
+        channel.ifPresent(open -> writeToAll(open, bytes, targets));
     }
 
     /**
@@ -143,9 +141,13 @@
         return targets;
     }
 
-    private void write(Channel open, byte[] bytes, String target) {
-        InetSocketAddress to = resolvedAddresses.computeIfAbsent(target, SocketSettings::address);
-        open.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to));
+    private void writeToAll(Channel open, byte[] bytes, List<String> targets) {
+        for (String target : targets) {
+            InetSocketAddress to =
+                    resolvedAddresses.computeIfAbsent(target, SocketSettings::address);
+            open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to), open.voidPromise());
+        }
+        open.flush();
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -53,6 +53,9 @@
     private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
     private final Map<String, Long> observedWeights = new HashMap<>();
+    private String incarnation = "";
+    private String incarnationModel = "";
+    private long incarnationVersion = -1;
     private EndpointEntry entry;
     private PeerEndpointUsage peerUsage = PeerEndpointUsage.NONE;
     private Optional<EndpointLimit> limit = Optional.empty();
@@ -232,7 +235,13 @@
      * prefixes are valid only within one incarnation.
      */
     public String cacheIncarnation(String model) {
-        return entry.id() + "/" + entry.bornMillis() + "/" + weights(model);
+        long version = weights(model);
+        if (version != incarnationVersion || !model.equals(incarnationModel)) {
+            incarnationModel = model;
+            incarnationVersion = version;
+            incarnation = entry.id() + "/" + entry.bornMillis() + "/" + version;
+        }
+        return incarnation;
     }
 
     public void recordResponse(EndpointResponse response) {
