Name the large VMs of a zone to callers

Change: of a zone's VMs, those with at least half of the largest one's processor time are named, if they are two or more, have a quarter of the zone's processor time and none of them is strained (its traffic thread takes over 30 ms to begin a task); else all. Equal VMs share the callers as before. The capacity comes from the installation's sheet through the settings.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -13,6 +13,7 @@
 import org.bronzelug.api.fleet.v1.KindRevision;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.core.membership.CallerSteering;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.kernel.Service;
 import org.bronzelug.log.EventLog;
@@ -47,6 +48,8 @@
     /** Rounds between two lists of the registered VMs while no peer is reachable. */
     private static final int LIST_INTERVAL_ROUNDS = 10;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final EventLoop control;
     private final EventLoop traffic;
     private final VmSettings settings;
@@ -61,6 +64,7 @@
     private final RolloutService rollouts;
     private final FleetUpdates updates;
     private final RoundPeriod period = new RoundPeriod();
+    private final ProcessorStrain strain = new ProcessorStrain();
     private final long startNanos = System.nanoTime();
     private TrafficReport report = TrafficReport.none();
     private long sequence;
@@ -169,34 +173,31 @@
         return !stopping && state.isComplete();
     }
 
-    /**
-     * Returns the addresses that callers may connect to: those of all reachable VMs that serve
-     * requests.
-     */
-    public List<CallersAddress> callersAddresses() {
-        List<CallersAddress> addresses = new ArrayList<>();
+    /** Returns the VMs that callers may connect to: all reachable ones that serve requests. */
+    public List<CallerSteering.Candidate> callersVms() {
+        List<CallerSteering.Candidate> vms = new ArrayList<>();
         if (isServing()) {
-            addresses.add(
-                    new CallersAddress(settings.callersAddress(), settings.availabilityZone()));
+            vms.add(
+                    new CallerSteering.Candidate(
+                            settings.callersAddress(),
+                            settings.availabilityZone(),
+                            settings.processorCapacity(),
+                            strain.isStrained()));
         }
         for (Member member : members.live(System.nanoTime())) {
             VmState peer = member.state();
             if (peer.getServing() && !peer.getStopping()) {
-                addresses.add(
-                        new CallersAddress(peer.getCallersAddress(), peer.getAvailabilityZone()));
+                vms.add(
+                        new CallerSteering.Candidate(
+                                peer.getCallersAddress(),
+                                peer.getAvailabilityZone(),
+                                peer.getProcessorCapacity(),
+                                peer.getStrained()));
             }
         }
-        return addresses;
+        return vms;
     }
 
-    /**
-     * The address at which one VM serves callers.
-     *
-     * @param address IP:port
-     * @param availabilityZone of the VM
-     */
-    public record CallersAddress(String address, String availabilityZone) {}
-
     /** Returns the response to a peer that reads the platform's objects from this VM. */
     public CompletableFuture<SmallResponse> changesResponse(QueryStringDecoder query) {
         return reading.changesResponse(query);
@@ -234,10 +235,16 @@
             sendStateUpdates();
         }
         reportPending = true;
+        long roundNanos = System.nanoTime();
         traffic.execute(
                 () -> {
+                    double delayMillis = (System.nanoTime() - roundNanos) / NANOS_PER_MILLI;
                     TrafficReport newReport = TrafficReport.of(trafficState);
-                    control.execute(() -> applyReport(newReport));
+                    control.execute(
+                            () -> {
+                                strain.record(delayMillis);
+                                applyReport(newReport);
+                            });
                 });
         state.endpointList().expire(System.nanoTime());
         orders.round();
@@ -348,6 +355,8 @@
                         .setCallersAddress(settings.callersAddress())
                         .setPeersAddress(settings.peersAddress())
                         .setServing(isServing())
+                        .setProcessorCapacity(settings.processorCapacity())
+                        .setStrained(strain.isStrained())
                         .setStopping(stopping)
                         .setAgeMillis(ageMillis())
                         .setRoundMillis(period.millis(fleetSize()))
--- a/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
+++ b/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
@@ -11,6 +11,7 @@
  * @param peersAddress where the VM receives state updates and reads of peers, IP:port
  * @param seedAddresses addresses where peers may listen; some may be wrong
  * @param fleetStarts whether the whole fleet starts for the first time
+ * @param processorCapacity processor time that the VM has, in cores
  * @param bounds bounds of the fleet
  */
 public record VmSettings(
@@ -20,6 +21,7 @@
         String peersAddress,
         List<String> seedAddresses,
         boolean fleetStarts,
+        double processorCapacity,
         FleetBounds bounds) {
     public VmSettings {
         seedAddresses = List.copyOf(seedAddresses);
@@ -35,6 +37,7 @@
                 + (" peersAddress=" + peersAddress)
                 + (" seedAddresses=" + seedAddresses)
                 + (" fleetStarts=" + fleetStarts)
+                + (" processorCapacity=" + processorCapacity)
                 + (" " + bounds);
     }
 }
