--- a/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
+++ b/measurement/src/main/java/org/bronzelug/measure/MeasureMain.java
@@ -75,6 +75,9 @@
         parser.addArgument("--freshness")
                 .action(Arguments.storeTrue())
                 .help("how stale the VMs' configuration gets in an outage, at 7, 35 and 350 VMs");
+        parser.addArgument("--rollout")
+                .action(Arguments.storeTrue())
+                .help("ways to judge a software version on trial: power and false alarms");
         return parser;
     }
 
@@ -101,6 +104,10 @@
             FreshnessMeasurement.run(out, options.getInt("seeds"));
             return;
         }
+        if (options.getBoolean("rollout")) {
+            RolloutMeasurement.run(out, options.getInt("seeds"));
+            return;
+        }
         String name = options.getString("profile");
         List<Profile> profiles =
                 name.equals("both")
