--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.QueryStringDecoder;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -70,7 +69,6 @@
     private TrafficReport report = TrafficReport.none();
     private long sequence;
     private int rounds;
-    private Optional<ScheduledFuture<?>> nextRound = Optional.empty();
     private boolean reportPending;
     private boolean wasServing;
     private volatile boolean stopping;
@@ -215,18 +213,7 @@
 
     private void runPeriodically() {
         runRoundSafely();
-        long millis = period.millis(fleetSize());
-        nextRound =
-                Optional.of(control.schedule(this::runPeriodically, millis, TimeUnit.MILLISECONDS));
-    }
-
-    /** Begins a round at once, since this VM was idle and has got a request. */
-    private void endIdlePeriod() {
-        boolean cancelled = nextRound.filter(round -> round.cancel(false)).isPresent();
-        if (cancelled) {
-            period.record(false);
-            runPeriodically();
-        }
+        control.schedule(this::runPeriodically, period.millis(fleetSize()), TimeUnit.MILLISECONDS);
     }
 
     private void runRoundSafely() {
@@ -311,12 +298,6 @@
         report = newReport;
         reportPending = false;
         period.record(newReport.isQuiet() && orders.ordersInProgress().isEmpty());
-        if (period.isIdle()) {
-            traffic.execute(
-                    () ->
-                            trafficState.callOnNextRequest(
-                                    () -> control.execute(this::endIdlePeriod)));
-        }
         sendStateUpdates();
         Map<String, Integer> load = fleetLoad();
         orders.updateLoad(load);
--- a/router/src/main/java/org/bronzelug/router/control/RoundPeriod.java
+++ b/router/src/main/java/org/bronzelug/router/control/RoundPeriod.java
@@ -21,11 +21,8 @@
     /** Period in a large fleet, in which each round reaches some of the peers in turn. */
     private static final int LARGE_FLEET_MILLIS = 300;
 
-    /**
-     * Period in a large fleet while this VM is idle. Its next request begins a round at once, so
-     * its usage is not reported later than that of a busy VM.
-     */
-    private static final int IDLE_MILLIS = 1_200;
+    /** Period in a large fleet while this VM is idle. */
+    private static final int IDLE_MILLIS = 600;
 
     /** A VM is idle after more than this many rounds without requests or orders. */
     private static final int IDLE_ROUNDS = 4;
@@ -44,17 +41,12 @@
         quietRounds = quiet ? quietRounds + 1 : 0;
     }
 
-    /** Returns whether this VM is idle. */
-    boolean isIdle() {
-        return quietRounds > IDLE_ROUNDS;
-    }
-
     /** Returns the milliseconds until the next round. */
     int millis(int fleetSize) {
         if (FleetGossip.isSmall(fleetSize)) {
             return SMALL_FLEET_MILLIS;
         }
-        return isIdle() ? IDLE_MILLIS : LARGE_FLEET_MILLIS;
+        return quietRounds > IDLE_ROUNDS ? IDLE_MILLIS : LARGE_FLEET_MILLIS;
     }
 
     /** Returns the time until all VMs take the current usage of this VM into account. */
--- a/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -171,7 +171,6 @@
         int live = 1 + live(nowNanos).size();
         int admitting =
                 members.isEmpty() ? Math.max(1, addresses.size()) : 1 + notExpired(nowNanos).size();
-        // In a very large fleet a VM stays live for longer than it takes to expire.
-        return Math.min(1, (double) live / admitting);
+        return (double) live / admitting;
     }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -34,7 +34,6 @@
     private final RolloutTable rollouts;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
-    private Optional<Runnable> onNextRequest = Optional.empty();
     private int vmCount = 1;
 
     public TrafficState(
@@ -93,15 +92,8 @@
         return rates;
     }
 
-    /** Sets what is run once, when the next request is sent to a pool. */
-    public void callOnNextRequest(Runnable action) {
-        onNextRequest = Optional.of(action);
-    }
-
     /** Records that a request is sent to a pool for the first time. */
     public void recordFirstAttempt(String pool, long nowNanos) {
-        onNextRequest.ifPresent(Runnable::run);
-        onNextRequest = Optional.empty();
         budget(pool).recordFirstAttempt(nowNanos);
     }
 
