--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -344,11 +344,11 @@
         return silence.isStalled(current, route(), sentNanos, firstDataNanos != 0);
     }
 
-    /** Moves a resumable stream to another runner, so that its runner can load weights sooner. */
+    /** Moves a resumable stream to another runner, which its runner waits for. */
     @Override
     public void onDrain() {
         if (route().retryPolicy() == RetryPolicy.RESUMABLE) {
-            moveToOtherEndpoint("runner loads weights", RetryKind.OPTIONAL);
+            moveToOtherEndpoint("runner is to be emptied", RetryKind.OPTIONAL);
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -53,6 +53,7 @@
     private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
     private final Map<String, Long> observedWeights = new HashMap<>();
+    // The last name that cacheIncarnation returned: placement asks for it for each prompt.
     private String incarnation = "";
     private String incarnationModel = "";
     private long incarnationVersion = -1;
@@ -108,7 +109,7 @@
         return newlyOrdered;
     }
 
-    /** Notifies this VM's requests in flight that the endpoint is about to load weights. */
+    /** Notifies this VM's requests in flight that the endpoint is to be emptied. */
     void drain() {
         Set.copyOf(ownRequests).forEach(DrainListener::onDrain);
     }
@@ -149,7 +150,9 @@
 
     /** A request in flight at an endpoint. */
     public interface DrainListener {
-        /** Called when the endpoint waits for the end of this request before it loads weights. */
+        /**
+         * Called when the endpoint is to load weights or be replaced once its requests have ended.
+         */
         void onDrain();
     }
 
