Move streams off runners that fell silent within an event, and keep untried versions from succeeding

(a) ResponseRelay counted a partial event that had arrived before a move as data of the current runner, so a stream whose runner fell silent within an event was taken to go on there after 250 ms, its move was given up, and its two attempts were used up: the stream was lost. Now only bytes that arrive during the move count. (b) A rollout counted as done when no endpoint of another version was listed. During an outage entries lapse, so an untried version would have been written as succeeded and the endpoints that work stopped. Now that holds only if no endpoint of the current version was listed, and no response of one reported by any VM, since the order. Ruled out: waiting longer before (a) gives up (the runner stays silent); the share of responses for (b) (too few early on).

--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -35,6 +35,7 @@
     private boolean splitsEvents;
     private boolean begun;
     private boolean holding;
+    private boolean holdsData;
 
     ResponseRelay(CallerConnection caller, WireFormat wire, Route route) {
         this.caller = caller;
@@ -89,6 +90,7 @@
     boolean forward(ByteBuf data) {
         if (splitsEvents) {
             events.add(data);
+            holdsData = holding;
             return holding || forwardEvents();
         }
         if (begun) {
@@ -113,7 +115,7 @@
 
     /** Returns whether bytes have arrived since {@link #hold}. */
     boolean isHoldingData() {
-        return holding && events.hasPartialEvent();
+        return holdsData;
     }
 
     /**
@@ -123,6 +125,7 @@
      */
     boolean forwardHeld() {
         holding = false;
+        holdsData = false;
         return forwardEvents();
     }
 
@@ -178,6 +181,7 @@
      */
     boolean prepareResume() {
         holding = false;
+        holdsData = false;
         if (canResume()) {
             events.dropPartialEvent();
         }
--- a/router/src/main/java/org/bronzelug/router/rollout/RolloutProgress.java
+++ b/router/src/main/java/org/bronzelug/router/rollout/RolloutProgress.java
@@ -27,6 +27,7 @@
     private final Map<String, RolloutUse> uses = new HashMap<>();
     private RolloutStage stage = RolloutStage.TRIAL;
     private long stageNanos;
+    private boolean currentSeen;
 
     RolloutProgress(RolloutOrder order, long nowNanos) {
         this.order = order;
@@ -96,6 +97,22 @@
                 targetEndpoints > 0);
     }
 
+    /** Records how many endpoints of the current version are listed now. */
+    void recordCurrentEndpoints(int currentEndpoints) {
+        boolean currentResponded =
+                routeCounts().values().stream().anyMatch(counts -> counts.current() > 0);
+        currentSeen |= currentEndpoints > 0 || currentResponded;
+    }
+
+    /**
+     * Returns whether the target version is all that the pool has run since the order. Endpoints of
+     * the current version that are missing from the list for a while do not count as gone: without
+     * this, an untried version succeeds during an outage and the endpoints that work are stopped.
+     */
+    boolean isTargetAlone(int targetEndpoints) {
+        return targetEndpoints > 0 && !currentSeen;
+    }
+
     void enter(RolloutStage next, long nowNanos) {
         if (stage != next) {
             stage = next;
--- a/router/src/main/java/org/bronzelug/router/rollout/RolloutService.java
+++ b/router/src/main/java/org/bronzelug/router/rollout/RolloutService.java
@@ -137,6 +137,7 @@
         if (before.isTerminal() && isWritten(rollout)) {
             return;
         }
+        rollout.recordCurrentEndpoints(endpoints(rollout.order(), false).size());
         if (!before.isTerminal() && rollout.ageMillis(nowNanos) >= KNOWN_MILLIS) {
             endIfInvalid(rollout, targetEndpoints, nowNanos);
         }
@@ -162,7 +163,7 @@
                     LogEvent.ROLLOUT_INVALID,
                     "order=" + order + (knownPool ? " time limit passed" : " unknown pool"));
             rollout.enter(RolloutStage.ROLLED_BACK, nowNanos);
-        } else if (targetEndpoints > 0 && endpoints(order, false).isEmpty()) {
+        } else if (rollout.isTargetAlone(targetEndpoints)) {
             rollout.enter(RolloutStage.SUCCEEDED, nowNanos);
         }
     }
--- a/router/src/test/java/org/bronzelug/router/rollout/RolloutProgressTest.java
+++ b/router/src/test/java/org/bronzelug/router/rollout/RolloutProgressTest.java
@@ -46,6 +46,11 @@
         return rollout.stage();
     }
 
+    private boolean isTargetAlone(int currentEndpoints) {
+        rollout.recordCurrentEndpoints(currentEndpoints);
+        return rollout.isTargetAlone(TARGET_ENDPOINTS);
+    }
+
     /** A VM that has just started learns from its peers how old the order is. */
     @Test
     void ageIsThatOfTheVmThatSawTheOrderFirst() {
@@ -76,6 +81,21 @@
         assertThat(stageAt(17)).isEqualTo(RolloutStage.ROLLED_BACK);
     }
 
+    /** The endpoints of the current version may be missing from the list after an outage. */
+    @Test
+    void versionIsNotTakenForWhatRunsOnceTheCurrentOneWasSeen() {
+        assertThat(isTargetAlone(0)).isTrue();
+        assertThat(isTargetAlone(1)).isFalse();
+        assertThat(isTargetAlone(0)).isFalse();
+    }
+
+    /** A VM that has just started has not seen the current version's endpoints itself. */
+    @Test
+    void versionIsNotTakenForWhatRunsIfPeersHaveSeenTheCurrentOne() {
+        rollout.record("peer", use(1_000, 6, 0), START);
+        assertThat(isTargetAlone(0)).isFalse();
+    }
+
     @Test
     void trialIsClosedForAVmThatHearsTooFewPeers() {
         assertThat(rollout.view(false, START).open()).isFalse();
