--- a/core/src/main/java/org/bronzelug/core/membership/CallerSteering.java
+++ b/core/src/main/java/org/bronzelug/core/membership/CallerSteering.java
@@ -32,12 +32,15 @@
      *
      * @param address where callers connect, IP:port
      * @param processorCapacity processor time that the VM has, in cores
-     * @param strained whether requests wait for the VM's processor
+     * @param overloaded whether requests wait for the VM's processor
      */
     public record Candidate(
-            String address, String availabilityZone, double processorCapacity, boolean strained) {}
+            String address,
+            String availabilityZone,
+            double processorCapacity,
+            boolean overloaded) {}
 
-    /** Returns the addresses to name to a caller of an availability zone. */
+    /** Returns the addresses that callers of an availability zone are to use. */
     public static List<String> addresses(Collection<Candidate> vms, Collection<String> zones) {
         List<Candidate> inZone =
                 vms.stream().filter(vm -> zones.contains(vm.availabilityZone())).toList();
@@ -45,7 +48,7 @@
         List<Candidate> large = large(near);
         boolean sufficient =
                 large.size() >= MINIMUM_VMS
-                        && large.stream().noneMatch(Candidate::strained)
+                        && large.stream().noneMatch(Candidate::overloaded)
                         && capacity(large) >= SUFFICIENT_FRACTION * capacity(near);
         return (sufficient ? large : near).stream().map(Candidate::address).toList();
     }
--- a/core/src/main/java/org/bronzelug/core/rollout/RolloutEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/rollout/RolloutEvidence.java
@@ -17,18 +17,21 @@
  * same verdict. Confined to one thread.
  */
 public final class RolloutEvidence {
-    /** Ratio of the error probability to its alternative at which a version counts as bad: e^10. */
+    /** Logarithm of the likelihood ratio from which a version counts as bad. */
     private static final double THRESHOLD = 10;
 
-    /** A bad version answers at least this part of its good responses badly. */
+    /** Fraction of the otherwise good responses that a bad version is assumed to spoil. */
     private static final double ADDED_RATE = 0.25;
 
-    /** Bad responses of the current version assumed in addition to those seen, and their total. */
+    /**
+     * Bad responses, and responses, of the current version that are assumed in addition to those
+     * seen, so that a rate from few responses is not taken for certain.
+     */
     private static final double PRIOR_BAD = 1;
 
     private static final double PRIOR_RESPONSES = 20;
 
-    /** Beyond this rate of bad responses, the current version says nothing about the target. */
+    /** Upper bound of the current version's rate, so that a worse version can be told apart. */
     private static final double MAXIMUM_CURRENT_RATE = 0.6;
 
     private final Map<String, ResponseCounts> lastCounts = new HashMap<>();
--- a/core/src/test/java/org/bronzelug/core/membership/CallerSteeringTest.java
+++ b/core/src/test/java/org/bronzelug/core/membership/CallerSteeringTest.java
@@ -11,10 +11,10 @@
 class CallerSteeringTest {
     private static final List<String> NORTH = List.of("north");
 
-    private static List<Candidate> vms(int large, int small, boolean strained) {
+    private static List<Candidate> vms(int large, int small, boolean overloaded) {
         List<Candidate> vms = new ArrayList<>();
         for (int index = 0; index < large; index++) {
-            vms.add(new Candidate("large-" + index, "north", 1.5, strained && index == 0));
+            vms.add(new Candidate("large-" + index, "north", 1.5, overloaded && index == 0));
         }
         for (int index = 0; index < small; index++) {
             vms.add(new Candidate("small-" + index, "north", 0.36, false));
@@ -30,7 +30,7 @@
     }
 
     @Test
-    void callersGoToAllVmsOfTheirZoneWhileALargeOneIsStrained() {
+    void callersGoToAllVmsOfTheirZoneWhileALargeOneIsOverloaded() {
         assertThat(CallerSteering.addresses(vms(2, 8, true), NORTH)).hasSize(10);
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -64,7 +64,7 @@
     private final RolloutService rollouts;
     private final FleetUpdates updates;
     private final RoundPeriod period = new RoundPeriod();
-    private final ProcessorStrain strain = new ProcessorStrain();
+    private final ProcessorOverload overload = new ProcessorOverload();
     private final long startNanos = System.nanoTime();
     private TrafficReport report = TrafficReport.none();
     private long sequence;
@@ -182,7 +182,7 @@
                             settings.callersAddress(),
                             settings.availabilityZone(),
                             settings.processorCapacity(),
-                            strain.isStrained()));
+                            overload.isOverloaded()));
         }
         for (Member member : members.live(System.nanoTime())) {
             VmState peer = member.state();
@@ -192,7 +192,7 @@
                                 peer.getCallersAddress(),
                                 peer.getAvailabilityZone(),
                                 peer.getProcessorCapacity(),
-                                peer.getStrained()));
+                                peer.getOverloaded()));
             }
         }
         return vms;
@@ -242,7 +242,7 @@
                     TrafficReport newReport = TrafficReport.of(trafficState);
                     control.execute(
                             () -> {
-                                strain.record(delayMillis);
+                                overload.record(delayMillis);
                                 applyReport(newReport);
                             });
                 });
@@ -356,7 +356,7 @@
                         .setPeersAddress(settings.peersAddress())
                         .setServing(isServing())
                         .setProcessorCapacity(settings.processorCapacity())
-                        .setStrained(strain.isStrained())
+                        .setOverloaded(overload.isOverloaded())
                         .setStopping(stopping)
                         .setAgeMillis(ageMillis())
                         .setRoundMillis(period.millis(fleetSize()))
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -341,14 +341,15 @@
     }
 
     private boolean isStalled(EndpointState current) {
-        return silence.isStalled(current, route(), sentNanos, firstDataNanos != 0);
+        return silence.isStalled(
+                current, route(), sentNanos, firstDataNanos != 0, System.nanoTime());
     }
 
-    /** Moves a resumable stream to another runner, which its runner waits for. */
+    /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
     @Override
     public void onDrain() {
         if (route().retryPolicy() == RetryPolicy.RESUMABLE) {
-            moveToOtherEndpoint("runner is to be emptied", RetryKind.OPTIONAL);
+            moveToOtherEndpoint("runner drains", RetryKind.OPTIONAL);
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -52,8 +52,12 @@
      * Returns whether an attempt waits in vain: its endpoint is silent, or it is a plain request
      * without any data of a response for far longer than its goal.
      */
-    boolean isStalled(EndpointState current, Route route, long sentNanos, boolean dataReceived) {
-        long nowNanos = System.nanoTime();
+    boolean isStalled(
+            EndpointState current,
+            Route route,
+            long sentNanos,
+            boolean dataReceived,
+            long nowNanos) {
         long waitedMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI;
         boolean slow =
                 !route.stream()
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -109,7 +109,7 @@
         return newlyOrdered;
     }
 
-    /** Notifies this VM's requests in flight that the endpoint is to be emptied. */
+    /** Notifies this VM's requests in flight that the endpoint is to be drained. */
     void drain() {
         Set.copyOf(ownRequests).forEach(DrainListener::onDrain);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
@@ -28,7 +28,7 @@
     /**
      * Applies an update from the control thread.
      *
-     * @return the pools whose current version has just begun to be emptied
+     * @return the pools whose current version is to be drained from now on
      */
     Set<String> update(Map<String, RolloutView> views, Collection<EndpointEntry> endpoints) {
         rollouts.keySet().retainAll(views.keySet());
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -60,11 +60,11 @@
         choice.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
-        shifting.forEach(this::emptyCurrentVersion);
+        shifting.forEach(this::drainCurrentVersion);
     }
 
     /** Asks the requests at a pool's current version to move to the target version. */
-    private void emptyCurrentVersion(String pool) {
+    private void drainCurrentVersion(String pool) {
         for (EndpointState endpoint : endpoints.acceptingRequests(pool)) {
             if (rollouts.isCurrent(endpoint.entry())) {
                 endpoint.drain();
