Log why a begun stream waits for a runner, and count responses that are broken off

Event 605 gives the reason, the runners tried and the time; counters stream_resumptions_delayed and responses_broken_off are at the metrics address. No decision changes.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -53,6 +53,7 @@
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
     REQUEST_MOVED(602, "request withdrawn from an endpoint that did not complete it"),
+    STREAM_RESUMPTION_DELAYED(605, "begun stream has no runner now; resuming it after a delay"),
     TEAM_RATE_CHANGED(603, "rate or burst of a team changed"),
     SERVING(700, "this VM serves requests"),
     NOT_SERVING(701, "this VM serves no requests"),
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -42,6 +42,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
+    private static final String BROKEN = "broken";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
@@ -263,7 +264,7 @@
         cancelCall();
         endAttempt();
         caller.abort();
-        finish("broken", "an event of the stream is missing");
+        finish(BROKEN, "an event of the stream is missing");
     }
 
     @Override
@@ -309,13 +310,15 @@
             return;
         }
         caller.abort();
-        finish("broken", cause);
+        finish(BROKEN, cause);
     }
 
     /** Schedules another attempt for a begun stream that no endpoint accepts now. */
-    private boolean scheduleResume() {
+    private boolean scheduleResume(String reason) {
         boolean scheduled = relay.canResume() && resumeDelay.schedule(this::resume);
         if (scheduled) {
+            metrics.count("stream_resumptions_delayed");
+            log.resumptionDelayed(reason, selection.tried());
             selection.clearTried();
         }
         return scheduled;
@@ -407,7 +410,7 @@
         endpoint.ifPresent(state -> endAttempt());
         if (relay.hasBegun()) {
             caller.abort();
-            finish("broken", "timeout before the response was complete");
+            finish(BROKEN, "timeout before the response was complete");
         } else if (attempts.mayHaveRun()) {
             fail(GATEWAY_TIMEOUT, "no answer in time");
         } else {
@@ -422,9 +425,9 @@
     /** Rejects the request as not run if that is certain, else fails it or resumes it later. */
     private void abandon(String reason, long retryAfterMillis) {
         if (relay.hasBegun()) {
-            if (!scheduleResume()) {
+            if (!scheduleResume(reason)) {
                 caller.abort();
-                finish("broken", reason);
+                finish(BROKEN, reason);
             }
             return;
         }
@@ -486,6 +489,9 @@
         silence.stop();
         request.release();
         relay.release();
+        if (outcome.equals(BROKEN)) {
+            metrics.count("responses_broken_off");
+        }
         metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
         log.ended(
                 outcome,
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -76,6 +76,20 @@
         EventLog.info(LogEvent.STREAM_MOVED, request() + " cause=\"" + cause + "\"");
     }
 
+    /**
+     * Logs that a begun stream has no runner now and is to be resumed later.
+     *
+     * @param tried endpoints tried since the last delay
+     */
+    void resumptionDelayed(String reason, Set<String> tried) {
+        EventLog.info(
+                LogEvent.STREAM_RESUMPTION_DELAYED,
+                request()
+                        + (" reason=\"" + reason + "\"")
+                        + (" tried=" + tried)
+                        + (" millis=" + millisTo(System.nanoTime())));
+    }
+
     /**
      * Logs the end of the request.
      *
