Resume a begun stream until its caller's time limit, and take a retry only for an endpoint that is there

Callers saw a stream closed in the middle of its answer, 1.07 s after a runner had rejected it, with 13 s of their time left. Cause: what ends a begun stream was a count. Seven delays of 150 ms, whatever the reason; none at all if no retry was left at the moment of the break. And the retry was taken before an endpoint was chosen, so each attempt for which there was none used one up, of the 1.7 in 10 s that a VM of a fleet of 95 has beside a fifth of its requests; requests that had not begun did the same. Ruled out: StreamMover (the runner's attempt had ended already); the route's maximum of endpoints (a rejection does not count against it). Change: the attempts go on until the request's time limit or until the caller closes its connection, which it does when the gap is too long for it; the endpoint is chosen first, then the retry is taken, for first attempts and streams alike (Exchange.retry). Event 605 is logged when its reason changes, since there may now be many delays. A stream whose last runner broke it off at the route's maximum of endpoints is still lost.

--- a/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
@@ -65,23 +65,9 @@
         }
     }
 
-    /**
-     * Takes one retry out of the pool's budget for a request that the last endpoint did not
-     * execute.
-     *
-     * @return whether the request may be sent to one more endpoint
-     */
-    boolean tryAfterRejection() {
-        return sends < MAXIMUM_SENDS && takeRetry(RetryKind.REQUIRED);
-    }
-
-    /**
-     * Takes one retry out of the pool's budget for a request that may have run.
-     *
-     * @return whether the request may be sent to one more endpoint
-     */
-    boolean tryRetry() {
-        return isRetryable() && takeRetry(RetryKind.REQUIRED);
+    /** Returns whether a request that the last endpoint did not execute may be sent once more. */
+    boolean maySendAgain() {
+        return sends < MAXIMUM_SENDS;
     }
 
     /** Returns whether the route allows one more endpoint for a request that may have run. */
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -27,10 +27,11 @@
  *
  * <p>The request is sent to one endpoint at a time. If an attempt fails before the caller has got
  * any part of a response, the request is retried at another endpoint if {@link Attempts} allows it.
- * A resumable stream is resumed at another endpoint after the last event that was forwarded.
- * Otherwise the caller gets an error, or its connection is closed. A request whose endpoint is
- * stalled, and a resumable stream whose endpoint is about to load weights, also move to another
- * endpoint; a begun stream does so only once that one has accepted it ({@link StreamMove}).
+ * A resumable stream is resumed at another endpoint after the last event that was forwarded; while
+ * no endpoint accepts it, it waits until the request's time limit. Otherwise the caller gets an
+ * error, or its connection is closed. A request whose endpoint is stalled, and a resumable stream
+ * whose endpoint is about to load weights, also move to another endpoint; a begun stream does so
+ * only once that one has accepted it ({@link StreamMove}).
  *
  * <p>Invariants: a request that may have run, since it was written to a connection and not reported
  * as not executed, is sent again only if its route allows retries. A response states that the
@@ -42,6 +43,7 @@
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
+    private static final String WAITED_FOR_ENDPOINT = "the stream waited for an endpoint";
     private static final String BROKEN = "broken";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -238,10 +240,34 @@
             rejecting.recordFailure(System.nanoTime());
         }
         log.moved(rejecting, attempts.sends(), "not executed, status " + head.status());
-        if (!relay.hasBegun() && attempts.tryAfterRejection()) {
-            dispatch();
+        String reason = "endpoints refuse, last with " + head.status();
+        if (!relay.hasBegun() && attempts.maySendAgain()) {
+            retry(reason);
         } else {
-            abandon("endpoints refuse, last with " + head.status());
+            abandon(reason);
+        }
+    }
+
+    /**
+     * Sends the request to one more endpoint. A retry is taken only once there is such an endpoint;
+     * otherwise requests that no endpoint accepts would use up the retries of those that one does.
+     *
+     * @param reason why the request has left its endpoint
+     */
+    private void retry(String reason) {
+        long nowNanos = System.nanoTime();
+        if (builder.isExpired(nowNanos)) {
+            abandon(DEADLINE_PASSED);
+            return;
+        }
+        Optional<EndpointState> next = selection.choose(nowNanos);
+        if (next.isEmpty()) {
+            abandonWithoutEndpoint(nowNanos);
+        } else if (attempts.takeRetry(RetryKind.REQUIRED)) {
+            send(next.get(), nowNanos);
+        } else {
+            selection.refund(nowNanos);
+            abandon(reason + "; no retry is left");
         }
     }
 
@@ -263,8 +289,7 @@
     void abortStream() {
         cancelCall();
         endAttempt();
-        caller.abort();
-        finish(BROKEN, "an event of the stream is missing");
+        breakOff("an event of the stream is missing");
     }
 
     @Override
@@ -294,9 +319,9 @@
             return;
         }
         relay.reset();
-        if (attempts.tryRetry()) {
+        if (attempts.isRetryable()) {
             log.moved(broken, attempts.sends(), cause);
-            dispatch();
+            retry(cause);
             return;
         }
         fail(BAD_GATEWAY, cause);
@@ -304,34 +329,32 @@
 
     /** Resumes a begun response at another endpoint if it can be, or closes the connection. */
     private void resumeOrAbort(String cause) {
-        if (relay.prepareResume() && attempts.tryRetry()) {
+        if (relay.prepareResume() && attempts.isRetryable()) {
             log.streamMoved(cause);
-            dispatch();
+            retry(cause);
             return;
         }
+        breakOff(cause);
+    }
+
+    /** Closes the caller's connection within its response. */
+    private void breakOff(String cause) {
         caller.abort();
         finish(BROKEN, cause);
     }
 
     /** Schedules another attempt for a begun stream that no endpoint accepts now. */
-    private boolean scheduleResume(String reason) {
-        boolean scheduled = relay.canResume() && resumeDelay.schedule(this::resume);
-        if (scheduled) {
-            metrics.count("stream_resumptions_delayed");
+    private void resumeLater(String reason) {
+        metrics.count("stream_resumptions_delayed");
+        if (resumeDelay.schedule(reason, this::resume)) {
             log.resumptionDelayed(reason, selection.tried());
-            selection.clearTried();
         }
-        return scheduled;
+        selection.clearTried();
     }
 
     private void resume() {
-        if (done) {
-            return;
-        }
-        if (attempts.takeRetry(RetryKind.REQUIRED)) {
-            dispatch();
-        } else {
-            abandon("no retry left for the stream");
+        if (!done) {
+            retry(WAITED_FOR_ENDPOINT);
         }
     }
 
@@ -409,8 +432,7 @@
         cancelCall();
         endpoint.ifPresent(state -> endAttempt());
         if (relay.hasBegun()) {
-            caller.abort();
-            finish(BROKEN, "timeout before the response was complete");
+            breakOff("timeout before the response was complete");
         } else if (attempts.mayHaveRun()) {
             fail(GATEWAY_TIMEOUT, "no answer in time");
         } else {
@@ -425,9 +447,10 @@
     /** Rejects the request as not run if that is certain, else fails it or resumes it later. */
     private void abandon(String reason, long retryAfterMillis) {
         if (relay.hasBegun()) {
-            if (!scheduleResume(reason)) {
-                caller.abort();
-                finish(BROKEN, reason);
+            if (relay.canResume() && !builder.isExpired(System.nanoTime())) {
+                resumeLater(reason);
+            } else {
+                breakOff(reason);
             }
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/ResumeDelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResumeDelay.java
@@ -1,40 +1,38 @@
 package org.bronzelug.router.exchange;
 
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Delays the next attempt of a begun stream that no endpoint accepts now, a bounded number of
- * times.
+ * Delays the next attempt of a begun stream that no endpoint accepts now.
  *
- * <p>Without this, a stream whose runner failed was broken off if the next runner began to load
- * weights at the same moment and rejected it, although runners accepted requests again within a
- * second. Callers tolerate a gap of at least two seconds. Confined to the traffic thread.
+ * <p>The number of delays is not limited: the time limit of the request ends the attempts, as does
+ * a caller that closes its connection because the gap between two events is too long for it. With a
+ * limit, a stream was broken off while its runners loaded weights or no retry was available,
+ * although its caller still waited. Confined to the traffic thread.
  */
 final class ResumeDelay {
-    /** Half of the event gap that callers tolerate; a delay lasts one round of state updates. */
-    private static final int MAXIMUM_DELAYS = 7;
-
+    /** One round of state updates. */
     private static final long DELAY_MILLIS = 150;
 
     private final EventLoop traffic;
-    private int delays;
+    private Optional<String> lastReason = Optional.empty();
 
     ResumeDelay(EventLoop traffic) {
         this.traffic = traffic;
     }
 
     /**
-     * Schedules another attempt, unless there were too many.
+     * Schedules another attempt.
      *
-     * @return whether the attempt is scheduled
+     * @param reason why the stream has no endpoint
+     * @return whether the reason differs from that of the previous delay
      */
-    boolean schedule(Runnable attempt) {
-        if (delays >= MAXIMUM_DELAYS) {
-            return false;
-        }
-        delays++;
+    boolean schedule(String reason, Runnable attempt) {
         traffic.schedule(attempt, DELAY_MILLIS, TimeUnit.MILLISECONDS);
-        return true;
+        boolean changed = lastReason.filter(reason::equals).isEmpty();
+        lastReason = Optional.of(reason);
+        return changed;
     }
 }
