Break off or resume a stream whose continuation fails, instead of ending it as complete

What a caller saw: its runner broke off, the next one answered 500 or 404 with an empty body, and the response ended with the last chunk, as if the stream were whole, though its rest was missing. Cause: the head of a resumed stream is ignored, as the caller has one already; where no further endpoint may be tried, a failure's head was ignored as well, its body taken for events, and its end for the stream's end. On a route of two endpoints that is every failure. Change: after the response has begun, any head that is not a genuine success counts as a failed attempt: the stream is resumed elsewhere if the route allows one more endpoint, else the connection is closed in the middle.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -208,6 +208,10 @@
         if (head.genuine()) {
             prefill.recordResponse(responding, head, System.nanoTime() - sentNanos);
         }
+        if (relay.hasBegun() && !(head.isSuccess() && head.genuine())) {
+            onResumptionFailed(head);
+            return;
+        }
         boolean notGenuine = head.isSuccess() && !head.genuine();
         boolean failed = notGenuine || head.isServerError();
         if (failed) {
@@ -229,6 +233,19 @@
         relay.begin(head, response);
     }
 
+    /**
+     * Resumes the stream elsewhere if the endpoint responded with anything but the rest of it. That
+     * response must not be forwarded: its end would look like the end of the stream.
+     */
+    private void onResumptionFailed(EndpointResponse head) {
+        cancelCall();
+        EndpointState failed = endAttempt();
+        failed.recordFailure(System.nanoTime());
+        String cause = "answered " + head.status() + " in place of the rest of the stream";
+        log.moved(failed, attempts.sends(), cause);
+        resumeOrAbort(cause);
+    }
+
     /** Retries a request that the endpoint did not execute, within the retry budget. */
     private void onNotExecuted(EndpointResponse head) {
         cancelCall();
