Receive state updates of any size whole, so that busy VMs of large fleets are heard

Cause: the datagram channel reads into a buffer of 2,048 bytes by default, and what exceeds it is cut off. An update with the requests in flight at some 90 endpoints, or with many prompts and load orders, is larger. It was dropped by every receiver: the busiest VMs, and the one that orders loads, were not heard, others placed prompts without their queues, sent requests to runners that had an order, and took those VMs for dead. Ruled out: peers of another version or foreign datagrams (all VMs run one build); lost datagrams (these arrived). Change: the receive buffer holds the largest payload of a datagram; at most four are allocated at a time. An update over 65,507 bytes, some 3,000 endpoints, is not sent at all: docs/CAPACITY.md.

--- a/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/FleetGossip.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -48,6 +50,15 @@
     /** Peers addressed in one round, which bounds the bytes that each VM sends in a large fleet. */
     private static final int PEERS_PER_ROUND = 24;
 
+    /**
+     * Size of a receive buffer in bytes: the largest payload of a datagram. A datagram that exceeds
+     * the buffer is truncated, and then can't be decoded.
+     */
+    private static final int MAXIMUM_DATAGRAM_BYTES = 65_507;
+
+    /** Bounds the receive buffers that are allocated at the same time. */
+    private static final int DATAGRAMS_PER_READ = 4;
+
     private final EventLoop control;
     private final String address;
     private final BiConsumer<VmState, Long> onState;
@@ -77,6 +88,10 @@
                 new Bootstrap()
                         .group(control)
                         .channel(NioDatagramChannel.class)
+                        .option(
+                                ChannelOption.RECVBUF_ALLOCATOR,
+                                new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES)
+                                        .maxMessagesPerRead(DATAGRAMS_PER_READ))
                         .handler(new Receiver());
         try {
             InetSocketAddress local = SocketSettings.address(address);
