Resume a stream elsewhere if its runner leaves out an event

What a caller saw: a runner skips an event, and the connection is closed there and then. Change: the events from the gap on are dropped, the runner's attempt is cancelled, and the stream is resumed after the last event before the gap, within the route's maximum of endpoints and the retry budget, as after a break. Ruled out: forwarding the later events (the rest would be joined to a hole). EventSplitterTest uses the new name of dropPartialEvent and asserts what it did.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -298,15 +298,15 @@
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
         prefill.recordData(wholePrompt, builder.isSaving(), nowNanos);
         if (!relay.forward(data)) {
-            abortStream();
+            leaveIncompleteStream();
         }
     }
 
-    /** Closes the caller's connection, since an event of the stream is missing. */
-    void abortStream() {
+    /** Continues the stream at another endpoint, since its own has left out an event. */
+    void leaveIncompleteStream() {
         cancelCall();
-        endAttempt();
-        breakOff("an event of the stream is missing");
+        endAttempt().recordFailure(System.nanoTime());
+        resumeOrAbort("an event of the stream is missing");
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -85,7 +85,7 @@
     /**
      * Forwards or buffers a chunk of the body, and takes ownership of it.
      *
-     * @return false if an event is missing, so the stream must be broken off
+     * @return false if an event is missing, so the rest of this runner's stream can't be forwarded
      */
     boolean forward(ByteBuf data) {
         if (splitsEvents) {
@@ -121,7 +121,7 @@
     /**
      * Forwards the events held back and all later ones.
      *
-     * @return false if an event is missing, so the stream must be broken off
+     * @return false if an event is missing, so the rest of this runner's stream can't be forwarded
      */
     boolean forwardHeld() {
         holding = false;
@@ -183,7 +183,7 @@
         holding = false;
         holdsData = false;
         if (canResume()) {
-            events.dropPartialEvent();
+            events.dropBuffered();
         }
         return canResume();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -137,14 +137,14 @@
     /**
      * Ends the move and continues the stream at its current endpoint.
      *
-     * @return false if the stream was broken off because an event is missing
+     * @return false if the stream has left its current endpoint, since an event is missing
      */
     boolean stay(String reason) {
         move.ifPresent(ended -> log.stayed(ended.target(), reason));
         cancel();
         boolean complete = relay.forwardHeld();
         if (!complete) {
-            exchange.abortStream();
+            exchange.leaveIncompleteStream();
         }
         return complete;
     }
--- a/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
+++ b/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
@@ -42,7 +42,9 @@
                 continue;
             }
             gap |= isGap(id);
-            lastId = id.isPresent() ? id : lastId;
+            if (id.isPresent() && !gap) {
+                lastId = id;
+            }
             return Optional.of(event);
         }
     }
@@ -51,12 +53,12 @@
         return id.isPresent() && lastId.isPresent() && id.getAsLong() != lastId.getAsLong() + 1;
     }
 
-    /** Returns whether an id was missing between two returned events. */
+    /** Returns whether an id is missing between the last two returned events. */
     public boolean hasGap() {
         return gap;
     }
 
-    /** Returns the id of the last returned event. */
+    /** Returns the id of the last event that was returned without a gap before it. */
     public OptionalLong lastId() {
         return lastId;
     }
@@ -66,9 +68,12 @@
         return buffer.isReadable();
     }
 
-    /** Drops a buffered partial event, whose runner will not complete it. */
-    public void dropPartialEvent() {
+    /**
+     * Drops the buffered bytes of a runner that will not complete the stream, with any gap in them.
+     */
+    public void dropBuffered() {
         buffer.clear();
+        gap = false;
     }
 
     public void release() {
--- a/router/src/test/java/org/bronzelug/router/stream/EventSplitterTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/EventSplitterTest.java
@@ -60,7 +60,7 @@
             at = end;
         }
         passed.append(passThrough(splitter, first.substring(at)));
-        splitter.dropPartialEvent();
+        splitter.dropBuffered();
         int last = (int) splitter.lastId().orElse(0);
         passed.append(passThrough(splitter, events(Math.max(1, last + 1 - repeated), count)));
         assertThat(passed.toString()).isEqualTo(whole);
