Send an endpoint nothing during the backoff that it asks for

Cause: nothing read the header. After a 503 the endpoint was suspect for half a second, which is a preference only: the next good response ended it, also one to an earlier request, and without another endpoint it had no effect. Change: Retry-After is decoded in WireHeaders into RequestedBackoff. Endpoints in their backoff are left out of every choice (EndpointTable.available): first sends, retries, resumed and moved streams; a request that waited for its connection meanwhile is not written (beforeSend). Where all are left out, the caller is told at once when the first is back. The state of an endpoint whose entry vanishes from the list is kept, bounded, and is back with the same start. What responses advertise moved out of EndpointState. Ruled out: making suspect endpoints unavailable (one without another endpoint would then serve nothing after each failure); ending the backoff with a good response (it may belong to an earlier request); telling peers (what an endpoint asks of one VM says little about others).

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -49,6 +49,9 @@
     ROLLOUT_STAGE(514, "rollout entered another stage; requests follow it at once"),
     ROLLOUT_WRITTEN(515, "status of a rollout sent to the platform"),
     ROLLOUT_INVALID(516, "rollout can't be carried out; rolling it back without moving traffic"),
+    ENDPOINT_BACKOFF_CHANGED(517, "endpoint asks this VM for a backoff; sending it no requests"),
+    ENDPOINT_BACKOFF_MALFORMED(
+            518, "endpoint asks for a backoff without a valid time; ignoring it"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bronzelug.core.limit.AdvertisedLimit;
+import org.bronzelug.core.limit.RequestedBackoff;
 
 /**
  * The decoded head of an endpoint's response, independent of the platform's header names.
@@ -16,6 +17,7 @@
  * @param load the endpoint's load at the time of the response
  * @param limit the limit on the requests of all VMs together, which holds until a later response
  *     has another one or none
+ * @param backoff the time for which the endpoint asks this VM to send it no more requests
  * @param weightsVersion the version of the weights that the response is generated on
  * @param idleMillis how long the endpoint keeps an idle connection open
  * @param keepAlive whether the connection can carry another request after the response
@@ -28,6 +30,7 @@
         boolean notExecuted,
         Optional<EndpointLoad> load,
         AdvertisedLimit limit,
+        RequestedBackoff backoff,
         OptionalLong weightsVersion,
         OptionalLong idleMillis,
         boolean keepAlive) {
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.exchange;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -85,7 +86,7 @@
 
     /** Returns whether the request can be sent to an endpoint that advertises no limit. */
     private boolean hasUnlimitedEndpoint(long nowNanos) {
-        return state.endpoints().acceptingRequests(admitted.pool().orElseThrow().name()).stream()
+        return available(nowNanos).stream()
                 .filter(endpoint -> isAllowed(endpoint.entry().id()))
                 .filter(endpoint -> !endpoint.isSuspect(nowNanos))
                 .filter(endpoint -> !endpoint.isExpectedToReject(nowNanos))
@@ -118,6 +119,25 @@
                 .min();
     }
 
+    /**
+     * Returns the time until the first endpoint accepts requests again after a backoff; empty if an
+     * endpoint that the last choice did not find to be at its limit accepts requests now.
+     */
+    OptionalLong backoffRetryMillis(long nowNanos) {
+        if (admitted.pool().isEmpty() || !limited.containsAll(available(nowNanos))) {
+            return OptionalLong.empty();
+        }
+        return state.endpoints().acceptingRequests(admitted.pool().get().name()).stream()
+                .mapToLong(endpoint -> endpoint.backoffNanos(nowNanos))
+                .filter(nanos -> nanos > 0)
+                .map(nanos -> 1 + nanos / NANOS_PER_MILLI)
+                .min();
+    }
+
+    private List<EndpointState> available(long nowNanos) {
+        return state.endpoints().available(admitted.pool().orElseThrow().name(), nowNanos);
+    }
+
     /** Returns the endpoints that the last choice skipped because of their limits. */
     Set<EndpointState> limited() {
         return limited;
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
@@ -157,12 +158,18 @@
 
     private void abandonWithoutEndpoint(long nowNanos) {
         OptionalLong limitMillis = selection.limitRetryMillis(nowNanos);
-        if (limitMillis.isPresent()) {
-            metrics.count("requests_past_endpoint_limits");
-            abandon("endpoints are at the limits that they named", limitMillis.getAsLong());
-        } else {
-            abandon("no endpoint takes the request");
-        }
+        OptionalLong backoffMillis = selection.backoffRetryMillis(nowNanos);
+        limitMillis.ifPresent(millis -> metrics.count("requests_past_endpoint_limits"));
+        backoffMillis.ifPresent(millis -> metrics.count("requests_past_endpoint_backoffs"));
+        String reason =
+                limitMillis.isPresent()
+                        ? "endpoints are at the limits that they named"
+                        : "endpoints have asked for a backoff";
+        LongStream.concat(limitMillis.stream(), backoffMillis.stream())
+                .min()
+                .ifPresentOrElse(
+                        millis -> abandon(reason, millis),
+                        () -> abandon("no endpoint takes the request"));
     }
 
     @Override
@@ -174,6 +181,12 @@
             abandon(DEADLINE_PASSED);
             return false;
         }
+        if (!endpoint.orElseThrow().isAvailable(nowNanos)) {
+            selection.refund(nowNanos);
+            log.moved(endAttempt(), attempts.sends(), "endpoint accepts no more requests");
+            dispatch();
+            return false;
+        }
         builder.remainingMillis(nowNanos).ifPresent(millis -> wire.setDeadline(headers, millis));
         return true;
     }
@@ -416,7 +429,9 @@
     }
 
     private void abandon(String reason) {
-        abandon(reason, NO_ENDPOINT_RETRY_MILLIS);
+        long backoffMillis =
+                selection.backoffRetryMillis(System.nanoTime()).orElse(NO_ENDPOINT_RETRY_MILLIS);
+        abandon(reason, backoffMillis);
     }
 
     /** Rejects the request as not run if that is certain, else fails it or resumes it later. */
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -84,6 +84,11 @@
             stay("the caller's deadline has passed");
             return false;
         }
+        if (move.filter(current -> current.target().isAvailable(nowNanos)).isEmpty()) {
+            selection.refund(nowNanos);
+            stay("endpoint accepts no more requests");
+            return false;
+        }
         builder.remainingMillis(nowNanos).ifPresent(millis -> wire.setDeadline(headers, millis));
         return true;
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -8,26 +8,24 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
-import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.placement.LoadEstimate;
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.log.EventLog;
-import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.endpoint.EndpointConnections;
 import org.bronzelug.router.endpoint.EndpointResponse;
 
 /**
  * State that this VM keeps about one running instance of an endpoint: its entry in the platform's
  * list, its connection pool, the requests in flight, the versions of the weights that its responses
- * reported, the request limit that it advertises, and its health.
+ * reported, what it advertises about the requests that it accepts, and its health.
  *
  * <p>A failure makes the endpoint suspect. The suspect period doubles with each consecutive failure
  * up to a bound, and the next regular response ends it. An endpoint is also suspect while it is
  * silent, that is while requests are in flight and no bytes arrive. A suspect endpoint is chosen
  * only if no other endpoint is available, so a dead endpoint costs each VM at most one failed
- * request per suspect period.
+ * request per suspect period. An endpoint that has asked for a backoff is not chosen at all until
+ * the backoff ends.
  *
  * <p>Invariant: an instance of this class belongs to one start of the endpoint. After a restart of
  * the endpoint {@link EndpointTable} creates a new one. Confined to the traffic thread.
@@ -35,7 +33,6 @@
 public final class EndpointState {
     private static final long INITIAL_SUSPECT_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
-    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Several times the latency of a request without a prompt or with a short prompt. */
     private static final long MINIMUM_SILENCE_NANOS = 900_000_000L;
@@ -50,6 +47,7 @@
     private static final long WEIGHTS_UNKNOWN_NANOS = 400_000_000L;
 
     private final EndpointConnections connections;
+    private final EndpointAdvertisements advertisements;
     private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
     private final Map<String, Long> observedWeights = new HashMap<>();
@@ -59,7 +57,6 @@
     private long incarnationVersion = -1;
     private EndpointEntry entry;
     private PeerEndpointUsage peerUsage = PeerEndpointUsage.NONE;
-    private Optional<EndpointLimit> limit = Optional.empty();
     private boolean loadOrdered;
     private int consecutiveFailures;
     private long suspectUntilNanos = Long.MIN_VALUE;
@@ -70,6 +67,7 @@
     EndpointState(EndpointEntry entry, EndpointConnections connections, PrefillRate prefillRate) {
         this.entry = entry;
         this.connections = connections;
+        this.advertisements = new EndpointAdvertisements(entry.id());
         this.prefillRate = prefillRate;
     }
 
@@ -248,7 +246,7 @@
     }
 
     public void recordResponse(EndpointResponse response) {
-        recordLimit(response);
+        advertisements.recordResponse(response, System.nanoTime());
         if (!response.isServerError() || response.genuine()) {
             consecutiveFailures = 0;
             suspectUntilNanos = Long.MIN_VALUE;
@@ -257,58 +255,22 @@
 
     /** Returns the limit on the endpoint's requests; empty if it has never advertised one. */
     public Optional<EndpointLimit> limit() {
-        return limit;
-    }
-
-    /**
-     * Records the limit in a response. A response without the endpoint's stamp may come from
-     * another program and lack the limit header, so its missing limit does not end a known one.
-     */
-    private void recordLimit(EndpointResponse response) {
-        long nowNanos = System.nanoTime();
-        switch (response.limit()) {
-            case AdvertisedLimit.Rate rate -> {
-                if (response.genuine() || response.notExecuted()) {
-                    applyLimit(rate, nowNanos, "answer");
-                }
-            }
-            case AdvertisedLimit.None none -> {
-                if (response.genuine()) {
-                    applyLimit(none, nowNanos, "answer");
-                }
-            }
-            case AdvertisedLimit.Malformed malformed ->
-                    EventLog.warn(
-                            LogEvent.ENDPOINT_LIMIT_MALFORMED,
-                            "endpoint=" + entry.id() + " limit=\"" + malformed.text() + "\"");
-        }
+        return advertisements.limit();
     }
 
     /** Applies the limit that a peer has observed, and the peer's usage of it. */
     void recordPeerLimit(PeerLimitUsage peer, long nowNanos) {
-        applyLimit(peer.limit(), peer.seenNanos(), "vm " + peer.vm());
-        limit.ifPresent(
-                known -> known.recordPeer(peer.vm(), peer.incarnation(), peer.usage(), nowNanos));
+        advertisements.recordPeerLimit(peer, nowNanos);
     }
 
-    private void applyLimit(AdvertisedLimit advertised, long seenNanos, String source) {
-        if (limit.isEmpty()) {
-            if (advertised instanceof AdvertisedLimit.None) {
-                return;
-            }
-            limit = Optional.of(new EndpointLimit(seenNanos));
-        }
-        AdvertisedLimit before = limit.get().limit();
-        long nowNanos = System.nanoTime();
-        if (limit.get().observe(advertised, seenNanos, nowNanos)) {
-            EventLog.info(
-                    LogEvent.ENDPOINT_LIMIT_CHANGED,
-                    ("endpoint=" + entry.id())
-                            + (" limit=" + advertised)
-                            + (" before=" + before)
-                            + (" from=\"" + source + "\"")
-                            + (" ageMillis=" + (nowNanos - seenNanos) / NANOS_PER_MILLI));
-        }
+    /** Returns whether this VM may send requests to the endpoint now. */
+    public boolean isAvailable(long nowNanos) {
+        return !advertisements.backoff().isActive(nowNanos);
+    }
+
+    /** Returns the time until the end of the backoff that the endpoint asked for; 0 if none. */
+    public long backoffNanos(long nowNanos) {
+        return advertisements.backoff().remainingNanos(nowNanos);
     }
 
     public void recordFailure(long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -17,12 +17,14 @@
  * The endpoints that requests may be sent to, with their state.
  *
  * <p>Invariant: an endpoint that restarts or changes its address gets a new {@link EndpointState};
- * nothing is carried over from the previous one. Confined to the traffic thread.
+ * nothing is carried over from the previous one. An endpoint whose entry vanishes and reappears
+ * without a restart keeps its state. Confined to the traffic thread.
  */
 public final class EndpointTable {
     private final EventLoop traffic;
     private final WireFormat wire;
     private final Map<String, EndpointState> states = new HashMap<>();
+    private final RemovedEndpoints removed = new RemovedEndpoints();
     private final Map<String, PrefillRate> rates = new HashMap<>();
 
     public EndpointTable(EventLoop traffic, WireFormat wire) {
@@ -32,13 +34,14 @@
 
     /** Applies the list of endpoints; requests in flight at removed endpoints continue. */
     void update(TrafficUpdate update) {
-        states.values().removeIf(state -> isRemoved(state, update.endpoints()));
+        removeUnlisted(update.endpoints());
         List<EndpointState> draining = new ArrayList<>();
         for (EndpointEntry entry : update.endpoints().values()) {
             PeerEndpointUsage usage =
                     update.peerUsage().getOrDefault(entry.id(), PeerEndpointUsage.NONE);
             boolean loadOrdered = update.loadOrdered().contains(entry.id());
-            EndpointState state = states.computeIfAbsent(entry.id(), id -> createState(entry));
+            EndpointState state =
+                    states.computeIfAbsent(entry.id(), id -> reinstateOrCreate(entry));
             if (state.update(entry, usage, loadOrdered)) {
                 draining.add(state);
             }
@@ -65,13 +68,20 @@
         }
     }
 
-    private static boolean isRemoved(EndpointState state, Map<String, EndpointEntry> listed) {
-        EndpointEntry entry = listed.get(state.entry().id());
-        boolean removed = entry == null || !entry.isSameStart(state.entry());
-        if (removed) {
-            state.connections().closeIdle();
+    private void removeUnlisted(Map<String, EndpointEntry> listed) {
+        for (EndpointState state : List.copyOf(states.values())) {
+            EndpointEntry entry = listed.get(state.entry().id());
+            if (entry == null || !entry.isSameStart(state.entry())) {
+                states.remove(state.entry().id());
+                state.connections().closeIdle();
+                removed.add(state);
+            }
         }
-        return removed;
+    }
+
+    /** Returns the state of an endpoint that is newly listed; the former one of the same start. */
+    private EndpointState reinstateOrCreate(EndpointEntry entry) {
+        return removed.take(entry).orElseGet(() -> createState(entry));
     }
 
     private EndpointState createState(EndpointEntry entry) {
@@ -93,6 +103,13 @@
                 .toList();
     }
 
+    /** Returns the endpoints of a pool that accept new requests from this VM now. */
+    public List<EndpointState> available(String pool, long nowNanos) {
+        return acceptingRequests(pool).stream()
+                .filter(state -> state.isAvailable(nowNanos))
+                .toList();
+    }
+
     public Optional<EndpointState> find(String id) {
         return Optional.ofNullable(states.get(id));
     }
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -0,0 +1,40 @@
+package org.bronzelug.router.traffic;
+
+import java.util.LinkedHashMap;
+import java.util.Optional;
+import org.bronzelug.core.routing.EndpointEntry;
+
+/**
+ * The states of endpoints that have left the platform's list.
+ *
+ * <p>Without them, an endpoint whose entry expires during an outage of the platform and reappears
+ * afterwards would get requests although it has asked for a backoff.
+ *
+ * <p>Invariant: holds at most {@link #MAXIMUM_STATES}, the most recently removed ones. Confined to
+ * the traffic thread.
+ */
+final class RemovedEndpoints {
+    /** More than the endpoints whose entries expire together in an outage. */
+    private static final int MAXIMUM_STATES = 512;
+
+    private final LinkedHashMap<Start, EndpointState> states = new LinkedHashMap<>();
+
+    /** One start of an endpoint. Immutable. */
+    private record Start(String id, long bornMillis, String address) {
+        static Start of(EndpointEntry entry) {
+            return new Start(entry.id(), entry.bornMillis(), entry.address());
+        }
+    }
+
+    void add(EndpointState state) {
+        states.putLast(Start.of(state.entry()), state);
+        if (states.size() > MAXIMUM_STATES) {
+            states.pollFirstEntry();
+        }
+    }
+
+    /** Removes and returns the state of the entry's start of the endpoint, if it is still held. */
+    Optional<EndpointState> take(EndpointEntry entry) {
+        return Optional.ofNullable(states.remove(Start.of(entry)));
+    }
+}
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -12,6 +12,7 @@
 import java.util.OptionalLong;
 import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointLimit;
+import org.bronzelug.core.limit.RequestedBackoff;
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
@@ -90,14 +91,20 @@
     }
 
     private static EndpointResponse response(AdvertisedLimit limit, boolean genuine) {
+        return response(200, limit, genuine, new RequestedBackoff.None());
+    }
+
+    private static EndpointResponse response(
+            int status, AdvertisedLimit limit, boolean genuine, RequestedBackoff backoff) {
         return new EndpointResponse(
-                200,
+                status,
                 Optional.empty(),
                 Optional.empty(),
                 genuine,
                 false,
                 Optional.empty(),
                 limit,
+                backoff,
                 OptionalLong.empty(),
                 OptionalLong.empty(),
                 true);
@@ -120,6 +127,38 @@
         assertThat(state.limit().get().isAdvertised()).isFalse();
     }
 
+    private static EndpointResponse response(
+            int status, boolean genuine, RequestedBackoff backoff) {
+        return response(status, new AdvertisedLimit.None(), genuine, backoff);
+    }
+
+    /** A proxy's 503, or the Retry-After header of another status, excludes no endpoint. */
+    @ParameterizedTest
+    @CsvSource({
+        "503, true, 0, true",
+        "503, true, 9000, false",
+        "503, false, 9000, true",
+        "429, true, 9000, true",
+        "200, true, 9000, true",
+    })
+    void onlyTheEndpointsOwn503StartsABackoff(
+            int status, boolean genuine, long millis, boolean available) {
+        state.recordResponse(response(status, genuine, new RequestedBackoff.Delay(millis)));
+        assertThat(state.isAvailable(System.nanoTime())).isEqualTo(available);
+    }
+
+    /** Neither a good response nor a malformed or missing delay ends a backoff. */
+    @Test
+    void laterResponsesDoNotEndABackoff() {
+        state.recordResponse(response(503, true, new RequestedBackoff.Delay(9_000)));
+        state.recordResponse(response(200, true, new RequestedBackoff.None()));
+        state.recordResponse(response(503, true, new RequestedBackoff.Malformed("soon")));
+        state.recordResponse(response(503, true, new RequestedBackoff.None()));
+        state.recordResponse(response(503, true, new RequestedBackoff.Delay(0)));
+        assertThat(state.isAvailable(System.nanoTime())).isFalse();
+        assertThat(state.backoffNanos(System.nanoTime() + 9_000 * MILLI)).isEqualTo(0);
+    }
+
     /**
      * A VM that has received no recent response of the endpoint would exceed its limit, although
      * the VM's peers know the limit.
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -0,0 +1,92 @@
+package org.bronzelug.router.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against state that is forgotten while an endpoint's entry is missing from the list, or
+ * carried over to another start of the endpoint.
+ */
+class EndpointTableTest {
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EndpointTable table = new EndpointTable(group.next(), new NoWireFormat());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully();
+    }
+
+    private static EndpointEntry entry(String id, String address, long bornMillis) {
+        return new EndpointEntry(
+                id, "pool", address, "zone", "v1", 6, false, bornMillis, Map.of("m", 1L));
+    }
+
+    private void list(EndpointEntry... entries) {
+        Map<String, EndpointEntry> listed = new HashMap<>();
+        for (EndpointEntry entry : entries) {
+            listed.put(entry.id(), entry);
+        }
+        table.update(
+                new TrafficUpdate(
+                        Optional.empty(),
+                        listed,
+                        Map.of(),
+                        Map.of(),
+                        List.of(),
+                        List.of(),
+                        List.of(),
+                        Set.of(),
+                        Map.of(),
+                        1,
+                        1,
+                        450_000_000L));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"127.0.0.1:9, 1, true", "127.0.0.1:9, 2, false", "127.0.0.1:8, 1, false"})
+    void onlyTheSameStartOfAnEndpointGetsItsStateBack(
+            String address, long bornMillis, boolean same) {
+        list(entry("a", "127.0.0.1:9", 1));
+        EndpointState before = table.find("a").get();
+        list();
+        assertThat(table.find("a")).isEmpty();
+        list(entry("a", address, bornMillis));
+        assertThat(table.find("a").get() == before).isEqualTo(same);
+    }
+
+    /** The list may show a restart and then, read from a stale source, the former start again. */
+    @Test
+    void theFormerStartGetsItsOwnStateBackAfterARestart() {
+        list(entry("a", "127.0.0.1:9", 1));
+        EndpointState former = table.find("a").get();
+        list(entry("a", "127.0.0.1:9", 2));
+        assertThat(table.find("a").get()).isNotSameInstanceAs(former);
+        list(entry("a", "127.0.0.1:9", 1));
+        assertThat(table.find("a").get()).isSameInstanceAs(former);
+    }
+
+    /** An installation whose endpoints are replaced all day must not fill the VM's memory. */
+    @Test
+    void onlyABoundedNumberOfStatesIsKept() {
+        list(entry("a", "127.0.0.1:9", 1));
+        EndpointState before = table.find("a").get();
+        for (int start = 2; start < 1_000; start++) {
+            list(entry("a", "127.0.0.1:9", start));
+        }
+        list(entry("a", "127.0.0.1:9", 1));
+        assertThat(table.find("a").get()).isNotSameInstanceAs(before);
+    }
+}
