Send an endpoint nothing new once its responses state that it leaves

Cause: nothing read the header; only the entry in the platform's list counted, which lags, and which some endpoints never change. From then on this start of the endpoint is treated as one whose entry drains (EndpointTable.acceptingRequests): no first sends, retries, resumed or moved streams, and no request that still waited for its connection. Its idle connections are closed, the others when their requests have ended; streams in progress go on. The state survives the loss of the entry, as for the backoff. Ruled out: moving its streams (it serves them for seconds more, and each move takes a retry); any value but 1 (the protocol defines no other).

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -52,6 +52,7 @@
     ENDPOINT_BACKOFF_CHANGED(517, "endpoint asks this VM for a backoff; sending it no requests"),
     ENDPOINT_BACKOFF_MALFORMED(
             518, "endpoint asks for a backoff without a valid time; ignoring it"),
+    ENDPOINT_LEAVING(519, "endpoint states that it leaves; sending it no more requests"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -33,6 +33,7 @@
     private final InetSocketAddress address;
     private final WireFormat wire;
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+    private boolean retired;
 
     public EndpointConnections(EventLoop traffic, InetSocketAddress address, WireFormat wire) {
         this.traffic = traffic;
@@ -63,8 +64,22 @@
         idle.clear();
     }
 
+    /** Closes the idle connections now and each other one when its request has ended. */
+    public void retire() {
+        retired = true;
+        closeIdle();
+    }
+
+    private void keep(EndpointConnection connection) {
+        if (retired) {
+            connection.close();
+        } else {
+            idle.addFirst(connection);
+        }
+    }
+
     private void connect(EndpointCall call) {
-        EndpointConnection connection = new EndpointConnection(wire, idle::addFirst);
+        EndpointConnection connection = new EndpointConnection(wire, this::keep);
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(traffic)
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
@@ -18,6 +18,7 @@
  * @param limit the limit on the requests of all VMs together, which holds until a later response
  *     has another one or none
  * @param backoff the time for which the endpoint asks this VM to send it no more requests
+ * @param leaving whether the endpoint is about to leave and accepts no new requests
  * @param weightsVersion the version of the weights that the response is generated on
  * @param idleMillis how long the endpoint keeps an idle connection open
  * @param keepAlive whether the connection can carry another request after the response
@@ -31,6 +32,7 @@
         Optional<EndpointLoad> load,
         AdvertisedLimit limit,
         RequestedBackoff backoff,
+        boolean leaving,
         OptionalLong weightsVersion,
         OptionalLong idleMillis,
         boolean keepAlive) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointAdvertisements.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointAdvertisements.java
@@ -12,10 +12,12 @@
 
 /**
  * What the responses of one start of an endpoint advertise about the requests that it accepts: a
- * limit on the requests of all VMs, and a backoff for this VM.
+ * limit on the requests of all VMs, a backoff for this VM, and whether the endpoint is about to
+ * leave.
  *
- * <p>Invariant: only responses that the endpoint itself sent change what is known; a malformed
- * value changes nothing. Confined to the traffic thread.
+ * <p>Invariants: only responses that the endpoint itself sent change what is known; a malformed
+ * value changes nothing. An endpoint that leaves does so until its next start. Confined to the
+ * traffic thread.
  */
 final class EndpointAdvertisements {
     private static final int UNAVAILABLE = 503;
@@ -24,6 +26,7 @@
     private final String endpointId;
     private final EndpointBackoff backoff = new EndpointBackoff();
     private Optional<EndpointLimit> limit = Optional.empty();
+    private boolean leaving;
 
     EndpointAdvertisements(String endpointId) {
         this.endpointId = endpointId;
@@ -38,11 +41,19 @@
         return backoff;
     }
 
+    boolean isLeaving() {
+        return leaving;
+    }
+
     void recordResponse(EndpointResponse response, long nowNanos) {
         recordLimit(response, nowNanos);
         if (isFromEndpoint(response) && response.status() == UNAVAILABLE) {
             recordBackoff(response.backoff(), nowNanos);
         }
+        if (isFromEndpoint(response) && response.leaving() && !leaving) {
+            leaving = true;
+            EventLog.info(LogEvent.ENDPOINT_LEAVING, "endpoint=" + endpointId);
+        }
     }
 
     private static boolean isFromEndpoint(EndpointResponse response) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -26,7 +26,7 @@
  * PlacementPolicy}), which depends on the tokens queued at the runner and on how much of the prompt
  * its cache is estimated to hold. The estimate is built from the prompts that this VM and its peers
  * sent to each runner. Runners that are expected to reject requests, and suspect ones, are excluded
- * while there are others. Endpoints that have asked for a backoff are always excluded.
+ * while there are others. Endpoints that leave or have asked for a backoff are always excluded.
  *
  * <p>Invariant: no prompt is sent to a runner whose weights have been outdated for longer than the
  * configured bound, less a margin for the time that the request waits there. Before that bound,
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -25,7 +25,7 @@
  * silent, that is while requests are in flight and no bytes arrive. A suspect endpoint is chosen
  * only if no other endpoint is available, so a dead endpoint costs each VM at most one failed
  * request per suspect period. An endpoint that has asked for a backoff is not chosen at all until
- * the backoff ends.
+ * the backoff ends, and one that has stated that it leaves is never chosen again.
  *
  * <p>Invariant: an instance of this class belongs to one start of the endpoint. After a restart of
  * the endpoint {@link EndpointTable} creates a new one. Confined to the traffic thread.
@@ -247,6 +247,9 @@
 
     public void recordResponse(EndpointResponse response) {
         advertisements.recordResponse(response, System.nanoTime());
+        if (isLeaving()) {
+            connections.retire();
+        }
         if (!response.isServerError() || response.genuine()) {
             consecutiveFailures = 0;
             suspectUntilNanos = Long.MIN_VALUE;
@@ -263,9 +266,14 @@
         advertisements.recordPeerLimit(peer, nowNanos);
     }
 
-    /** Returns whether this VM may send requests to the endpoint now. */
+    /** Returns whether this VM may send new requests to the endpoint now. */
     public boolean isAvailable(long nowNanos) {
-        return !advertisements.backoff().isActive(nowNanos);
+        return !isLeaving() && !advertisements.backoff().isActive(nowNanos);
+    }
+
+    /** Returns whether a response has stated that the endpoint leaves, whatever its entry says. */
+    boolean isLeaving() {
+        return advertisements.isLeaving();
     }
 
     /** Returns the time until the end of the backoff that the endpoint asked for; 0 if none. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -96,10 +96,14 @@
         return rates.computeIfAbsent(pool, name -> new PrefillRate());
     }
 
-    /** Returns the endpoints of a pool that accept new requests, that is, do not drain. */
+    /**
+     * Returns the endpoints of a pool that accept new requests, that is, neither drain by their
+     * entries nor leave by their responses.
+     */
     public List<EndpointState> acceptingRequests(String pool) {
         return states.values().stream()
-                .filter(state -> state.entry().pool().equals(pool) && !state.entry().draining())
+                .filter(state -> state.entry().pool().equals(pool))
+                .filter(state -> !state.entry().draining() && !state.isLeaving())
                 .toList();
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -8,7 +8,7 @@
  * The states of endpoints that have left the platform's list.
  *
  * <p>Without them, an endpoint whose entry expires during an outage of the platform and reappears
- * afterwards would get requests although it has asked for a backoff.
+ * afterwards would get requests although it has asked for a backoff or stated that it leaves.
  *
  * <p>Invariant: holds at most {@link #MAXIMUM_STATES}, the most recently removed ones. Confined to
  * the traffic thread.
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -105,6 +105,7 @@
                 Optional.empty(),
                 limit,
                 backoff,
+                false,
                 OptionalLong.empty(),
                 OptionalLong.empty(),
                 true);
@@ -147,6 +148,47 @@
         assertThat(state.isAvailable(System.nanoTime())).isEqualTo(available);
     }
 
+    private static EndpointResponse leavingResponse(int status, boolean genuine, boolean rejected) {
+        return new EndpointResponse(
+                status,
+                Optional.empty(),
+                Optional.empty(),
+                genuine,
+                rejected,
+                Optional.empty(),
+                new AdvertisedLimit.None(),
+                new RequestedBackoff.None(),
+                true,
+                OptionalLong.empty(),
+                OptionalLong.empty(),
+                true);
+    }
+
+    /** Another program at the endpoint's address must not take the endpoint out of use. */
+    @ParameterizedTest
+    @CsvSource({
+        "200, true, false, true",
+        "503, false, true, true",
+        "421, true, false, true",
+        "200, false, false, false",
+        "502, false, false, false",
+    })
+    void onlyTheEndpointsOwnResponsesStateThatItLeaves(
+            int status, boolean genuine, boolean rejected, boolean leaving) {
+        state.recordResponse(leavingResponse(status, genuine, rejected));
+        assertThat(state.isLeaving()).isEqualTo(leaving);
+        assertThat(state.isAvailable(System.nanoTime())).isEqualTo(!leaving);
+    }
+
+    /** Neither a later response nor the entry, which lags, brings the endpoint back. */
+    @Test
+    void anEndpointThatLeavesDoesNotAcceptRequestsAgain() {
+        state.recordResponse(leavingResponse(200, true, false));
+        state.recordResponse(response(200, true, new RequestedBackoff.None()));
+        state.update(entry(2), PeerEndpointUsage.NONE, false);
+        assertThat(state.isLeaving()).isTrue();
+    }
+
     /** Neither a good response nor a malformed or missing delay ends a backoff. */
     @Test
     void laterResponsesDoNotEndABackoff() {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -8,8 +8,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import org.bronzelug.core.limit.AdvertisedLimit;
+import org.bronzelug.core.limit.RequestedBackoff;
 import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.router.endpoint.EndpointResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,6 +24,21 @@
  * carried over to another start of the endpoint.
  */
 class EndpointTableTest {
+    private static final EndpointResponse LEAVING =
+            new EndpointResponse(
+                    200,
+                    Optional.empty(),
+                    Optional.empty(),
+                    true,
+                    false,
+                    Optional.empty(),
+                    new AdvertisedLimit.None(),
+                    new RequestedBackoff.None(),
+                    true,
+                    OptionalLong.empty(),
+                    OptionalLong.empty(),
+                    true);
+
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EndpointTable table = new EndpointTable(group.next(), new NoWireFormat());
@@ -67,6 +86,18 @@
         assertThat(table.find("a").get() == before).isEqualTo(same);
     }
 
+    /** The same id with another start is an endpoint that has come back. */
+    @ParameterizedTest
+    @CsvSource({"1, 0", "2, 1"})
+    void onlyANewStartOfALeavingEndpointAcceptsRequests(long bornMillis, int accepting) {
+        list(entry("a", "127.0.0.1:9", 1));
+        table.find("a").get().recordResponse(LEAVING);
+        assertThat(table.acceptingRequests("pool")).isEmpty();
+        list();
+        list(entry("a", "127.0.0.1:9", bornMillis));
+        assertThat(table.acceptingRequests("pool")).hasSize(accepting);
+    }
+
     /** The list may show a restart and then, read from a stale source, the former start again. */
     @Test
     void theFormerStartGetsItsOwnStateBackAfterARestart() {
