Move the reason and retry delay of unavailable endpoints out of Exchange

One change of behaviour: a request rejected at endpoints' limits is no longer counted in requests_past_endpoint_backoffs as well.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -30,6 +30,9 @@
     /** Priority of the most urgent routes. */
     private static final int HIGHEST_PRIORITY = 0;
 
+    /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
+    private static final long NO_ENDPOINT_RETRY_MILLIS = 250;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final TrafficState state;
@@ -102,11 +105,28 @@
         chargedLimit = Optional.empty();
     }
 
+    /** Returns why the last choice found no endpoint, and when one may accept the request. */
+    Unavailability unavailability(long nowNanos) {
+        OptionalLong limitMillis = limitRetryMillis(nowNanos);
+        if (limitMillis.isPresent()) {
+            long backoffMillis = backoffRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
+            return Unavailability.atLimits(Math.min(limitMillis.getAsLong(), backoffMillis));
+        }
+        return backoffRetryMillis(nowNanos).isPresent()
+                ? Unavailability.inBackoff(retryMillis(nowNanos))
+                : Unavailability.noEndpoint(NO_ENDPOINT_RETRY_MILLIS);
+    }
+
+    /** Returns the retry delay of a request that is rejected after its last attempt. */
+    long retryMillis(long nowNanos) {
+        return backoffRetryMillis(nowNanos).orElse(NO_ENDPOINT_RETRY_MILLIS);
+    }
+
     /**
      * Returns the time until one of the endpoints at their limits accepts one more request; empty
      * if the last choice skipped none because of its limit.
      */
-    OptionalLong limitRetryMillis(long nowNanos) {
+    private OptionalLong limitRetryMillis(long nowNanos) {
         return limited.stream()
                 .flatMap(endpoint -> endpoint.limit().stream())
                 .mapToLong(
@@ -123,7 +143,7 @@
      * Returns the time until the first endpoint accepts requests again after a backoff; empty if an
      * endpoint that the last choice did not find to be at its limit accepts requests now.
      */
-    OptionalLong backoffRetryMillis(long nowNanos) {
+    private OptionalLong backoffRetryMillis(long nowNanos) {
         if (admitted.pool().isEmpty() || !limited.containsAll(available(nowNanos))) {
             return OptionalLong.empty();
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.LongStream;
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
@@ -45,9 +44,6 @@
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
-    private static final long NO_ENDPOINT_RETRY_MILLIS = 250;
-
     private final EventLoop traffic;
     private final TrafficState state;
     private final WireFormat wire;
@@ -157,19 +153,9 @@
     }
 
     private void abandonWithoutEndpoint(long nowNanos) {
-        OptionalLong limitMillis = selection.limitRetryMillis(nowNanos);
-        OptionalLong backoffMillis = selection.backoffRetryMillis(nowNanos);
-        limitMillis.ifPresent(millis -> metrics.count("requests_past_endpoint_limits"));
-        backoffMillis.ifPresent(millis -> metrics.count("requests_past_endpoint_backoffs"));
-        String reason =
-                limitMillis.isPresent()
-                        ? "endpoints are at the limits that they named"
-                        : "endpoints have asked for a backoff";
-        LongStream.concat(limitMillis.stream(), backoffMillis.stream())
-                .min()
-                .ifPresentOrElse(
-                        millis -> abandon(reason, millis),
-                        () -> abandon("no endpoint takes the request"));
+        Unavailability cause = selection.unavailability(nowNanos);
+        cause.counter().ifPresent(metrics::count);
+        abandon(cause.reason(), cause.retryAfterMillis());
     }
 
     @Override
@@ -429,9 +415,7 @@
     }
 
     private void abandon(String reason) {
-        long backoffMillis =
-                selection.backoffRetryMillis(System.nanoTime()).orElse(NO_ENDPOINT_RETRY_MILLIS);
-        abandon(reason, backoffMillis);
+        abandon(reason, selection.retryMillis(System.nanoTime()));
     }
 
     /** Rejects the request as not run if that is certain, else fails it or resumes it later. */
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
@@ -0,0 +1,31 @@
+package org.bronzelug.router.exchange;
+
+import java.util.Optional;
+
+/**
+ * Why no endpoint accepts a request. Immutable.
+ *
+ * @param reason the reason, for the response and the logs
+ * @param counter name of the metric that counts such requests; empty if none does
+ * @param retryAfterMillis the time until an endpoint may accept the request
+ */
+record Unavailability(String reason, Optional<String> counter, long retryAfterMillis) {
+    static Unavailability atLimits(long retryAfterMillis) {
+        return new Unavailability(
+                "endpoints are at the limits that they named",
+                Optional.of("requests_past_endpoint_limits"),
+                retryAfterMillis);
+    }
+
+    static Unavailability inBackoff(long retryAfterMillis) {
+        return new Unavailability(
+                "endpoints have asked for a backoff",
+                Optional.of("requests_past_endpoint_backoffs"),
+                retryAfterMillis);
+    }
+
+    static Unavailability noEndpoint(long retryAfterMillis) {
+        return new Unavailability(
+                "no endpoint takes the request", Optional.empty(), retryAfterMillis);
+    }
+}
