Move a resumed stream only off an attempt that its endpoint has accepted

What a caller saw: no rest of the stream, or two runners at work on one request. Cause: a begun stream moved with both attempts in progress, also when the current one was not accepted yet. Its rejection ended it and scheduled another attempt beside the move: the request reached the same runner twice, or the move took over an attempt that was gone, threw, and left the request counted at an endpoint for ever, which then looked silent. Change: an attempt without a head has nothing to stay for, so it is cancelled and the request sent on, as before a stream has begun; a move needs an accepted attempt. So a rejection, a failure or a refused connection can't meet a pending move. StreamMoveTest#aResumedStreamLeavesARunnerThatHasNotAcceptedIt: failed in both cases before, passes now; StreamResumeTest and ResponseFailureTest pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -69,6 +69,7 @@
     private PrefillProgress prefill;
     private long firstDataNanos;
     private long sentNanos;
+    private boolean attemptAccepted;
     private boolean done;
 
     Exchange(
@@ -147,6 +148,7 @@
         selection.recordTried(chosen);
         chosen.begin(this, nowNanos);
         sentNanos = nowNanos;
+        attemptAccepted = false;
         prefill.begin(selection.runner(), nowNanos);
         log.sent(chosen, prefill.runner(), selection.limited());
         metrics.routed(nowNanos - admitted.arrivedNanos());
@@ -229,6 +231,7 @@
             fail(BAD_GATEWAY, "the endpoint's answer is not genuine");
             return;
         }
+        attemptAccepted = true;
         relay.begin(head, response);
     }
 
@@ -419,12 +422,15 @@
         if (other.isEmpty()) {
             return;
         }
-        if (relay.hasBegun()) {
+        // An attempt that its endpoint has not accepted has nothing that the stream could stay for.
+        if (relay.hasBegun() && attemptAccepted) {
             mover.begin(other.get(), cause, System.nanoTime());
             return;
         }
         cancelCall();
-        relay.reset();
+        if (!relay.hasBegun()) {
+            relay.reset();
+        }
         log.moved(endAttempt(), attempts.sends(), cause);
         send(other.get(), System.nanoTime());
     }
@@ -438,6 +444,7 @@
         call = accepted.call();
         prefill = accepted.prefill();
         sentNanos = accepted.startNanos();
+        attemptAccepted = false;
     }
 
     private void onTimeout() {
