Refund a team's rate for attempts of a retried request that did not run

What a caller saw: 429, though its team had used two requests' tokens. Each resumption of a stream whose first run may have begun is charged to the team's rate again; a rejected one, or one that reached no endpoint, was not refunded, and a waiting stream may be rejected many times. Change: the charge of an attempt is refunded when the endpoint states that it has not run, or when nothing was sent. StreamResumeTest#rejectedResumptionsAreNotChargedToTheTeam: failed before, passes now; StreamMoveTest and ResponseFailureTest pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Attempts.java
@@ -31,6 +31,7 @@
     private final Set<String> uncertainEndpoints = new HashSet<>();
     private int sends;
     private int uncertainSends;
+    private boolean charged;
     private OptionalLong unusedRetryNanos = OptionalLong.empty();
 
     Attempts(TrafficState state, AdmittedRequest admitted) {
@@ -48,6 +49,7 @@
 
     /** Records that the endpoint stated that it did not execute the request. */
     void recordNotExecuted(EndpointState endpoint) {
+        refundCharge();
         uncertainSends--;
         uncertainEndpoints.remove(endpoint.entry().id());
     }
@@ -64,11 +66,20 @@
 
     /** Charges the team's rate again if the request may have run in an earlier attempt. */
     void chargeRetry() {
-        if (mayHaveRun()) {
+        charged = mayHaveRun();
+        if (charged) {
             admitted.team().ifPresent(team -> state.rates().charge(team, admitted.tokens()));
         }
     }
 
+    /** Refunds the charge of the last attempt, if there was one, since the attempt has not run. */
+    private void refundCharge() {
+        if (charged) {
+            admitted.team().ifPresent(team -> state.rates().refund(team, admitted.tokens()));
+        }
+        charged = false;
+    }
+
     /** Returns whether a request that the last endpoint did not execute may be sent once more. */
     boolean maySendAgain() {
         return sends < MAXIMUM_SENDS;
@@ -108,12 +119,13 @@
     }
 
     /**
-     * Returns the retry of the last attempt to the pool's budget, since the attempt reached no
-     * endpoint.
+     * Returns the retry of the last attempt to the pool's budget, and its charge to the team's
+     * rate, since the attempt reached no endpoint.
      *
      * @return whether the attempt was a retry
      */
     boolean returnRetry() {
+        refundCharge();
         OptionalLong taken = unusedRetryNanos;
         unusedRetryNanos = OptionalLong.empty();
         if (taken.isPresent()) {
