Start a stream elsewhere if its runner fails before its first event

What a caller saw: the head of a response, then a closed connection, although nothing of the stream was missing yet. A begun stream could be resumed only after an event with an id. Change: while no event has been forwarded, the stream of a resumable route is started anew at another endpoint, without a last event's id, within the route's maximum of endpoints and the retry budget. The caller keeps the first runner's head, as for any resumed stream. StreamResumeTest#aStreamWithoutAnEventYetIsStartedElsewhere: failed before, passes now; StreamMoveTest and ResponseFailureTest pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -34,6 +34,7 @@
     private int status;
     private boolean splitsEvents;
     private boolean begun;
+    private boolean eventForwarded;
     private boolean holding;
     private boolean holdsData;
 
@@ -136,6 +137,7 @@
                 event.get().release();
                 return false;
             }
+            eventForwarded = true;
             caller.writeData(event.get());
             event = events.next();
         }
@@ -169,9 +171,12 @@
         headers = Optional.empty();
     }
 
-    /** Returns whether the stream can be resumed at another endpoint after its last whole event. */
+    /**
+     * Returns whether the stream can be resumed at another endpoint after its last whole event, or
+     * started anew if the caller has got no event yet.
+     */
     boolean canResume() {
-        return splitsEvents && events.lastId().isPresent();
+        return splitsEvents && (events.lastId().isPresent() || !eventForwarded);
     }
 
     /**
