Keep the states of as many removed endpoints as a large fleet has

The fleet to design for has 1,100 runners, whose entries may all expire in one outage of the platform; 512 states were kept, so half of the backoffs and leaving endpoints would be forgotten.

--- a/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -14,8 +14,8 @@
  * the traffic thread.
  */
 final class RemovedEndpoints {
-    /** More than the endpoints whose entries expire together in an outage. */
-    private static final int MAXIMUM_STATES = 512;
+    /** More than all endpoints of a large fleet, whose entries may expire together in an outage. */
+    private static final int MAXIMUM_STATES = 2_048;
 
     private final LinkedHashMap<Start, EndpointState> states = new LinkedHashMap<>();
 
