--- a/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -15,7 +15,7 @@
  */
 final class RemovedEndpoints {
     /** More than all endpoints of a large fleet, whose entries may expire together in an outage. */
-    private static final int MAXIMUM_STATES = 2_048;
+    static final int MAXIMUM_STATES = 2_048;
 
     private final LinkedHashMap<Start, EndpointState> states = new LinkedHashMap<>();
 
