Read a kept endpoint connection again after its response

What callers saw: now and then a request got no response until its deadline, or its endpoint was taken for a silent one, although the endpoint had answered at once.

Cause: a caller that reads slowly pauses the endpoint's connection. When the rest of the response was already in the read that led to the pause, the response completed while the connection was paused. Nothing resumed it: the exchange drops its call with the response, and the connection went into the pool. The next request on it was written, but its response never read. A close by the endpoint was not noticed either.

Ruled out: a later pause by the finished exchange. Exchange.endAttempt drops the call before the end of the response is written to the caller, so the pooled connection is not paused again.

Change: reading is on again before the connection is pooled.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -21,7 +21,8 @@
  * response was read completely, and no bytes followed the response. Without this, an endpoint that
  * responds twice, or a response that arrives late, would give the next caller the response to
  * another caller's request. A late response that arrives after the next request was sent is
- * recognized by its request id and skipped. Confined to the traffic thread.
+ * recognized by its request id and skipped. An idle connection is always read, so that its close is
+ * noticed. Confined to the traffic thread.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final int CONTINUE = 100;
@@ -149,6 +150,8 @@
         reusable &= writtenCompletely && channel.isActive();
         idleSinceNanos = System.nanoTime();
         if (reusable) {
+            // The caller may have paused the connection, and is no longer notified to resume it.
+            setReading(true);
             onIdle.accept(this);
         } else {
             channel.close();
