Move the assembly of requests and the encoding of rejections out of CallerConnection

RequestReader now assembles the requests, RejectionContent encodes the router's own error responses. No change of behaviour; CallerRequestTest, StalledVmTest and ResponseFailureTest pass unchanged.

--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -1,14 +1,12 @@
 package org.bronzelug.router.ingress;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -25,7 +23,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -54,17 +51,15 @@
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
     private static final int HEADER_TOO_LARGE = 431;
-    private static final int MILLIS_PER_SECOND = 1_000;
 
     /** Maximum number of queued requests of one connection; regular clients do not send more. */
     private static final int MAXIMUM_PIPELINED = 16;
 
     private final RequestHandler handler;
     private final Channel channel;
+    private final RequestReader reader = new RequestReader();
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Optional<CallerListener> currentListener = Optional.empty();
-    private Optional<HttpRequest> incomingHead = Optional.empty();
-    private CompositeByteBuf incomingBody = Unpooled.compositeBuffer();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean busy;
     private boolean keepAlive = true;
@@ -85,7 +80,7 @@
     /** Closes the connection: immediately if it is idle, otherwise after the response. */
     public void closeWhenIdle() {
         closeAfterResponse = true;
-        if (!busy && incomingHead.isEmpty()) {
+        if (!busy && !reader.isReading()) {
             close();
         }
     }
@@ -134,21 +129,10 @@
     /** Writes a rejection by the router as a complete response. */
     public void reject(Rejection rejection) {
         closeAfterResponse |= rejection.close();
-        String text =
-                "{\"error\":\""
-                        + rejection.reason()
-                        + "\",\"remedy\":\""
-                        + rejection.remedy()
-                        + "\"}";
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        rejection
-                .retryAfterMillis()
-                .ifPresent(millis -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(millis)));
         writeResponse(
                 rejection.status(),
-                headers,
-                Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+                RejectionContent.headers(rejection),
+                RejectionContent.body(rejection));
     }
 
     /** Closes the connection within a response, so that the caller sees an incomplete response. */
@@ -173,11 +157,11 @@
     }
 
     private void beginRequest(HttpRequest request) {
-        if (isAmbiguous(request)) {
+        if (RequestReader.isAmbiguous(request)) {
             rejectUnread(new IllegalArgumentException("ambiguous body length or host"));
             return;
         }
-        incomingHead = Optional.of(request);
+        reader.begin(request);
         startTimer(handler.limits().headerTimeoutMillis(), this::rejectSlowRequest);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
@@ -188,23 +172,8 @@
         }
     }
 
-    /**
-     * Returns whether the headers are ambiguous about the body's length or the host. Another proxy
-     * on the path may interpret such a request differently, so that a part of one caller's body
-     * becomes a separate request (request smuggling).
-     */
-    private static boolean isAmbiguous(HttpRequest request) {
-        HttpHeaders headers = request.headers();
-        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean unsupportedCoding = chunked && !HttpUtil.isTransferEncodingChunked(request);
-        boolean bothLengths = chunked && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-        boolean multipleLengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
-        boolean notOneHost = headers.getAll(HttpHeaderNames.HOST).size() != 1;
-        return unsupportedCoding || bothLengths || multipleLengths || notOneHost;
-    }
-
     private void readBody(HttpContent content) {
-        if (incomingHead.isEmpty()) {
+        if (!reader.isReading()) {
             content.release();
             return;
         }
@@ -213,31 +182,17 @@
             rejectUnread(content.decoderResult().cause());
             return;
         }
-        if (incomingBody.readableBytes() + content.content().readableBytes()
-                > handler.limits().maximumBodyBytes()) {
+        if (reader.exceeds(content, handler.limits().maximumBodyBytes())) {
             content.release();
-            incomingHead = Optional.empty();
+            reader.abandon();
             rejectUnlessBusy(
                     Rejection.of(TOO_LARGE, "body too large", "send a smaller body").closing());
             return;
         }
-        incomingBody.addComponent(true, content.content());
-        if (content instanceof LastHttpContent) {
-            onRequestComplete(incomingHead.get());
-        }
+        reader.add(content).ifPresent(this::onRequestComplete);
     }
 
-    private void onRequestComplete(HttpRequest head) {
-        FullHttpRequest whole =
-                new DefaultFullHttpRequest(
-                        head.protocolVersion(),
-                        head.method(),
-                        head.uri(),
-                        incomingBody,
-                        head.headers(),
-                        DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        incomingBody = Unpooled.compositeBuffer();
-        incomingHead = Optional.empty();
+    private void onRequestComplete(FullHttpRequest whole) {
         stopTimer();
         if (closed) {
             // The request arrived after the connection was closed, so it is discarded.
@@ -304,7 +259,7 @@
 
     private void rejectUnread(Throwable cause) {
         boolean tooLong = cause instanceof TooLongFrameException;
-        incomingHead = Optional.empty();
+        reader.abandon();
         Rejection rejection =
                 tooLong
                         ? Rejection.of(HEADER_TOO_LARGE, "head too large", "send fewer headers")
@@ -313,7 +268,7 @@
     }
 
     private void rejectSlowRequest() {
-        incomingHead = Optional.empty();
+        reader.abandon();
         rejectUnlessBusy(
                 Rejection.of(REQUEST_TIMEOUT, "request too slow", "send it faster").closing());
     }
@@ -352,10 +307,6 @@
         timer = Optional.empty();
     }
 
-    private static String seconds(long millis) {
-        return String.valueOf(millis / (double) MILLIS_PER_SECOND);
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         currentListener.ifPresent(listener -> listener.onWritable(channel.isWritable()));
@@ -364,7 +315,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopTimer();
-        incomingBody.release();
+        reader.release();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         Optional<CallerListener> listener = currentListener;
