Don't close a caller's connection while its response is being sent

What callers saw: a caller that reads slowly got a response cut short, with an unexpected end of the connection, when the VM stopped or when the idle limit passed; the router had counted the response as complete. With "Connection: close" a stop cut it short as well.

Cause: a connection counted as idle once the last bytes of the response were written to the channel, though they were still in its buffer. closeWhenIdle and the idle timer closed the channel, which drops the buffer, and GracefulStop no longer counted the connection.

Ruled out: keeping `busy` until the flush. Requests that follow on the connection would then wait for the caller to read, and an exchange would be told of a close after its response.

Change: UnsentResponse tracks the write of the response's end. A connection counts as busy until that is done, so the graceful stop waits for it, within the grace period as before; an idle connection is still closed at once. closeWhenIdle closes after the flush; the idle limit begins with it. So that a caller that doesn't read can't keep a connection for ever, the connection is closed if the caller accepts no byte for 60 s; this now also holds after "Connection: close", where nothing limited it. Since the time between the last write and the close is longer now, everything that arrives in it is discarded; a malformed or slow request would otherwise have been answered after the last response. A request whose head arrives during a response keeps its header limit; the idle limit replaced it before.

--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -55,8 +56,12 @@
     /** Maximum number of queued requests of one connection; regular clients do not send more. */
     private static final int MAXIMUM_PIPELINED = 16;
 
+    /** Time after which a caller that has accepted no byte of its response is considered gone. */
+    static final long STALLED_CALLER_MILLIS = 60_000;
+
     private final RequestHandler handler;
     private final Channel channel;
+    private final UnsentResponse unsent;
     private final RequestReader reader = new RequestReader();
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Optional<CallerListener> currentListener = Optional.empty();
@@ -70,18 +75,20 @@
     CallerConnection(RequestHandler handler, Channel channel) {
         this.handler = handler;
         this.channel = channel;
+        unsent = new UnsentResponse(channel);
         startTimer(handler.limits().idleTimeoutMillis(), this::close);
     }
 
+    /** Returns whether a request is in progress, or its response is not yet sent. */
     public boolean isBusy() {
-        return busy;
+        return busy || unsent.isPending();
     }
 
-    /** Closes the connection: immediately if it is idle, otherwise after the response. */
+    /** Closes the connection: immediately if it is idle, otherwise when the response is sent. */
     public void closeWhenIdle() {
         closeAfterResponse = true;
         if (!busy && !reader.isReading()) {
-            close();
+            closeAfterFlush();
         }
     }
 
@@ -107,8 +114,7 @@
 
     /** Writes the end of the response. */
     public void writeEnd() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        onResponseComplete();
+        onResponseComplete(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
     /** Writes a complete response, and takes ownership of the body. */
@@ -116,14 +122,15 @@
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         setConnectionHeader(headers);
-        channel.writeAndFlush(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        content,
-                        headers,
-                        DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
-        onResponseComplete();
+        ChannelFuture written =
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                HttpResponseStatus.valueOf(status),
+                                content,
+                                headers,
+                                DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
+        onResponseComplete(written);
     }
 
     /** Writes a rejection by the router as a complete response. */
@@ -143,6 +150,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closed) {
+            // What arrives after the last response was written is discarded.
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 ReferenceCountUtil.release(message);
@@ -194,10 +206,7 @@
 
     private void onRequestComplete(FullHttpRequest whole) {
         stopTimer();
-        if (closed) {
-            // The request arrived after the connection was closed, so it is discarded.
-            whole.release();
-        } else if (!busy) {
+        if (!busy) {
             startAfterRead(whole);
         } else if (pipelined.size() < MAXIMUM_PIPELINED) {
             pipelined.add(whole);
@@ -234,20 +243,42 @@
         }
     }
 
-    private void onResponseComplete() {
+    private void onResponseComplete(ChannelFuture written) {
         busy = false;
         currentListener = Optional.empty();
+        unsent.begin(written);
         if (!keepAlive || closeAfterResponse) {
             closeAfterFlush();
             return;
         }
-        startTimer(handler.limits().idleTimeoutMillis(), this::close);
+        if (!reader.isReading()) {
+            startStallTimer();
+        }
+        written.addListener(sent -> startIdleTimer());
         FullHttpRequest next = pipelined.poll();
         if (next != null) {
             start(next);
         }
     }
 
+    private void startIdleTimer() {
+        if (!isBusy() && !closed && !reader.isReading() && channel.isActive()) {
+            startTimer(handler.limits().idleTimeoutMillis(), this::close);
+        }
+    }
+
+    private void startStallTimer() {
+        startTimer(STALLED_CALLER_MILLIS, this::closeIfStalled);
+    }
+
+    private void closeIfStalled() {
+        if (unsent.hasProgressed()) {
+            startStallTimer();
+        } else {
+            close();
+        }
+    }
+
     private void setConnectionHeader(HttpHeaders headers) {
         closeAfterResponse |= handler.isStopping();
         if (closeAfterResponse || !keepAlive) {
@@ -287,8 +318,10 @@
 
     private void closeAfterFlush() {
         closed = true;
-        stopTimer();
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        ChannelFuture written = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        unsent.begin(written);
+        startStallTimer();
+        written.addListener(ChannelFutureListener.CLOSE);
     }
 
     private void close() {
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -12,7 +12,7 @@
 /**
  * Stops a VM without interrupting a request. The VM is no longer announced to callers, but
  * continues to serve those that still use its address. After 2.5 s it accepts no new connections,
- * and the stop is complete when the last response is.
+ * and the stop is complete when the last response has been sent.
  *
  * <p>Runs once, on the thread that calls {@link #run}.
  */
@@ -50,7 +50,7 @@
     }
 
     /**
-     * Drains the VM. Returns when all responses are complete, or the grace period is nearly over.
+     * Drains the VM. Returns when all responses have been sent, or the grace period is nearly over.
      */
     public void run() {
         startNanos = System.nanoTime();
--- a/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
@@ -86,13 +86,17 @@
     }
 
     /**
-     * Closes each connection when no response is in progress. Must be called on the traffic thread.
+     * Closes each connection when no response is in progress or unsent. Must be called on the
+     * traffic thread.
      */
     public void closeConnectionsWhenIdle() {
         Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
-    /** Returns the number of connections with a request. Must be called on the traffic thread. */
+    /**
+     * Returns the number of connections with a request or an unsent response. Must be called on the
+     * traffic thread.
+     */
     public long busyCount() {
         return connections.stream().filter(CallerConnection::isBusy).count();
     }
