Let a queued request run to its end, and tell it when its caller leaves

From the code, not seen in a run of the whole router: its endpoint went on working after the caller had left, and a slow caller did not slow it down.

Cause, first: the end of a response started the idle timer, and the start of the queued request did not stop it. Cause, second: when a handler responds at once, as with a rejection, the next request was started within the start of the one before. After the return, the listener of the earlier request replaced that of the later one, which so learned nothing of its caller's connection.

Ruled out: starting the queued request in a task of its own. Between the two, the connection would be busy with no listener, or idle with a queued request.

Change: a request that is answered at once starts the next one after its handler has returned. The timers for an idle connection start only when no request is queued.

--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -67,6 +67,7 @@
     private Optional<CallerListener> currentListener = Optional.empty();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean busy;
+    private boolean starting;
     private boolean keepAlive = true;
     private boolean closeAfterResponse;
     private boolean closed;
@@ -237,9 +238,13 @@
     private void start(FullHttpRequest request) {
         busy = true;
         keepAlive = HttpUtil.isKeepAlive(request);
+        starting = true;
         CallerListener listener = handler.handle(request, this, System.nanoTime());
+        starting = false;
         if (busy) {
             currentListener = Optional.of(listener);
+        } else if (!closed) {
+            startNext();
         }
     }
 
@@ -251,14 +256,23 @@
             closeAfterFlush();
             return;
         }
-        if (!reader.isReading()) {
-            startStallTimer();
+        // Within start(), the next request would begin before this one's listener is set.
+        if (!starting) {
+            startNext();
         }
-        written.addListener(sent -> startIdleTimer());
+    }
+
+    /** Starts the next queued request, or waits for one to arrive. */
+    private void startNext() {
         FullHttpRequest next = pipelined.poll();
         if (next != null) {
             start(next);
+            return;
+        }
+        if (!reader.isReading()) {
+            startStallTimer();
         }
+        unsent.whenSent(this::startIdleTimer);
     }
 
     private void startIdleTimer() {
--- a/router/src/main/java/org/bronzelug/router/ingress/UnsentResponse.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/UnsentResponse.java
@@ -29,6 +29,11 @@
         return lastWrite.filter(written -> !written.isDone()).isPresent();
     }
 
+    /** Runs an action when everything written so far has been sent, or can't be. */
+    void whenSent(Runnable action) {
+        lastWrite.ifPresent(written -> written.addListener(sent -> action.run()));
+    }
+
     /** Returns whether the number of unsent bytes has changed since the last write or call. */
     boolean hasProgressed() {
         long remaining = countRemainingBytes();
--- a/router/src/test/java/org/bronzelug/router/ingress/CallerConnectionTest.java
+++ b/router/src/test/java/org/bronzelug/router/ingress/CallerConnectionTest.java
@@ -17,6 +17,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.routing.IngressLimits;
 import org.bronzelug.router.exchange.Rejection;
@@ -41,6 +42,8 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop traffic = group.next();
+    private final CountDownLatch unansweredArrived = new CountDownLatch(1);
+    private final CountDownLatch unansweredClosed = new CountDownLatch(1);
     private volatile long idleMillis = LONG_IDLE_MILLIS;
     private InetSocketAddress address;
     private IngressServer ingress;
@@ -70,11 +73,21 @@
             switch (path) {
                 case "/fast" -> respond(caller, 4);
                 case "/large" -> respond(caller, LARGE);
+                case "/slow" ->
+                        traffic.schedule(
+                                () -> respond(caller, 4),
+                                2 * SHORT_IDLE_MILLIS,
+                                TimeUnit.MILLISECONDS);
+                case "/unanswered" -> unansweredArrived.countDown();
                 default -> caller.reject(Rejection.of(404, "no route", "check"));
             }
             return new CallerListener() {
                 @Override
-                public void onCallerClosed() {}
+                public void onCallerClosed() {
+                    if (path.equals("/unanswered")) {
+                        unansweredClosed.countDown();
+                    }
+                }
 
                 @Override
                 public void onWritable(boolean writable) {}
@@ -212,4 +225,26 @@
         @Override
         public void flush(ChannelHandlerContext context) {}
     }
+
+    /** Guards against an idle limit that ends a request which was queued behind another. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/fast", "/reject", "/slow"})
+    void idleLimitDoesNotEndPipelinedRequest(String first) throws Exception {
+        idleMillis = SHORT_IDLE_MILLIS;
+        try (Socket socket = connect(get(first, KEEP) + get("/slow", KEEP))) {
+            String responses =
+                    new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(responses.split("HTTP/1.1 ", -1)).hasLength(3);
+        }
+    }
+
+    /** Guards against an endpoint that works on a queued request whose caller has left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/fast", "/reject", "/slow"})
+    void pipelinedRequestIsToldOfClose(String first) throws Exception {
+        try (Socket socket = connect(get(first, KEEP) + get("/unanswered", KEEP))) {
+            assertThat(unansweredArrived.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+        }
+        assertThat(unansweredClosed.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+    }
 }
