--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -71,7 +71,6 @@
     private boolean keepAlive = true;
     private boolean closeAfterResponse;
     private boolean closed;
-    private boolean chunkedResponse;
 
     CallerConnection(RequestHandler handler, Channel channel) {
         this.handler = handler;
@@ -98,7 +97,6 @@
         DefaultHttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        chunkedResponse = length.isEmpty();
         if (length.isPresent()) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length.getAsLong());
         } else {
