--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -1,14 +1,13 @@
 package org.bronzelug.router.ingress;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -25,7 +24,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -54,39 +52,43 @@
     private static final int REQUEST_TIMEOUT = 408;
     private static final int TOO_LARGE = 413;
     private static final int HEADER_TOO_LARGE = 431;
-    private static final int MILLIS_PER_SECOND = 1_000;
 
     /** Maximum number of queued requests of one connection; regular clients do not send more. */
     private static final int MAXIMUM_PIPELINED = 16;
 
+    /** Time after which a caller that has accepted no byte of its response is considered gone. */
+    static final long STALLED_CALLER_MILLIS = 60_000;
+
     private final RequestHandler handler;
     private final Channel channel;
+    private final UnsentResponse unsent;
+    private final RequestReader reader = new RequestReader();
     private final Deque<FullHttpRequest> pipelined = new ArrayDeque<>();
     private Optional<CallerListener> currentListener = Optional.empty();
-    private Optional<HttpRequest> incomingHead = Optional.empty();
-    private CompositeByteBuf incomingBody = Unpooled.compositeBuffer();
     private Optional<ScheduledFuture<?>> timer = Optional.empty();
     private boolean busy;
+    private boolean starting;
     private boolean keepAlive = true;
     private boolean closeAfterResponse;
     private boolean closed;
-    private boolean chunkedResponse;
 
     CallerConnection(RequestHandler handler, Channel channel) {
         this.handler = handler;
         this.channel = channel;
+        unsent = new UnsentResponse(channel);
         startTimer(handler.limits().idleTimeoutMillis(), this::close);
     }
 
+    /** Returns whether a request is in progress, or its response is not yet sent. */
     public boolean isBusy() {
-        return busy;
+        return busy || unsent.isPending();
     }
 
-    /** Closes the connection: immediately if it is idle, otherwise after the response. */
+    /** Closes the connection: immediately if it is idle, otherwise when the response is sent. */
     public void closeWhenIdle() {
         closeAfterResponse = true;
-        if (!busy && incomingHead.isEmpty()) {
-            close();
+        if (!busy && !reader.isReading()) {
+            closeAfterFlush();
         }
     }
 
@@ -95,7 +97,6 @@
         DefaultHttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers);
-        chunkedResponse = length.isEmpty();
         if (length.isPresent()) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, length.getAsLong());
         } else {
@@ -112,8 +113,7 @@
 
     /** Writes the end of the response. */
     public void writeEnd() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-        onResponseComplete();
+        onResponseComplete(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
 
     /** Writes a complete response, and takes ownership of the body. */
@@ -121,34 +121,24 @@
         headers.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
         setConnectionHeader(headers);
-        channel.writeAndFlush(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        content,
-                        headers,
-                        DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
-        onResponseComplete();
+        ChannelFuture written =
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                HttpResponseStatus.valueOf(status),
+                                content,
+                                headers,
+                                DefaultHttpHeadersFactory.trailersFactory().newHeaders()));
+        onResponseComplete(written);
     }
 
     /** Writes a rejection by the router as a complete response. */
     public void reject(Rejection rejection) {
         closeAfterResponse |= rejection.close();
-        String text =
-                "{\"error\":\""
-                        + rejection.reason()
-                        + "\",\"remedy\":\""
-                        + rejection.remedy()
-                        + "\"}";
-        HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-        rejection
-                .retryAfterMillis()
-                .ifPresent(millis -> headers.set(HttpHeaderNames.RETRY_AFTER, seconds(millis)));
         writeResponse(
                 rejection.status(),
-                headers,
-                Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8)));
+                RejectionContent.headers(rejection),
+                RejectionContent.body(rejection));
     }
 
     /** Closes the connection within a response, so that the caller sees an incomplete response. */
@@ -159,6 +149,11 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (closed) {
+            // What arrives after the last response was written is discarded.
+            ReferenceCountUtil.release(message);
+            return;
+        }
         if (message instanceof HttpRequest request) {
             if (request.decoderResult().isFailure()) {
                 ReferenceCountUtil.release(message);
@@ -173,11 +168,11 @@
     }
 
     private void beginRequest(HttpRequest request) {
-        if (isAmbiguous(request)) {
+        if (RequestReader.isAmbiguous(request)) {
             rejectUnread(new IllegalArgumentException("ambiguous body length or host"));
             return;
         }
-        incomingHead = Optional.of(request);
+        reader.begin(request);
         startTimer(handler.limits().headerTimeoutMillis(), this::rejectSlowRequest);
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
@@ -188,23 +183,8 @@
         }
     }
 
-    /**
-     * Returns whether the headers are ambiguous about the body's length or the host. Another proxy
-     * on the path may interpret such a request differently, so that a part of one caller's body
-     * becomes a separate request (request smuggling).
-     */
-    private static boolean isAmbiguous(HttpRequest request) {
-        HttpHeaders headers = request.headers();
-        boolean chunked = headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean unsupportedCoding = chunked && !HttpUtil.isTransferEncodingChunked(request);
-        boolean bothLengths = chunked && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
-        boolean multipleLengths = headers.getAll(HttpHeaderNames.CONTENT_LENGTH).size() > 1;
-        boolean notOneHost = headers.getAll(HttpHeaderNames.HOST).size() != 1;
-        return unsupportedCoding || bothLengths || multipleLengths || notOneHost;
-    }
-
     private void readBody(HttpContent content) {
-        if (incomingHead.isEmpty()) {
+        if (!reader.isReading()) {
             content.release();
             return;
         }
@@ -213,36 +193,19 @@
             rejectUnread(content.decoderResult().cause());
             return;
         }
-        if (incomingBody.readableBytes() + content.content().readableBytes()
-                > handler.limits().maximumBodyBytes()) {
+        if (reader.exceeds(content, handler.limits().maximumBodyBytes())) {
             content.release();
-            incomingHead = Optional.empty();
+            reader.abandon();
             rejectUnlessBusy(
                     Rejection.of(TOO_LARGE, "body too large", "send a smaller body").closing());
             return;
         }
-        incomingBody.addComponent(true, content.content());
-        if (content instanceof LastHttpContent) {
-            onRequestComplete(incomingHead.get());
-        }
+        reader.add(content).ifPresent(this::onRequestComplete);
     }
 
-    private void onRequestComplete(HttpRequest head) {
-        FullHttpRequest whole =
-                new DefaultFullHttpRequest(
-                        head.protocolVersion(),
-                        head.method(),
-                        head.uri(),
-                        incomingBody,
-                        head.headers(),
-                        DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-        incomingBody = Unpooled.compositeBuffer();
-        incomingHead = Optional.empty();
+    private void onRequestComplete(FullHttpRequest whole) {
         stopTimer();
-        if (closed) {
-            // The request arrived after the connection was closed, so it is discarded.
-            whole.release();
-        } else if (!busy) {
+        if (!busy) {
             startAfterRead(whole);
         } else if (pipelined.size() < MAXIMUM_PIPELINED) {
             pipelined.add(whole);
@@ -273,23 +236,58 @@
     private void start(FullHttpRequest request) {
         busy = true;
         keepAlive = HttpUtil.isKeepAlive(request);
+        starting = true;
         CallerListener listener = handler.handle(request, this, System.nanoTime());
+        starting = false;
         if (busy) {
             currentListener = Optional.of(listener);
+        } else if (!closed) {
+            startNext();
         }
     }
 
-    private void onResponseComplete() {
+    private void onResponseComplete(ChannelFuture written) {
         busy = false;
         currentListener = Optional.empty();
+        unsent.begin(written);
         if (!keepAlive || closeAfterResponse) {
             closeAfterFlush();
             return;
         }
-        startTimer(handler.limits().idleTimeoutMillis(), this::close);
+        // Within start(), the next request would begin before this one's listener is set.
+        if (!starting) {
+            startNext();
+        }
+    }
+
+    /** Starts the next queued request, or waits for one to arrive. */
+    private void startNext() {
         FullHttpRequest next = pipelined.poll();
         if (next != null) {
             start(next);
+            return;
+        }
+        if (!reader.isReading()) {
+            startStallTimer();
+        }
+        unsent.whenSent(this::startIdleTimer);
+    }
+
+    private void startIdleTimer() {
+        if (!isBusy() && !closed && !reader.isReading() && channel.isActive()) {
+            startTimer(handler.limits().idleTimeoutMillis(), this::close);
+        }
+    }
+
+    private void startStallTimer() {
+        startTimer(STALLED_CALLER_MILLIS, this::closeIfStalled);
+    }
+
+    private void closeIfStalled() {
+        if (unsent.hasProgressed()) {
+            startStallTimer();
+        } else {
+            close();
         }
     }
 
@@ -304,7 +302,7 @@
 
     private void rejectUnread(Throwable cause) {
         boolean tooLong = cause instanceof TooLongFrameException;
-        incomingHead = Optional.empty();
+        reader.abandon();
         Rejection rejection =
                 tooLong
                         ? Rejection.of(HEADER_TOO_LARGE, "head too large", "send fewer headers")
@@ -313,7 +311,7 @@
     }
 
     private void rejectSlowRequest() {
-        incomingHead = Optional.empty();
+        reader.abandon();
         rejectUnlessBusy(
                 Rejection.of(REQUEST_TIMEOUT, "request too slow", "send it faster").closing());
     }
@@ -332,8 +330,10 @@
 
     private void closeAfterFlush() {
         closed = true;
-        stopTimer();
-        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        ChannelFuture written = channel.writeAndFlush(Unpooled.EMPTY_BUFFER);
+        unsent.begin(written);
+        startStallTimer();
+        written.addListener(ChannelFutureListener.CLOSE);
     }
 
     private void close() {
@@ -352,10 +352,6 @@
         timer = Optional.empty();
     }
 
-    private static String seconds(long millis) {
-        return String.valueOf(millis / (double) MILLIS_PER_SECOND);
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
         currentListener.ifPresent(listener -> listener.onWritable(channel.isWritable()));
@@ -364,7 +360,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         stopTimer();
-        incomingBody.release();
+        reader.release();
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
         Optional<CallerListener> listener = currentListener;
