Don't take a version for slow over delays of a few milliseconds

What operators would see: the same on a route whose work is short. Cause: a response counts as bad if it takes three times the current version's mean, which was 1 ms there; 24 of 115 responses took more than 3 ms on a busy VM, and evidence reached 11.0 with 10 needed. Change: a mean below 10 ms counts as 10 ms. Times of prompts are relative to the expected time, around 100, and are not affected. A version that makes a response of 1 ms last 25 ms is no longer found by its time.

--- a/router/src/main/java/org/bronzelug/router/traffic/PoolRollout.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/PoolRollout.java
@@ -23,6 +23,9 @@
     /** A response that takes this many times the current version's mean time is bad. */
     private static final double SLOW_MULTIPLE = 3;
 
+    /** Shorter mean times count as this: delays within a loaded VM last several milliseconds. */
+    private static final double MINIMUM_MEAN_MILLIS = 10;
+
     /** Endpoints on trial at least: one that is faulty must not be taken for its version. */
     private static final int MINIMUM_TRIAL_ENDPOINTS = 3;
 
@@ -112,7 +115,7 @@
      */
     void recordResponse(EndpointEntry entry, String route, boolean failed, double millis) {
         double mean = view.meanMillis().getOrDefault(route, Double.POSITIVE_INFINITY);
-        boolean bad = failed || millis > SLOW_MULTIPLE * mean;
+        boolean bad = failed || millis > SLOW_MULTIPLE * Math.max(mean, MINIMUM_MEAN_MILLIS);
         int badCount = bad ? 1 : 0;
         if (hasTarget(entry)) {
             routes.merge(route, new ResponseCounts(0, 0, 1, badCount, 0), ResponseCounts::plus);
