--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * Chooses like {@link #choose}, but only among endpoints that are expected to accept the
-     * request now.
+     * Chooses like {@link #choose}, but only among endpoints that are neither suspect nor expected
+     * to reject the request.
      */
     Optional<EndpointState> chooseHealthy(long nowNanos) {
         unhealthy.clear();
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeOutcome.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeOutcome.java
@@ -4,7 +4,8 @@
 import org.bronzelug.router.metrics.RouterMetrics;
 
 /**
- * Ends an exchange: tells the caller how, counts it, and releases what the exchange holds.
+ * Ends an exchange: sends the router's own response or closes the caller's connection, counts the
+ * outcome, and has the exchange release its resources.
  *
  * <p>Invariant: an exchange is ended once; later ends have no effect on its resources and metrics.
  * Confined to the traffic thread.
