--- a/router/src/main/java/org/bronzelug/router/exchange/ResumeDelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResumeDelay.java
@@ -8,9 +8,9 @@
  * Delays the next attempt of a begun stream that no endpoint accepts now.
  *
  * <p>The number of delays is not limited: the time limit of the request ends the attempts, as does
- * a caller that closes its connection because the gap between two events is too long for it. With a
- * limit, a stream was broken off while its runners loaded weights or no retry was available,
- * although its caller still waited.
+ * a caller that closes its connection because the gap between two events is too long for it. A
+ * fixed number would break off a stream while its runners load weights or no retry is available,
+ * although its caller still waits.
  *
  * <p>A stream first waits for an endpoint that is expected to accept it, then tries any, at longer
  * intervals. Otherwise its rejections would use up the retries before an endpoint accepts requests
