Log on which connection a request was written, and count suspect endpoints

REQUEST_MOVED and REQUEST_ENDED now carry connection=NEW|KEPT|NONE of the last attempt; a gauge endpoints_suspect counts them. No decision changes.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -161,6 +161,7 @@
                 "configuration_version",
                 () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
         metrics.gauge("vms_heard", () -> members.live(System.nanoTime()).size());
+        metrics.gauge("endpoints_suspect", () -> report.suspects().size());
         for (String kind : state.kinds()) {
             metrics.gauge("platform_revision_" + kind, () -> state.mirror(kind).revision());
             metrics.gauge(
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
@@ -22,14 +22,14 @@
         this.listener = listener;
     }
 
-    void start(EndpointConnection opened) {
+    void start(EndpointConnection opened, ConnectionUse use) {
         if (cancelled || !listener.beforeSend(request.headers())) {
             request.release();
             opened.close();
             return;
         }
         connection = Optional.of(opened);
-        opened.send(request, requestId, listener);
+        opened.send(request, requestId, listener, use);
     }
 
     void unreachable(String cause) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -50,12 +50,16 @@
     }
 
     /** Sends a request and passes its response to the listener. */
-    void send(FullHttpRequest request, String id, ResponseListener responseListener) {
+    void send(
+            FullHttpRequest request,
+            String id,
+            ResponseListener responseListener,
+            ConnectionUse use) {
         listener = Optional.of(responseListener);
         requestId = id;
         headSeen = false;
         written = Optional.of(channel.writeAndFlush(request));
-        responseListener.onSent();
+        responseListener.onSent(use);
     }
 
     /** Cancels the request by closing the connection, so that the endpoint stops working on it. */
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -48,7 +48,7 @@
         while (!idle.isEmpty()) {
             EndpointConnection candidate = idle.pollFirst();
             if (candidate.isUsable(nowNanos, IDLE_MARGIN_MILLIS)) {
-                call.start(candidate);
+                call.start(candidate, ConnectionUse.KEPT);
                 return call;
             }
             candidate.close();
@@ -100,7 +100,7 @@
                                     .channel()
                                     .closeFuture()
                                     .addListener(closed -> forget(connection));
-                            call.start(connection);
+                            call.start(connection, ConnectionUse.NEW);
                         });
     }
 
--- a/router/src/main/java/org/bronzelug/router/endpoint/ResponseListener.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ResponseListener.java
@@ -21,8 +21,12 @@
     /** Called if no connection could be opened, so nothing was sent. */
     void onUnreachable(String cause);
 
-    /** Called when the request was passed to an open connection; from now on it may run. */
-    void onSent();
+    /**
+     * Called when the request was passed to an open connection; from now on it may run.
+     *
+     * @param use how the request got the connection
+     */
+    void onSent(ConnectionUse use);
 
     /** Called with the head of the response. */
     void onHead(EndpointResponse head, HttpResponse response);
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.core.routing.RetryPolicy;
+import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.endpoint.ResponseListener;
@@ -189,7 +190,8 @@
     }
 
     @Override
-    public void onSent() {
+    public void onSent(ConnectionUse use) {
+        log.written(use);
         attempts.recordSent(endpoint.orElseThrow());
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -7,6 +7,7 @@
 import org.bronzelug.core.routing.Team;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
 
@@ -15,6 +16,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final AdmittedRequest admitted;
+    private ConnectionUse connection = ConnectionUse.NONE;
 
     ExchangeLog(AdmittedRequest admitted) {
         this.admitted = admitted;
@@ -27,6 +29,7 @@
      * @param limited endpoints that were skipped because of their limits
      */
     void sent(EndpointState endpoint, Optional<RunnerChoice> runner, Set<EndpointState> limited) {
+        connection = ConnectionUse.NONE;
         long nowNanos = System.nanoTime();
         EventLog.info(
                 LogEvent.REQUEST_SENT,
@@ -39,6 +42,11 @@
                         + (limited.isEmpty() ? "" : " limited=" + ids(limited)));
     }
 
+    /** Records on which connection the request was written, for the lines that follow. */
+    void written(ConnectionUse use) {
+        connection = use;
+    }
+
     private static String limit(EndpointState endpoint, long nowNanos) {
         return endpoint.limit()
                 .filter(EndpointLimit::isAdvertised)
@@ -61,6 +69,7 @@
                 request()
                         + (" endpoint=" + endpoint.entry().id())
                         + (" cause=\"" + cause + "\"")
+                        + (" connection=" + connection)
                         + (" sends=" + sends));
     }
 
@@ -111,6 +120,7 @@
                         + (" team=" + admitted.team().map(Team::name).orElse("-"))
                         + (" tokens=" + admitted.tokens())
                         + (" tried=" + tried)
+                        + (" connection=" + connection)
                         + (" configuration=" + admitted.configurationVersion())
                         + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
                         + (" firstMillis=" + (firstDataNanos == 0 ? -1 : millisTo(firstDataNanos)))
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.endpoint.ResponseListener;
@@ -94,8 +95,8 @@
     }
 
     @Override
-    public void onSent() {
-        mover.onSent(target);
+    public void onSent(ConnectionUse use) {
+        mover.onSent(target, use);
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.traffic.EndpointState;
@@ -93,7 +94,8 @@
         return true;
     }
 
-    void onSent(EndpointState target) {
+    void onSent(EndpointState target, ConnectionUse use) {
+        log.written(use);
         attempts.recordSent(target);
     }
 
