Reach endpoints through another VM while the direct path to them is lost

Cause: a VM judged each endpoint, never its own path to it. Class of fault: the discovery that a path is lost is made again by whoever asks.

Change: a connect that fails, or takes over 75 ms, is also asked of other VMs, which open a connection to the endpoint and pass bytes on. Nothing is written before a connection stands, so the race is safe for requests that may run once only. If only another VM could connect, the path is lost: further requests go through that VM at once, connects to other endpoints ask at once, and idle connections from before carry nothing until a direct connect succeeds. Direct connects are probed while a path is lost.

Why it is enough: placement, admission, limits, backoff and the rule of one run stay where they were, so a wrong belief costs a hop and not a request; and an endpoint that no VM reaches is still taken for down, now within about half a second instead of 1.2 s.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -53,6 +53,10 @@
     ENDPOINT_BACKOFF_MALFORMED(
             518, "endpoint asks for a backoff without a valid time; ignoring it"),
     ENDPOINT_LEAVING(519, "endpoint states that it leaves; sending it no more requests"),
+    PATH_LOST(520, "endpoint reachable through another VM only; sending requests through it"),
+    PATH_REGAINED(521, "endpoint directly reachable again"),
+    RELAY_OPENED(522, "connection to an endpoint opened for another VM"),
+    RELAY_REFUSED(523, "connection to an endpoint not opened for another VM"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -22,6 +22,7 @@
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.http.SmallHttpServer.SmallResponse;
+import org.bronzelug.router.http.SocketSettings;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.rollout.RolloutService;
@@ -161,6 +162,7 @@
                 "configuration_version",
                 () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
         metrics.gauge("vms_heard", () -> members.live(System.nanoTime()).size());
+        metrics.gauge("paths_lost", () -> report.lostPaths());
         metrics.gauge("endpoints_suspect", () -> report.suspects().size());
         for (String kind : state.kinds()) {
             metrics.gauge("platform_revision_" + kind, () -> state.mirror(kind).revision());
@@ -363,6 +365,8 @@
                         .setRoundMillis(period.millis(fleetSize()))
                         .setReadsPlatform(reading.isReading())
                         .setPlatformLost(reading.isLost())
+                        .setRelayPort(SocketSettings.port(settings.relayAddress()))
+                        .setLostPaths(report.lostPaths())
                         .addAllTeams(report.teams())
                         .addAllEndpoints(report.endpoints())
                         .addAllReads(report.reads())
--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -12,11 +12,14 @@
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.TeamUse;
+import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.limit.PeerBucketUsage;
+import org.bronzelug.core.path.RelayPeer;
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.http.SocketSettings;
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.traffic.PeerEndpointUsage;
@@ -102,9 +105,24 @@
                 rollouts.views(),
                 members.reachableFraction(nowNanos),
                 1 + members.notExpired(nowNanos).size(),
+                relayPeers(nowNanos),
                 propagationDelayNanos);
     }
 
+    /** Returns the VMs that relay connections, except those that stop. */
+    private List<RelayPeer> relayPeers(long nowNanos) {
+        List<RelayPeer> peers = new ArrayList<>();
+        for (Member member : members.live(nowNanos)) {
+            VmState peer = member.state();
+            if (peer.getRelayPort() > 0 && !peer.getStopping()) {
+                String address =
+                        SocketSettings.withPort(peer.getPeersAddress(), peer.getRelayPort());
+                peers.add(new RelayPeer(peer.getVm(), address, peer.getLostPaths()));
+            }
+        }
+        return peers;
+    }
+
     private static void addUsage(Member member, Map<String, PeerEndpointUsage> usage) {
         for (EndpointUse use : member.state().getEndpointsList()) {
             usage.merge(
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
@@ -0,0 +1,214 @@
+package org.bronzelug.router.endpoint;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.path.RelayPeer;
+import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.relay.RelayConnector;
+
+/**
+ * One attempt to get a connection to an endpoint: directly and, if that fails or takes longer than
+ * a connect should, through other VMs at the same time. The first connection that stands is used.
+ *
+ * <p>Nothing is written before a connection stands, so this is safe for requests that may run once
+ * only. If only another VM could connect, the direct path is lost. If none could, the endpoint is
+ * down, and the attempt fails without waiting for the direct connect any longer.
+ *
+ * <p>Invariant: the listener is called exactly once. Confined to the traffic thread.
+ */
+final class ConnectionAttempt {
+    /** A direct connect takes two link delays of milliseconds; this covers a busy VM as well. */
+    static final long DIRECT_MILLIS = 75;
+
+    /** Bounds how long other VMs are asked one after the other. */
+    private static final long RELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    /** VMs asked at most, so that an endpoint that is down does not make the fleet connect. */
+    private static final int MAXIMUM_ASKED_VMS = 4;
+
+    private final EventLoop traffic;
+    private final EndpointConnections owner;
+    private final VmPaths paths;
+    private final Listener listener;
+    private final Set<String> askedVms = new HashSet<>();
+    private Optional<ChannelFuture> direct = Optional.empty();
+    private String cause = "no path to the endpoint";
+    private long relayStartNanos;
+    private boolean relaying;
+    private boolean relaysExhausted;
+    private boolean done;
+
+    /** Is notified of the outcome. */
+    interface Listener {
+        void onConnected(EndpointConnection connection, ConnectionUse use);
+
+        void onFailed(String cause);
+    }
+
+    ConnectionAttempt(
+            EventLoop traffic, EndpointConnections owner, VmPaths paths, Listener listener) {
+        this.traffic = traffic;
+        this.owner = owner;
+        this.paths = paths;
+        this.listener = listener;
+    }
+
+    /** Starts the attempt; while this VM has lost paths, it asks another VM at once. */
+    void start() {
+        if (!owner.isPathLost()) {
+            connectDirectly();
+        }
+        if (paths.lostCount() > 0) {
+            startRelaying();
+        } else {
+            traffic.schedule(this::startRelaying, DIRECT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void connectDirectly() {
+        EndpointConnection connection = owner.newConnection(Optional.empty());
+        ChannelFuture connect = owner.connectDirectly(connection, SocketSettings.CONNECT_MILLIS);
+        direct = Optional.of(connect);
+        connect.addListener((ChannelFuture connected) -> onDirect(connection, connected));
+    }
+
+    private void onDirect(EndpointConnection connection, ChannelFuture connected) {
+        boolean abandoned = direct.isEmpty();
+        direct = Optional.empty();
+        if (connected.isSuccess()) {
+            owner.adopt(connection, connected.channel());
+            owner.recordConnected();
+            if (done) {
+                owner.keep(connection);
+            } else {
+                finish(connection, ConnectionUse.NEW);
+            }
+            return;
+        }
+        if (abandoned) {
+            return;
+        }
+        cause = String.valueOf(connected.cause().getMessage());
+        if (done) {
+            owner.recordPathLost(cause);
+            return;
+        }
+        startRelaying();
+        failIfOver();
+    }
+
+    private void startRelaying() {
+        if (done || relaying) {
+            return;
+        }
+        relaying = true;
+        relayStartNanos = System.nanoTime();
+        askNextVm();
+    }
+
+    private void askNextVm() {
+        long nowNanos = System.nanoTime();
+        boolean exhausted =
+                askedVms.size() == MAXIMUM_ASKED_VMS || nowNanos - relayStartNanos > RELAY_NANOS;
+        Optional<RelayPeer> peer =
+                exhausted
+                        ? Optional.empty()
+                        : paths.relays().select(owner.target().endpoint(), askedVms, nowNanos);
+        if (peer.isEmpty()) {
+            relaysExhausted = true;
+            if (askedVms.isEmpty() && owner.isPathLost()) {
+                // No VM relays any more: the direct path is the only one left.
+                connectDirectly();
+            }
+            failIfOver();
+            return;
+        }
+        askedVms.add(peer.get().vm());
+        paths.connector().connect(peer.get(), owner.target(), new RelayOutcome(peer.get()));
+    }
+
+    private void onRelayed(RelayPeer peer, Channel channel) {
+        paths.relays().recordConnected(peer.vm(), owner.target().endpoint());
+        if (done) {
+            channel.close();
+            return;
+        }
+        EndpointConnection connection = owner.newConnection(Optional.of(peer.vm()));
+        EndpointConnections.addCodec(channel.pipeline(), connection);
+        owner.adopt(connection, channel);
+        finish(connection, ConnectionUse.NEW_RELAYED);
+        if (direct.isEmpty()) {
+            owner.recordPathLost(cause);
+        } else {
+            traffic.schedule(this::abandonDirect, DIRECT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Ends a direct connect that did not complete although another VM has connected since. */
+    private void abandonDirect() {
+        if (direct.isPresent()) {
+            cancelDirect();
+            owner.recordPathLost("connect timed out");
+        }
+    }
+
+    private void cancelDirect() {
+        Optional<ChannelFuture> connect = direct;
+        direct = Optional.empty();
+        connect.ifPresent(pending -> pending.channel().close());
+    }
+
+    /** Fails unless a connect may still succeed; with no VM to ask, the direct one is awaited. */
+    private void failIfOver() {
+        boolean over = relaysExhausted && (direct.isEmpty() || !askedVms.isEmpty());
+        if (done || !over) {
+            return;
+        }
+        done = true;
+        cancelDirect();
+        listener.onFailed(cause);
+    }
+
+    private void finish(EndpointConnection connection, ConnectionUse use) {
+        done = true;
+        listener.onConnected(connection, use);
+    }
+
+    /** Receives the outcome of asking one VM. */
+    private final class RelayOutcome implements RelayConnector.Listener {
+        private final RelayPeer peer;
+
+        private RelayOutcome(RelayPeer peer) {
+            this.peer = peer;
+        }
+
+        @Override
+        public void onConnected(Channel channel) {
+            onRelayed(peer, channel);
+        }
+
+        @Override
+        public void onRefused(String reason) {
+            paths.relays().recordFailed(peer.vm(), owner.target().endpoint(), System.nanoTime());
+            next("through " + peer.vm() + ": " + reason);
+        }
+
+        @Override
+        public void onUnreachable(String reason) {
+            paths.relays().recordUnreachable(peer.vm(), System.nanoTime());
+            next(peer.vm() + " does not relay: " + reason);
+        }
+
+        private void next(String reason) {
+            if (!done) {
+                cause = reason;
+                askNextVm();
+            }
+        }
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/endpoint/ConnectionUse.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ConnectionUse.java
@@ -6,6 +6,10 @@
     NONE,
     /** A connection that was opened for this request. */
     NEW,
+    /** A connection that was opened for this request through another VM. */
+    NEW_RELAYED,
     /** A connection that was idle after an earlier request. */
-    KEPT
+    KEPT,
+    /** A connection through another VM that was idle after an earlier request. */
+    KEPT_RELAYED
 }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
@@ -45,6 +45,15 @@
         connection.ifPresent(EndpointConnection::cancel);
     }
 
+    /** Returns the connection that carries the request; empty if none does yet. */
+    Optional<EndpointConnection> connection() {
+        return connection;
+    }
+
+    boolean isCancelled() {
+        return cancelled;
+    }
+
     /** Pauses or resumes reading the response. */
     public void setReading(boolean reading) {
         connection.ifPresent(opened -> opened.setReading(reading));
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -30,6 +30,7 @@
 
     private final WireFormat wire;
     private final Consumer<EndpointConnection> onIdle;
+    private final Optional<String> relayVm;
     private Channel channel;
     private Optional<ResponseListener> listener = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
@@ -38,15 +39,36 @@
     private boolean skippingResponse;
     private boolean headSeen;
     private long idleSinceNanos;
+    private long lastReceivedNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
 
-    EndpointConnection(WireFormat wire, Consumer<EndpointConnection> onIdle) {
+    /**
+     * @param relayVm the VM that relays the connection; empty if it is direct
+     */
+    EndpointConnection(
+            WireFormat wire, Consumer<EndpointConnection> onIdle, Optional<String> relayVm) {
         this.wire = wire;
         this.onIdle = onIdle;
+        this.relayVm = relayVm;
     }
 
     void bind(Channel opened) {
         channel = opened;
+        lastReceivedNanos = System.nanoTime();
+    }
+
+    Optional<String> relayVm() {
+        return relayVm;
+    }
+
+    /** Returns when something last arrived, or the connection was opened. */
+    long lastReceivedNanos() {
+        return lastReceivedNanos;
+    }
+
+    /** Returns the use of this connection by a request that finds it idle. */
+    ConnectionUse keptUse() {
+        return relayVm.isPresent() ? ConnectionUse.KEPT_RELAYED : ConnectionUse.KEPT;
     }
 
     /** Sends a request and passes its response to the listener. */
@@ -94,6 +116,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        lastReceivedNanos = System.nanoTime();
         if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
             ReferenceCountUtil.release(message);
             fail("bytes that are no answer");
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -1,8 +1,11 @@
 package org.bronzelug.router.endpoint;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -11,14 +14,24 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import org.bronzelug.core.path.DirectPath;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.relay.RelayTarget;
 
 /**
  * The connection pool of one endpoint. A request uses the most recently used idle connection, or a
- * new one if no idle connection is usable. Confined to the traffic thread.
+ * new one if no idle connection is usable. While this VM can't open connections to the endpoint,
+ * other VMs relay them ({@link ConnectionAttempt}).
+ *
+ * <p>Invariant: an idle connection that may have been silenced by the loss of a path carries no
+ * request before a direct connect to the endpoint has succeeded. Confined to the traffic thread.
  */
 public final class EndpointConnections {
     /**
@@ -29,39 +42,75 @@
      */
     private static final long IDLE_MARGIN_MILLIS = 1_000;
 
+    private static final long CHECK_INTERVAL_NANOS = 1_000_000_000L;
+
+    /** Less than the interval between probes, so that each round can probe the path again. */
+    private static final int PROBE_CONNECT_MILLIS = 200;
+
     private final EventLoop traffic;
     private final InetSocketAddress address;
     private final WireFormat wire;
+    private final RelayTarget target;
+    private final VmPaths paths;
+    private final DirectPath path = new DirectPath();
     private final Deque<EndpointConnection> idle = new ArrayDeque<>();
     private boolean retired;
+    private boolean probing;
+    private long nextCheckNanos = System.nanoTime();
 
-    public EndpointConnections(EventLoop traffic, InetSocketAddress address, WireFormat wire) {
+    public EndpointConnections(
+            EventLoop traffic,
+            InetSocketAddress address,
+            WireFormat wire,
+            RelayTarget target,
+            VmPaths paths) {
         this.traffic = traffic;
         this.address = address;
         this.wire = wire;
+        this.target = target;
+        this.paths = paths;
     }
 
     /** Sends a request on an idle connection, or on a new one. */
     public EndpointCall send(
             FullHttpRequest request, String requestId, ResponseListener listener, long nowNanos) {
         EndpointCall call = new EndpointCall(request, requestId, listener);
-        while (!idle.isEmpty()) {
-            EndpointConnection candidate = idle.pollFirst();
-            if (candidate.isUsable(nowNanos, IDLE_MARGIN_MILLIS)) {
-                call.start(candidate, ConnectionUse.KEPT);
-                return call;
-            }
-            candidate.close();
+        paths.watchSilence();
+        Optional<EndpointConnection> kept = takeIdle(nowNanos);
+        if (kept.isPresent()) {
+            call.start(kept.get(), kept.get().keptUse());
+        } else {
+            new ConnectionAttempt(traffic, this, paths, new CallListener(call)).start();
         }
-        connect(call);
         return call;
     }
 
+    /** Removes the most recently used idle connection that can carry a request now. */
+    private Optional<EndpointConnection> takeIdle(long nowNanos) {
+        for (EndpointConnection candidate : List.copyOf(idle)) {
+            if (!candidate.isUsable(nowNanos, IDLE_MARGIN_MILLIS)) {
+                idle.remove(candidate);
+                candidate.close();
+            } else if (!isDoubtful(candidate)) {
+                idle.remove(candidate);
+                return Optional.of(candidate);
+            }
+        }
+        return Optional.empty();
+    }
+
+    private boolean isDoubtful(EndpointConnection connection) {
+        return connection.relayVm().isEmpty()
+                && path.isDoubtful(connection.lastReceivedNanos(), paths.lastLossNanos());
+    }
+
     /** Closes the idle connections; requests in flight continue. */
     public void closeIdle() {
         // Copied, since closing a connection removes it from the queue during the iteration.
         List.copyOf(idle).forEach(EndpointConnection::close);
         idle.clear();
+        path.reset();
+        paths.forget(this);
     }
 
     /** Closes the idle connections now and each other one when its request has ended. */
@@ -70,53 +119,166 @@
         closeIdle();
     }
 
-    private void keep(EndpointConnection connection) {
-        if (retired) {
+    /** Returns whether this VM reaches the endpoint through other VMs only. */
+    public boolean isPathLost() {
+        return path.isLost();
+    }
+
+    /** Returns whether a call waits on a connection whose path was lost meanwhile. */
+    public boolean isPathLost(EndpointCall call) {
+        return call.connection()
+                .filter(connection -> connection.relayVm().isEmpty())
+                .filter(connection -> path.isLostSince(connection.lastReceivedNanos()))
+                .isPresent();
+    }
+
+    /**
+     * Checks the path by opening a connection, since requests get no response. At most one check
+     * runs at a time, and one in {@link #CHECK_INTERVAL_NANOS}.
+     */
+    public void check(long nowNanos) {
+        if (retired || path.isLost() || nowNanos - nextCheckNanos < 0) {
+            return;
+        }
+        nextCheckNanos = nowNanos + CHECK_INTERVAL_NANOS;
+        new ConnectionAttempt(traffic, this, paths, new CheckListener()).start();
+    }
+
+    /** Probes a lost path by opening a direct connection, which is kept if it succeeds. */
+    void probe() {
+        if (probing) {
+            return;
+        }
+        probing = true;
+        EndpointConnection connection = newConnection(Optional.empty());
+        connectDirectly(connection, PROBE_CONNECT_MILLIS)
+                .addListener(
+                        (ChannelFuture connected) -> {
+                            probing = false;
+                            if (connected.isSuccess()) {
+                                adopt(connection, connected.channel());
+                                recordConnected();
+                                keep(connection);
+                            }
+                        });
+    }
+
+    RelayTarget target() {
+        return target;
+    }
+
+    EndpointConnection newConnection(Optional<String> relayVm) {
+        return new EndpointConnection(wire, this::keep, relayVm);
+    }
+
+    /** Takes a connection over whose channel is open. */
+    void adopt(EndpointConnection connection, Channel channel) {
+        connection.bind(channel);
+        channel.closeFuture().addListener(closed -> idle.remove(connection));
+    }
+
+    /** Keeps an idle connection for the next request. */
+    void keep(EndpointConnection connection) {
+        boolean needless = connection.relayVm().isPresent() && !isRelayWanted(connection);
+        if (retired || needless) {
             connection.close();
         } else {
             idle.addFirst(connection);
         }
     }
 
-    private void connect(EndpointCall call) {
-        EndpointConnection connection = new EndpointConnection(wire, this::keep);
+    private boolean isRelayWanted(EndpointConnection connection) {
+        return path.isLost() && paths.relays().isListed(connection.relayVm().orElseThrow());
+    }
+
+    /** Closes the idle connections through VMs that relay no more. */
+    void closeUnlistedRelays() {
+        closeIdleRelays(false);
+    }
+
+    private void closeIdleRelays(boolean listedOnes) {
+        for (EndpointConnection connection : new ArrayList<>(idle)) {
+            boolean relayed = connection.relayVm().isPresent();
+            if (relayed && (listedOnes || !isRelayWanted(connection))) {
+                connection.close();
+            }
+        }
+    }
+
+    /** Records that a direct connection was opened. */
+    void recordConnected() {
+        if (path.recordConnected(System.nanoTime())) {
+            EventLog.info(LogEvent.PATH_REGAINED, "endpoint=" + target.endpoint());
+            closeIdleRelays(true);
+            paths.recordRegained(this);
+        }
+    }
+
+    /** Records that only another VM could open a connection. */
+    void recordPathLost(String cause) {
+        long nowNanos = System.nanoTime();
+        if (!retired && path.recordLost(nowNanos)) {
+            paths.recordLost(this, nowNanos);
+            EventLog.info(
+                    LogEvent.PATH_LOST,
+                    "endpoint="
+                            + target.endpoint()
+                            + " cause=\""
+                            + cause
+                            + "\" lost="
+                            + paths.lostCount());
+        }
+    }
+
+    ChannelFuture connectDirectly(EndpointConnection connection, int timeoutMillis) {
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(traffic)
                         .channel(NioSocketChannel.class)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SocketSettings.CONNECT_MILLIS)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                         .handler(pipeline(connection));
         SocketSettings.enableKeepAlive(bootstrap);
-        bootstrap
-                .connect(address)
-                .addListener(
-                        (io.netty.channel.ChannelFuture connected) -> {
-                            if (!connected.isSuccess()) {
-                                call.unreachable(String.valueOf(connected.cause().getMessage()));
-                                return;
-                            }
-                            connection.bind(connected.channel());
-                            connected
-                                    .channel()
-                                    .closeFuture()
-                                    .addListener(closed -> forget(connection));
-                            call.start(connection, ConnectionUse.NEW);
-                        });
-    }
-
-    private void forget(EndpointConnection connection) {
-        idle.remove(connection);
+        return bootstrap.connect(address);
     }
 
     private static ChannelInitializer<SocketChannel> pipeline(EndpointConnection connection) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline()
-                        .addLast(new HttpRequestEncoder())
-                        .addLast(new HttpResponseDecoder())
-                        .addLast(connection);
+                addCodec(channel.pipeline(), connection);
             }
         };
     }
+
+    static void addCodec(ChannelPipeline pipeline, EndpointConnection connection) {
+        pipeline.addLast(new HttpRequestEncoder())
+                .addLast(new HttpResponseDecoder())
+                .addLast(connection);
+    }
+
+    /** Sends a request on the connection that was opened for it. */
+    private record CallListener(EndpointCall call) implements ConnectionAttempt.Listener {
+        @Override
+        public void onConnected(EndpointConnection connection, ConnectionUse use) {
+            call.start(connection, use);
+        }
+
+        @Override
+        public void onFailed(String cause) {
+            call.unreachable(cause);
+        }
+    }
+
+    /** Keeps the connection that was opened to check the path. */
+    private final class CheckListener implements ConnectionAttempt.Listener {
+        @Override
+        public void onConnected(EndpointConnection connection, ConnectionUse use) {
+            keep(connection);
+        }
+
+        @Override
+        public void onFailed(String cause) {
+            // The endpoint is down for other VMs too: the requests that wait there find that out.
+        }
+    }
 }
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -0,0 +1,140 @@
+package org.bronzelug.router.endpoint;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.bronzelug.core.path.RelayPeer;
+import org.bronzelug.core.path.RelaySelection;
+import org.bronzelug.router.relay.RelayConnector;
+
+/**
+ * The paths from this VM to the endpoints: which of them are lost, and the VMs through which lost
+ * ones are replaced.
+ *
+ * <p>Lost paths are probed by opening direct connections, a few at a time. The first success starts
+ * the probes of the others at once, since a network failure that ends usually ends for all.
+ *
+ * <p>Invariant: while a path is lost, probes are scheduled, so it does not stay lost after it works
+ * again. Confined to the traffic thread.
+ */
+public final class VmPaths {
+    /** Time between two rounds of probes of lost paths. */
+    private static final long PROBE_MILLIS = 250;
+
+    private static final long SILENCE_CHECK_MILLIS = 100;
+
+    /** Paths probed in one round. */
+    private static final int PROBES_PER_ROUND = 4;
+
+    private final EventLoop traffic;
+    private final BooleanSupplier silenceCheck;
+    private final RelayConnector connector;
+    private final RelaySelection relays = new RelaySelection(ThreadLocalRandom.current());
+    private final Set<EndpointConnections> lost = new LinkedHashSet<>();
+    private final Deque<EndpointConnections> probeQueue = new ArrayDeque<>();
+    private OptionalLong lastLossNanos = OptionalLong.empty();
+    private boolean probing;
+    private boolean watching;
+
+    /**
+     * @param silenceCheck checks the paths to endpoints that don't respond to requests, and returns
+     *     whether any requests are in flight
+     */
+    public VmPaths(EventLoop traffic, BooleanSupplier silenceCheck) {
+        this.traffic = traffic;
+        this.silenceCheck = silenceCheck;
+        this.connector = new RelayConnector(traffic);
+    }
+
+    /** Checks for silent endpoints periodically as long as requests are in flight. */
+    void watchSilence() {
+        if (!watching) {
+            watching = true;
+            traffic.schedule(this::checkSilence, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkSilence() {
+        watching = false;
+        if (silenceCheck.getAsBoolean()) {
+            watchSilence();
+        }
+    }
+
+    /** Sets the VMs that relay connections. */
+    public void updatePeers(List<RelayPeer> peers, long nowNanos) {
+        relays.update(peers, nowNanos);
+        List.copyOf(lost).forEach(EndpointConnections::closeUnlistedRelays);
+    }
+
+    /** Returns the number of endpoints that this VM reaches through other VMs only. */
+    public int lostCount() {
+        return lost.size();
+    }
+
+    /** Returns when this VM last lost a path to any endpoint; empty if never. */
+    public OptionalLong lastLossNanos() {
+        return lastLossNanos;
+    }
+
+    RelaySelection relays() {
+        return relays;
+    }
+
+    RelayConnector connector() {
+        return connector;
+    }
+
+    void recordLost(EndpointConnections endpoint, long nowNanos) {
+        lost.add(endpoint);
+        lastLossNanos = OptionalLong.of(nowNanos);
+        scheduleProbes();
+    }
+
+    void recordRegained(EndpointConnections endpoint) {
+        forget(endpoint);
+        probeNext();
+    }
+
+    /** Drops what is known of an endpoint that has left the platform's list. */
+    void forget(EndpointConnections endpoint) {
+        lost.remove(endpoint);
+        probeQueue.remove(endpoint);
+        relays.forget(endpoint.target().endpoint());
+    }
+
+    private void scheduleProbes() {
+        if (!probing) {
+            probing = true;
+            traffic.schedule(this::runProbes, PROBE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void runProbes() {
+        probing = false;
+        if (lost.isEmpty()) {
+            return;
+        }
+        for (int probe = 0; probe < PROBES_PER_ROUND; probe++) {
+            probeNext();
+        }
+        scheduleProbes();
+    }
+
+    private void probeNext() {
+        if (probeQueue.isEmpty()) {
+            probeQueue.addAll(lost);
+        }
+        EndpointConnections next = probeQueue.pollFirst();
+        if (next != null) {
+            next.probe();
+        }
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -359,11 +359,18 @@
     private void moveIfStalled() {
         if (mover.isMoving()) {
             mover.stayIfOverdue(System.nanoTime());
+        } else if (isPathLost()) {
+            moveToOtherEndpoint("the path to the endpoint is lost", RetryKind.REQUIRED);
         } else if (endpoint.filter(current -> isStalled(current)).isPresent()) {
             moveToOtherEndpoint("endpoint is silent", RetryKind.REQUIRED);
         }
     }
 
+    private boolean isPathLost() {
+        return endpoint.isPresent()
+                && call.filter(endpoint.get().connections()::isPathLost).isPresent();
+    }
+
     private boolean isStalled(EndpointState current) {
         return silence.isStalled(
                 current, admitted.route(), sentNanos, firstDataNanos != 0, System.nanoTime());
--- a/router/src/main/java/org/bronzelug/router/http/SocketSettings.java
+++ b/router/src/main/java/org/bronzelug/router/http/SocketSettings.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.http;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.net.InetSocketAddress;
@@ -36,6 +37,27 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
     }
 
+    /** As {@link #enableKeepAlive(Bootstrap)}, for the connections that a server accepts. */
+    public static void enableKeepAlive(ServerBootstrap bootstrap) {
+        bootstrap
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_SECONDS)
+                .childOption(
+                        NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_SECONDS)
+                .childOption(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBES);
+    }
+
+    /** Returns the address with another port. */
+    public static String withPort(String address, int port) {
+        return address.substring(0, address.lastIndexOf(':') + 1) + port;
+    }
+
+    /** Returns the port of an address. */
+    public static int port(String address) {
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+
     /** Parses IP:port; an IP address needs no name lookup. */
     public static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -7,12 +7,14 @@
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.control.ControlService;
 import org.bronzelug.router.exchange.Forwarder;
+import org.bronzelug.router.relay.RelayServer;
 import org.bronzelug.router.settings.FleetBounds;
 
 /**
  * Stops a VM without interrupting a request. The VM is no longer announced to callers, but
  * continues to serve those that still use its address. After 2.5 s it accepts no new connections,
- * and the stop is complete when the last response has been sent.
+ * and the stop is complete when the last response has been sent and the peers have closed the
+ * connections that this VM relays for them.
  *
  * <p>Runs once, on the thread that calls {@link #run}.
  */
@@ -32,6 +34,7 @@
     private final FleetBounds bounds;
     private final Forwarder forwarder;
     private final IngressServer ingress;
+    private final RelayServer relay;
     private final ControlService control;
     private final CountDownLatch done = new CountDownLatch(1);
     private long startNanos;
@@ -41,11 +44,13 @@
             FleetBounds bounds,
             Forwarder forwarder,
             IngressServer ingress,
+            RelayServer relay,
             ControlService control) {
         this.traffic = traffic;
         this.bounds = bounds;
         this.forwarder = forwarder;
         this.ingress = ingress;
+        this.relay = relay;
         this.control = control;
     }
 
@@ -72,12 +77,14 @@
 
     private void closeListener() {
         ingress.closeListener();
+        relay.closeListener();
         ingress.closeConnectionsWhenIdle();
     }
 
     private void check() {
         long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000;
-        if (elapsedMillis > KEEP_LISTENING_MILLIS && ingress.busyCount() == 0) {
+        boolean idle = ingress.busyCount() == 0 && relay.connectionCount() == 0;
+        if (elapsedMillis > KEEP_LISTENING_MILLIS && idle) {
             done.countDown();
             return;
         }
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayFraming.java
@@ -0,0 +1,28 @@
+package org.bronzelug.router.relay;
+
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+/**
+ * The framing of relayed connections. Each frame is a length and as many bytes: first a request and
+ * a response in protobuf, then the bytes that the endpoint sends or gets.
+ *
+ * <p>An empty frame states that the endpoint has closed its connection in an orderly way. Without
+ * it, a response that ends with its connection would look complete when a VM dies that relays it.
+ */
+final class RelayFraming {
+    private static final int LENGTH_BYTES = 4;
+
+    /** Larger than the largest chunk that a VM reads from a connection at once. */
+    private static final int MAXIMUM_FRAME_BYTES = 1_048_576;
+
+    private RelayFraming() {}
+
+    static void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(
+                        new LengthFieldBasedFrameDecoder(
+                                MAXIMUM_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new LengthFieldPrepender(LENGTH_BYTES));
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
+++ b/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
@@ -9,6 +9,7 @@
  * @param availabilityZone where the VM runs
  * @param callersAddress where the VM serves callers, IP:port
  * @param peersAddress where the VM receives state updates and reads of peers, IP:port
+ * @param relayAddress where the VM relays connections of peers to endpoints, IP:port
  * @param seedAddresses addresses where peers may listen; some may be wrong
  * @param fleetStarts whether the whole fleet starts for the first time
  * @param processorCapacity processor time that the VM has, in cores
@@ -19,6 +20,7 @@
         String availabilityZone,
         String callersAddress,
         String peersAddress,
+        String relayAddress,
         List<String> seedAddresses,
         boolean fleetStarts,
         double processorCapacity,
@@ -35,6 +37,7 @@
                 + (" availabilityZone=" + availabilityZone)
                 + (" callersAddress=" + callersAddress)
                 + (" peersAddress=" + peersAddress)
+                + (" relayAddress=" + relayAddress)
                 + (" seedAddresses=" + seedAddresses)
                 + (" fleetStarts=" + fleetStarts)
                 + (" processorCapacity=" + processorCapacity)
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.core.limit.EndpointLimit;
@@ -37,6 +38,9 @@
     /** Several times the latency of a request without a prompt or with a short prompt. */
     private static final long MINIMUM_SILENCE_NANOS = 900_000_000L;
 
+    /** Several times the response time of a request without a prompt. */
+    private static final long PLAIN_PATH_CHECK_NANOS = 250_000_000L;
+
     /** Number of estimated prefill times of this VM's prompts that a runner may stay silent. */
     private static final double SILENCE_PREFILL_MULTIPLE = 2;
 
@@ -178,6 +182,24 @@
         return Math.max(MINIMUM_SILENCE_NANOS, SILENCE_PREFILL_MULTIPLE * prefillNanos);
     }
 
+    /**
+     * Checks this VM's path to the endpoint if requests have waited there for longer than usual, or
+     * since this VM lost a path to another endpoint.
+     *
+     * @param lastLossNanos when this VM last lost a path; empty if never
+     */
+    void checkPathIfSilent(OptionalLong lastLossNanos, long nowNanos) {
+        boolean othersLost =
+                lastLossNanos.isPresent() && lastLossNanos.getAsLong() - lastActivityNanos > 0;
+        if (othersLost || nowNanos - lastActivityNanos > pathCheckNanos()) {
+            connections.check(nowNanos);
+        }
+    }
+
+    private double pathCheckNanos() {
+        return load.ownTokens() > 0 ? silenceLimitNanos() / 2 : PLAIN_PATH_CHECK_NANOS;
+    }
+
     /** Records that a request of this VM has left the endpoint. */
     public void end(DrainListener request) {
         ownRequests.remove(request);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.traffic;
 
 import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -10,8 +11,11 @@
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
+import org.bronzelug.router.endpoint.VmPaths;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.relay.RelayDirectory;
+import org.bronzelug.router.relay.RelayTarget;
 
 /**
  * The endpoints that requests may be sent to, with their state.
@@ -20,9 +24,10 @@
  * nothing is carried over from the previous one. An endpoint whose entry vanishes and reappears
  * without a restart keeps its state. Confined to the traffic thread.
  */
-public final class EndpointTable {
+public final class EndpointTable implements RelayDirectory {
     private final EventLoop traffic;
     private final WireFormat wire;
+    private final VmPaths paths;
     private final Map<String, EndpointState> states = new HashMap<>();
     private final RemovedEndpoints removed = new RemovedEndpoints();
     private final Map<String, PrefillRate> rates = new HashMap<>();
@@ -30,10 +35,30 @@
     public EndpointTable(EventLoop traffic, WireFormat wire) {
         this.traffic = traffic;
         this.wire = wire;
+        this.paths = new VmPaths(traffic, this::checkSilentEndpoints);
+    }
+
+    /** Returns the paths from this VM to the endpoints. */
+    public VmPaths paths() {
+        return paths;
+    }
+
+    /** Returns whether requests of this VM are in flight at any endpoint. */
+    private boolean checkSilentEndpoints() {
+        long nowNanos = System.nanoTime();
+        boolean inFlight = false;
+        for (EndpointState state : states.values()) {
+            if (state.ownRequests() > 0) {
+                inFlight = true;
+                state.checkPathIfSilent(paths.lastLossNanos(), nowNanos);
+            }
+        }
+        return inFlight;
     }
 
     /** Applies the list of endpoints; requests in flight at removed endpoints continue. */
     void update(TrafficUpdate update) {
+        paths.updatePeers(update.relayPeers(), System.nanoTime());
         removeUnlisted(update.endpoints());
         List<EndpointState> draining = new ArrayList<>();
         for (EndpointEntry entry : update.endpoints().values()) {
@@ -87,7 +112,12 @@
     private EndpointState createState(EndpointEntry entry) {
         return new EndpointState(
                 entry,
-                new EndpointConnections(traffic, SocketSettings.address(entry.address()), wire),
+                new EndpointConnections(
+                        traffic,
+                        SocketSettings.address(entry.address()),
+                        wire,
+                        new RelayTarget(entry.id(), entry.bornMillis()),
+                        paths),
                 prefillRate(entry.pool()));
     }
 
@@ -114,6 +144,14 @@
                 .toList();
     }
 
+    @Override
+    public Optional<InetSocketAddress> addressOf(RelayTarget target) {
+        return find(target.endpoint())
+                .filter(state -> state.entry().bornMillis() == target.bornMillis())
+                .filter(state -> !state.connections().isPathLost())
+                .map(state -> SocketSettings.address(state.entry().address()));
+    }
+
     public Optional<EndpointState> find(String id) {
         return Optional.ofNullable(states.get(id));
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.bronzelug.api.fleet.v1.PrefixRead;
+import org.bronzelug.core.path.RelayPeer;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.RoutingConfiguration;
 
@@ -28,6 +29,7 @@
  * @param reachableFraction fraction of the fleet's VMs that are reachable, this VM included; in (0,
  *     1]
  * @param vmCount number of VMs of the fleet, this VM included
+ * @param relayPeers the VMs that relay connections to endpoints
  * @param propagationDelayNanos the time until the usage of one VM is known to all VMs
  */
 public record TrafficUpdate(
@@ -42,6 +44,7 @@
         Map<String, RolloutView> rollouts,
         double reachableFraction,
         int vmCount,
+        List<RelayPeer> relayPeers,
         long propagationDelayNanos) {
     public TrafficUpdate {
         endpoints = Map.copyOf(endpoints);
@@ -52,5 +55,6 @@
         peerReads = List.copyOf(peerReads);
         loadOrdered = Set.copyOf(loadOrdered);
         rollouts = Map.copyOf(rollouts);
+        relayPeers = List.copyOf(relayPeers);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -34,7 +34,8 @@
 
     private void start(String vm, String zone, String address) {
         VmSettings settings =
-                new VmSettings(vm, zone, "10.0.0.9:80", address, List.of(), true, 1, BOUNDS);
+                new VmSettings(
+                        vm, zone, "10.0.0.9:80", address, address, List.of(), true, 1, BOUNDS);
         new VmRegistration(control, store, settings, new MemberTable(vm), found -> listed = found)
                 .start();
     }
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -17,6 +17,8 @@
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
 import org.bronzelug.router.endpoint.EndpointResponse;
+import org.bronzelug.router.endpoint.VmPaths;
+import org.bronzelug.router.relay.RelayTarget;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -46,7 +48,12 @@
         InetSocketAddress address = new InetSocketAddress("127.0.0.1", 9);
         return new EndpointState(
                 entry,
-                new EndpointConnections(group.next(), address, new NoWireFormat()),
+                new EndpointConnections(
+                        group.next(),
+                        address,
+                        new NoWireFormat(),
+                        new RelayTarget("a", 1),
+                        new VmPaths(group.next(), () -> false)),
                 new PrefillRate());
     }
 
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -71,6 +71,7 @@
                         Map.of(),
                         1,
                         1,
+                        List.of(),
                         450_000_000L));
     }
 
