Doubt open connections only where a path was lost to silence; confirm a loss by a second connect

Such a connection is kept now.

Two faults of the loss's reading, by review: where new connections are refused, open ones live on (a way of losing a path that the operators name), and requests were moved off them; and one lost SYN made a path lost, so that every idle connection of the VM was doubted. Silence and refusal are now told apart, and a second connect is tried before a silent path counts as lost.

--- a/core/src/main/java/org/bronzelug/core/path/DirectPath.java
+++ b/core/src/main/java/org/bronzelug/core/path/DirectPath.java
@@ -12,17 +12,21 @@
  */
 public final class DirectPath {
     private OptionalLong lostNanos = OptionalLong.empty();
+    private boolean silent;
     private OptionalLong connectedNanos = OptionalLong.empty();
 
     /**
      * Records that only another VM could open a connection.
      *
+     * @param noResponse whether the direct connect got no response, so that open connections get
+     *     none either; after a refusal they may live on
      * @return whether the path was not known to be lost
      */
-    public boolean recordLost(long nowNanos) {
+    public boolean recordLost(boolean noResponse, long nowNanos) {
         boolean newlyLost = lostNanos.isEmpty();
         if (newlyLost) {
             lostNanos = OptionalLong.of(nowNanos);
+            silent = noResponse;
         }
         return newlyLost;
     }
@@ -48,17 +52,23 @@
         return lostNanos.isPresent();
     }
 
-    /** Returns whether the path is lost and nothing arrived on a connection since it was. */
-    public boolean isLostSince(long lastReceivedNanos) {
-        return lostNanos.isPresent() && lastReceivedNanos - lostNanos.getAsLong() <= 0;
+    /**
+     * Returns whether a connection is silent, since the path was lost to silence and nothing has
+     * arrived on the connection since.
+     *
+     * @param lastReceivedNanos when something last arrived on the connection
+     */
+    public boolean isSilent(long lastReceivedNanos) {
+        return silent && lostNanos.isPresent() && lastReceivedNanos - lostNanos.getAsLong() <= 0;
     }
 
     /**
      * Returns whether a connection that is kept for further requests may hang, since a path of this
-     * VM was lost after something last arrived on it and no direct connection was opened since.
+     * VM was lost to silence after something last arrived on it and no direct connection was opened
+     * since.
      *
      * @param lastReceivedNanos when something last arrived on the connection
-     * @param lastLossNanos when this VM last lost a path to any endpoint; empty if never
+     * @param lastLossNanos when this VM last lost a path to any endpoint to silence; empty if never
      */
     public boolean isDoubtful(long lastReceivedNanos, OptionalLong lastLossNanos) {
         if (lastLossNanos.isEmpty() || lastReceivedNanos - lastLossNanos.getAsLong() > 0) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
@@ -36,7 +36,7 @@
     private final VmPaths paths;
     private final Listener listener;
     private final Set<String> askedVms = new HashSet<>();
-    private Optional<ChannelFuture> direct = Optional.empty();
+    private final Set<ChannelFuture> pendingDirect = new HashSet<>();
     private String cause = "no path to the endpoint";
     private long relayStartNanos;
     private boolean relaying;
@@ -73,17 +73,17 @@
     private void connectDirectly() {
         EndpointConnection connection = owner.newConnection(Optional.empty());
         ChannelFuture connect = owner.connectDirectly(connection, SocketSettings.CONNECT_MILLIS);
-        direct = Optional.of(connect);
+        pendingDirect.add(connect);
         connect.addListener((ChannelFuture connected) -> onDirect(connection, connected));
     }
 
     private void onDirect(EndpointConnection connection, ChannelFuture connected) {
-        boolean abandoned = direct.isEmpty();
-        direct = Optional.empty();
+        boolean abandoned = !pendingDirect.remove(connected);
         if (connected.isSuccess()) {
             owner.adopt(connection, connected.channel());
             owner.recordConnected();
             if (done) {
+                cancelDirect();
                 owner.keep(connection);
             } else {
                 finish(connection, ConnectionUse.NEW);
@@ -94,12 +94,12 @@
             return;
         }
         cause = String.valueOf(connected.cause().getMessage());
-        if (done) {
-            owner.recordPathLost(cause);
-            return;
+        if (!done) {
+            startRelaying();
+            failIfOver();
+        } else if (pendingDirect.isEmpty()) {
+            owner.recordPathLost(cause, false);
         }
-        startRelaying();
-        failIfOver();
     }
 
     private void startRelaying() {
@@ -134,38 +134,40 @@
 
     private void onRelayed(RelayPeer peer, Channel channel) {
         paths.relays().recordConnected(peer.vm(), owner.target().endpoint());
-        if (done) {
-            channel.close();
-            return;
-        }
         EndpointConnection connection = owner.newConnection(Optional.of(peer.vm()));
         EndpointConnections.addCodec(channel.pipeline(), connection);
         owner.adopt(connection, channel);
+        if (done) {
+            owner.keep(connection);
+            return;
+        }
         finish(connection, ConnectionUse.NEW_RELAYED);
-        if (direct.isEmpty()) {
-            owner.recordPathLost(cause);
+        if (pendingDirect.isEmpty()) {
+            owner.recordPathLost(cause, false);
         } else {
+            // Once more, since the first packet of the pending one may have been lost.
+            connectDirectly();
             traffic.schedule(this::abandonDirect, DIRECT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Ends a direct connect that did not complete although another VM has connected since. */
+    /** Ends direct connects that did not complete although another VM has connected since. */
     private void abandonDirect() {
-        if (direct.isPresent()) {
+        if (!pendingDirect.isEmpty()) {
             cancelDirect();
-            owner.recordPathLost("connect timed out");
+            owner.recordPathLost("connect timed out", true);
         }
     }
 
     private void cancelDirect() {
-        Optional<ChannelFuture> connect = direct;
-        direct = Optional.empty();
-        connect.ifPresent(pending -> pending.channel().close());
+        Set<ChannelFuture> pending = Set.copyOf(pendingDirect);
+        pendingDirect.clear();
+        pending.forEach(connect -> connect.channel().close());
     }
 
     /** Fails unless a connect may still succeed; with no VM to ask, the direct one is awaited. */
     private void failIfOver() {
-        boolean over = relaysExhausted && (direct.isEmpty() || !askedVms.isEmpty());
+        boolean over = relaysExhausted && (pendingDirect.isEmpty() || !askedVms.isEmpty());
         if (done || !over) {
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -101,7 +101,7 @@
 
     private boolean isDoubtful(EndpointConnection connection) {
         return connection.relayVm().isEmpty()
-                && path.isDoubtful(connection.lastReceivedNanos(), paths.lastLossNanos());
+                && path.isDoubtful(connection.lastReceivedNanos(), paths.lastSilentLossNanos());
     }
 
     /** Closes the idle connections; requests in flight continue. */
@@ -124,11 +124,11 @@
         return path.isLost();
     }
 
-    /** Returns whether a call waits on a connection whose path was lost meanwhile. */
-    public boolean isPathLost(EndpointCall call) {
+    /** Returns whether a call waits on a connection that the loss of its path has silenced. */
+    public boolean isSilenced(EndpointCall call) {
         return call.connection()
                 .filter(connection -> connection.relayVm().isEmpty())
-                .filter(connection -> path.isLostSince(connection.lastReceivedNanos()))
+                .filter(connection -> path.isSilent(connection.lastReceivedNanos()))
                 .isPresent();
     }
 
@@ -214,11 +214,15 @@
         }
     }
 
-    /** Records that only another VM could open a connection. */
-    void recordPathLost(String cause) {
+    /**
+     * Records that only another VM could open a connection.
+     *
+     * @param silent whether the direct connect got no response, rather than a refusal
+     */
+    void recordPathLost(String cause, boolean silent) {
         long nowNanos = System.nanoTime();
-        if (!retired && path.recordLost(nowNanos)) {
-            paths.recordLost(this, nowNanos);
+        if (!retired && path.recordLost(silent, nowNanos)) {
+            paths.recordLost(this, silent, nowNanos);
             EventLog.info(
                     LogEvent.PATH_LOST,
                     "endpoint="
--- a/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -39,7 +39,7 @@
     private final RelaySelection relays = new RelaySelection(ThreadLocalRandom.current());
     private final Set<EndpointConnections> lost = new LinkedHashSet<>();
     private final Deque<EndpointConnections> probeQueue = new ArrayDeque<>();
-    private OptionalLong lastLossNanos = OptionalLong.empty();
+    private OptionalLong lastSilentLossNanos = OptionalLong.empty();
     private boolean probing;
     private boolean watching;
 
@@ -79,9 +79,9 @@
         return lost.size();
     }
 
-    /** Returns when this VM last lost a path to any endpoint; empty if never. */
-    public OptionalLong lastLossNanos() {
-        return lastLossNanos;
+    /** Returns when this VM last lost a path to any endpoint to silence; empty if never. */
+    public OptionalLong lastSilentLossNanos() {
+        return lastSilentLossNanos;
     }
 
     RelaySelection relays() {
@@ -92,9 +92,11 @@
         return connector;
     }
 
-    void recordLost(EndpointConnections endpoint, long nowNanos) {
+    void recordLost(EndpointConnections endpoint, boolean silent, long nowNanos) {
         lost.add(endpoint);
-        lastLossNanos = OptionalLong.of(nowNanos);
+        if (silent) {
+            lastSilentLossNanos = OptionalLong.of(nowNanos);
+        }
         scheduleProbes();
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -359,16 +359,16 @@
     private void moveIfStalled() {
         if (mover.isMoving()) {
             mover.stayIfOverdue(System.nanoTime());
-        } else if (isPathLost()) {
+        } else if (isSilenced()) {
             moveToOtherEndpoint("the path to the endpoint is lost", RetryKind.REQUIRED);
         } else if (endpoint.filter(current -> isStalled(current)).isPresent()) {
             moveToOtherEndpoint("endpoint is silent", RetryKind.REQUIRED);
         }
     }
 
-    private boolean isPathLost() {
+    private boolean isSilenced() {
         return endpoint.isPresent()
-                && call.filter(endpoint.get().connections()::isPathLost).isPresent();
+                && call.filter(endpoint.get().connections()::isSilenced).isPresent();
     }
 
     private boolean isStalled(EndpointState current) {
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
@@ -14,6 +14,7 @@
 import org.bronzelug.kernel.Service;
 import org.bronzelug.kernel.ServiceException;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.metrics.RouterMetrics;
 
 /**
  * Relays connections of other VMs to endpoints that they can't reach themselves.
@@ -35,13 +36,19 @@
     private final EventLoop traffic;
     private final InetSocketAddress address;
     private final RelayDirectory directory;
+    private final RouterMetrics metrics;
     private final Set<Channel> connections = new HashSet<>();
     private Optional<Channel> listener = Optional.empty();
 
-    public RelayServer(EventLoop traffic, InetSocketAddress address, RelayDirectory directory) {
+    public RelayServer(
+            EventLoop traffic,
+            InetSocketAddress address,
+            RelayDirectory directory,
+            RouterMetrics metrics) {
         this.traffic = traffic;
         this.address = address;
         this.directory = directory;
+        this.metrics = metrics;
     }
 
     @Override
@@ -94,7 +101,7 @@
             connections.add(channel);
             channel.closeFuture().addListener(closed -> connections.remove(channel));
             RelayFraming.addTo(channel.pipeline());
-            channel.pipeline().addLast(new RelayServerHandler(traffic, directory));
+            channel.pipeline().addLast(new RelayServerHandler(traffic, directory, metrics));
         }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
@@ -21,6 +21,7 @@
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.metrics.RouterMetrics;
 
 /**
  * The end of a relayed connection at the VM that relays it: connects to the endpoint that the first
@@ -38,12 +39,14 @@
 
     private final EventLoop traffic;
     private final RelayDirectory directory;
+    private final RouterMetrics metrics;
     private Optional<Channel> endpoint = Optional.empty();
     private boolean requested;
 
-    RelayServerHandler(EventLoop traffic, RelayDirectory directory) {
+    RelayServerHandler(EventLoop traffic, RelayDirectory directory, RouterMetrics metrics) {
         this.traffic = traffic;
         this.directory = directory;
+        this.metrics = metrics;
     }
 
     @Override
@@ -118,6 +121,7 @@
             return;
         }
         endpoint = Optional.of(opened);
+        metrics.count("relays_opened");
         EventLog.info(
                 LogEvent.RELAY_OPENED,
                 "endpoint=" + target.endpoint() + " for=" + context.channel().remoteAddress());
@@ -126,6 +130,7 @@
     }
 
     private void refuse(ChannelHandlerContext context, RelayTarget target, String cause) {
+        metrics.count("relays_refused");
         EventLog.info(
                 LogEvent.RELAY_REFUSED,
                 "endpoint="
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -186,11 +186,12 @@
      * Checks this VM's path to the endpoint if requests have waited there for longer than usual, or
      * since this VM lost a path to another endpoint.
      *
-     * @param lastLossNanos when this VM last lost a path; empty if never
+     * @param lastSilentLossNanos when this VM last lost a path to silence; empty if never
      */
-    void checkPathIfSilent(OptionalLong lastLossNanos, long nowNanos) {
+    void checkPathIfSilent(OptionalLong lastSilentLossNanos, long nowNanos) {
         boolean othersLost =
-                lastLossNanos.isPresent() && lastLossNanos.getAsLong() - lastActivityNanos > 0;
+                lastSilentLossNanos.isPresent()
+                        && lastSilentLossNanos.getAsLong() - lastActivityNanos > 0;
         if (othersLost || nowNanos - lastActivityNanos > pathCheckNanos()) {
             connections.check(nowNanos);
         }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -50,7 +50,7 @@
         for (EndpointState state : states.values()) {
             if (state.ownRequests() > 0) {
                 inFlight = true;
-                state.checkPathIfSilent(paths.lastLossNanos(), nowNanos);
+                state.checkPathIfSilent(paths.lastSilentLossNanos(), nowNanos);
             }
         }
         return inFlight;
