--- a/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
@@ -80,6 +80,11 @@
         listener = Optional.empty();
     }
 
+    /** Closes all connections within what they carry. Must be called on the traffic thread. */
+    public void closeConnections() {
+        Set.copyOf(connections).forEach(Channel::close);
+    }
+
     /** Returns the number of connections relayed. Must be called on the traffic thread. */
     public int connectionCount() {
         return connections.size();
@@ -88,6 +93,7 @@
     @Override
     public void stop() {
         listener.ifPresent(Channel::close);
+        traffic.execute(this::closeConnections);
     }
 
     /** Sets up the pipeline of a new connection. */
