Leave orders of runners out of reach, and their lease, to another VM

Orders can't be relayed: a runner would see them from a VM that does not hold the lease.

Runners that a VM reaches through others only are no target of its orders, and an order in progress ends with the path. If no other runner is behind, the lease is not renewed and another VM takes it.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -162,7 +162,7 @@
                 "configuration_version",
                 () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
         metrics.gauge("vms_heard", () -> members.live(System.nanoTime()).size());
-        metrics.gauge("paths_lost", () -> report.lostPaths());
+        metrics.gauge("paths_lost", () -> report.lostPaths().size());
         metrics.gauge("endpoints_suspect", () -> report.suspects().size());
         for (String kind : state.kinds()) {
             metrics.gauge("platform_revision_" + kind, () -> state.mirror(kind).revision());
@@ -304,6 +304,7 @@
         sendStateUpdates();
         Map<String, Integer> load = fleetLoad();
         orders.updateLoad(load);
+        orders.updateUnreachable(newReport.lostPaths());
         rollouts.round(newReport.rollouts(), load);
         newReport.weights().forEach(this::recordObservedWeights);
         newReport.runnersWithUnknownWeights().forEach(orders::queryWeights);
@@ -366,7 +367,7 @@
                         .setReadsPlatform(reading.isReading())
                         .setPlatformLost(reading.isLost())
                         .setRelayPort(SocketSettings.port(settings.relayAddress()))
-                        .setLostPaths(report.lostPaths())
+                        .setLostPaths(report.lostPaths().size())
                         .addAllTeams(report.teams())
                         .addAllEndpoints(report.endpoints())
                         .addAllReads(report.reads())
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -32,7 +32,7 @@
  * @param limits usage of endpoints that advertise a limit
  * @param contendedLimits those of the limits whose usage by this VM has changed since the last
  *     report
- * @param lostPaths number of endpoints that this VM reaches through other VMs only
+ * @param lostPaths ids of the endpoints that this VM reaches through other VMs only
  * @param rollouts what this VM has seen of each rollout of a software version
  */
 record TrafficReport(
@@ -45,13 +45,13 @@
         Set<String> contendedTeams,
         List<EndpointLimitUse> limits,
         List<EndpointLimitUse> contendedLimits,
-        int lostPaths,
+        Set<String> lostPaths,
         List<RolloutUse> rollouts) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), 0, List.of());
+                List.of(), List.of(), Set.of(), List.of());
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -120,7 +120,7 @@
                 contendedTeams,
                 limits,
                 contendedLimits,
-                state.endpoints().paths().lostCount(),
+                state.endpoints().paths().lostEndpoints(),
                 state.rollouts().report());
     }
 
--- a/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.bronzelug.core.path.RelayPeer;
 import org.bronzelug.core.path.RelaySelection;
 import org.bronzelug.router.relay.RelayConnector;
@@ -74,8 +75,14 @@
         List.copyOf(lost).forEach(EndpointConnections::closeUnlistedRelays);
     }
 
-    /** Returns the number of endpoints that this VM reaches through other VMs only. */
-    public int lostCount() {
+    /** Returns the ids of the endpoints that this VM reaches through other VMs only. */
+    public Set<String> lostEndpoints() {
+        return lost.stream()
+                .map(endpoint -> endpoint.target().endpoint())
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    int lostCount() {
         return lost.size();
     }
 
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -72,6 +72,7 @@
     private final Runners runners;
     private final Map<String, RunnerOrder> orders = new HashMap<>();
     private Map<String, Integer> load = Map.of();
+    private Set<String> unreachable = Set.of();
     private Optional<OrderLease> lease = Optional.empty();
     private long renewalSentNanos = Long.MIN_VALUE;
     private long rolloutPendingSinceNanos;
@@ -147,6 +148,15 @@
         load = requests;
     }
 
+    /**
+     * Sets the endpoints that this VM reaches through other VMs only. It gives them no orders, and
+     * leaves the lease to another VM if no other runner is behind: an order must come from the VM
+     * that holds the lease.
+     */
+    public void updateUnreachable(Set<String> endpoints) {
+        unreachable = Set.copyOf(endpoints);
+    }
+
     /**
      * Requests a runner's report to find out which weights it has, after the runner rejected a
      * request that expected other weights.
@@ -203,6 +213,7 @@
         long nowNanos = System.nanoTime();
         dropLeaseIfSuspended(nowNanos);
         List<Rollout> rollouts = rollouts();
+        orders.keySet().removeAll(unreachable);
         orders.values().removeIf(order -> order.isOver(state.endpoints()));
         boolean behind = rollouts.stream().anyMatch(Rollout::isBehind);
         if (!behind) {
@@ -326,6 +337,7 @@
                                 .flatMap(EndpointPool::engine)
                                 .isPresent();
                 if (runsModels
+                        && !unreachable.contains(entry.id())
                         && !entry.draining()
                         && entry.weights().containsKey(target.model())) {
                     modelRunners.add(entry);
