--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -86,7 +86,7 @@
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
         this.prefill = new PrefillProgress(state, admitted);
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
-        this.silence = new SilenceWatch(traffic, this::moveIfStalled);
+        this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
         this.relay = new ResponseRelay(caller, wire, admitted.route());
         this.resumer =
@@ -104,9 +104,7 @@
                                 this::onTimeout, admitted.timeoutMillis(), TimeUnit.MILLISECONDS));
         admitted.pool()
                 .ifPresent(pool -> state.recordFirstAttempt(pool.name(), admitted.arrivedNanos()));
-        if (admitted.route().retryPolicy() != RetryPolicy.AT_MOST_ONCE) {
-            silence.start();
-        }
+        silence.start();
         dispatch();
     }
 
@@ -359,21 +357,15 @@
     private void moveIfStalled() {
         if (mover.isMoving()) {
             mover.stayIfOverdue(System.nanoTime());
-        } else if (isSilenced()) {
-            moveToOtherEndpoint("the path to the endpoint is lost", RetryKind.REQUIRED);
-        } else if (endpoint.filter(current -> isStalled(current)).isPresent()) {
-            moveToOtherEndpoint("endpoint is silent", RetryKind.REQUIRED);
+        } else {
+            endpoint.flatMap(this::stallCause)
+                    .ifPresent(cause -> moveToOtherEndpoint(cause, RetryKind.REQUIRED));
         }
     }
 
-    private boolean isSilenced() {
-        return endpoint.isPresent()
-                && call.filter(endpoint.get().connections()::isSilenced).isPresent();
-    }
-
-    private boolean isStalled(EndpointState current) {
-        return silence.isStalled(
-                current, admitted.route(), sentNanos, firstDataNanos != 0, System.nanoTime());
+    private Optional<String> stallCause(EndpointState current) {
+        boolean dataReceived = firstDataNanos != 0;
+        return silence.stallCause(current, call, sentNanos, dataReceived, System.nanoTime());
     }
 
     /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
--- a/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -4,7 +4,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
+import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.traffic.EndpointState;
 
 /**
@@ -25,16 +27,25 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EventLoop traffic;
+    private final Route route;
     private final Runnable check;
     private Optional<ScheduledFuture<?>> next = Optional.empty();
     private boolean stopped;
 
-    SilenceWatch(EventLoop traffic, Runnable check) {
+    SilenceWatch(EventLoop traffic, Route route, Runnable check) {
         this.traffic = traffic;
+        this.route = route;
         this.check = check;
     }
 
+    /** Starts the checks, unless the route allows no other attempt anyway. */
     void start() {
+        if (route.retryPolicy() != RetryPolicy.AT_MOST_ONCE) {
+            schedule();
+        }
+    }
+
+    private void schedule() {
         next = Optional.of(traffic.schedule(this::run, CHECK_MILLIS, TimeUnit.MILLISECONDS));
     }
 
@@ -44,26 +55,31 @@
         }
         check.run();
         if (!stopped) {
-            start();
+            schedule();
         }
     }
 
     /**
-     * Returns whether an attempt waits in vain: its endpoint is silent, or it is a plain request
-     * without any data of a response for far longer than its goal.
+     * Returns why an attempt waits in vain: the path to its endpoint is lost, the endpoint is
+     * silent, or it is a plain request without any data of a response for far longer than its goal.
      */
-    boolean isStalled(
+    Optional<String> stallCause(
             EndpointState current,
-            Route route,
+            Optional<EndpointCall> call,
             long sentNanos,
             boolean dataReceived,
             long nowNanos) {
+        if (call.filter(current.connections()::isSilenced).isPresent()) {
+            return Optional.of("the path to the endpoint is lost");
+        }
         long waitedMillis = (nowNanos - sentNanos) / NANOS_PER_MILLI;
         boolean slow =
                 !route.stream()
                         && !dataReceived
                         && waitedMillis > STALLED_GOAL_MULTIPLE * route.goalMillis();
-        return slow || current.isSilent(nowNanos);
+        return slow || current.isSilent(nowNanos)
+                ? Optional.of("endpoint is silent")
+                : Optional.empty();
     }
 
     void stop() {
