Ration requests that endpoints may reject while they fail by rejecting too many

Endpoints may state (Server-Brittle) how many requests they can reject in a second, from all VMs together; one that has to reject more fails for seconds. Nothing read it: each request that found a full endpoint added a rejection, and its retry another one at the next endpoint.

While any endpoint of a pool states it, a request goes to an endpoint freely only if that endpoint surely has room: less than half of its slots known to be taken, no request waiting there, none rejected for a second. Any other needs a part of the VM's allowance, half of the number over the number of VMs, drawn anew each second, and is sent elsewhere or rejected at once otherwise. No message between VMs is needed; EndpointLimit and its usage history don't fit, since what counts here is known only afterwards.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -57,6 +57,10 @@
     PATH_REGAINED(521, "endpoint directly reachable again"),
     RELAY_OPENED(522, "connection to an endpoint opened for another VM"),
     RELAY_REFUSED(523, "connection to an endpoint not opened for another VM"),
+    REJECTION_TOLERANCE_CHANGED(
+            524, "endpoint states how many rejections it withstands, or none any more"),
+    REJECTION_TOLERANCE_MALFORMED(
+            525, "endpoint states rejections that are not a number; ignoring it"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointResponse.java
@@ -17,6 +17,8 @@
  * @param load the endpoint's load at the time of the response
  * @param limit the limit on the requests of all VMs together, which holds until a later response
  *     has another one or none
+ * @param rejectionTolerance rejections in a second above which the endpoint fails, from all VMs
+ *     together; holds for the whole pool until a later response of the endpoint has another or none
  * @param backoff the time for which the endpoint asks this VM to send it no more requests
  * @param leaving whether the endpoint is about to leave and accepts no new requests
  * @param weightsVersion the version of the weights that the response is generated on
@@ -31,6 +33,7 @@
         boolean notExecuted,
         Optional<EndpointLoad> load,
         AdvertisedLimit limit,
+        AdvertisedLimit rejectionTolerance,
         RequestedBackoff backoff,
         boolean leaving,
         OptionalLong weightsVersion,
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -20,8 +20,9 @@
  *
  * <p>{@link #choose} takes the best endpoint of {@link org.bronzelug.router.traffic.EndpointChoice}
  * and charges the request to the limit that the endpoint advertises. If the limit admits no more
- * requests, the next best endpoint is considered. A prompt whose estimated queue delay is too long
- * for its goal is rejected instead; {@link #retryAfterMillis} is then present.
+ * requests, or the endpoint would fail by rejecting too many and may be full, the next best
+ * endpoint is considered. A prompt whose estimated queue delay is too long for its goal is rejected
+ * instead; {@link #retryAfterMillis} is then present.
  *
  * <p>Invariants: an endpoint that was tried is not chosen again until {@link #clearTried}. A prompt
  * that was sent once is never rejected for overload. Confined to the traffic thread.
@@ -39,6 +40,7 @@
     private final AdmittedRequest admitted;
     private final Set<String> tried = new HashSet<>();
     private final Set<EndpointState> limited = new HashSet<>();
+    private final Set<EndpointState> fragile = new HashSet<>();
     private final Set<String> unhealthy = new HashSet<>();
     private Optional<RunnerChoice> runner = Optional.empty();
     private OptionalLong retryAfterMillis = OptionalLong.empty();
@@ -58,6 +60,7 @@
      */
     Optional<EndpointState> choose(long nowNanos) {
         limited.clear();
+        fragile.clear();
         Optional<EndpointState> best = selectBest(nowNanos);
         while (best.isPresent() && !isRejected() && !tryAcquire(best.get(), nowNanos)) {
             limited.add(best.get());
@@ -84,6 +87,10 @@
     }
 
     private boolean tryAcquire(EndpointState endpoint, long nowNanos) {
+        if (!state.tryRiskRejection(endpoint, nowNanos)) {
+            fragile.add(endpoint);
+            return false;
+        }
         Optional<EndpointLimit> limit = endpoint.limit().filter(EndpointLimit::isAdvertised);
         double draw = ThreadLocalRandom.current().nextDouble();
         boolean acquired =
@@ -128,7 +135,10 @@
         OptionalLong limitMillis = limitRetryMillis(nowNanos);
         if (limitMillis.isPresent()) {
             long backoffMillis = backoffRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
-            return Unavailability.atLimits(Math.min(limitMillis.getAsLong(), backoffMillis));
+            long millis = Math.min(limitMillis.getAsLong(), backoffMillis);
+            return fragile.containsAll(limited)
+                    ? Unavailability.fragile(millis)
+                    : Unavailability.atLimits(millis);
         }
         return backoffRetryMillis(nowNanos).isPresent()
                 ? Unavailability.inBackoff(retryMillis(nowNanos))
@@ -146,17 +156,18 @@
      */
     private OptionalLong limitRetryMillis(long nowNanos) {
         return limited.stream()
-                .flatMap(endpoint -> endpoint.limit().stream())
-                .mapToLong(
-                        limit ->
-                                1
-                                        + limit.nanosUntil(
-                                                        ThreadLocalRandom.current().nextDouble(),
-                                                        nowNanos)
-                                                / NANOS_PER_MILLI)
+                .mapToLong(endpoint -> 1 + limitNanos(endpoint, nowNanos) / NANOS_PER_MILLI)
                 .min();
     }
 
+    private long limitNanos(EndpointState endpoint, long nowNanos) {
+        if (fragile.contains(endpoint)) {
+            return endpoint.rejectionRisk().nanosUntilNextWindow(nowNanos);
+        }
+        double draw = ThreadLocalRandom.current().nextDouble();
+        return endpoint.limit().map(limit -> limit.nanosUntil(draw, nowNanos)).orElse(0L);
+    }
+
     /**
      * Returns the time until the first endpoint accepts requests again after a backoff; empty if an
      * endpoint that the last choice did not find to be at its limit accepts requests now.
@@ -176,7 +187,7 @@
         return state.endpoints().available(admitted.pool().orElseThrow().name(), nowNanos);
     }
 
-    /** Returns the endpoints that the last choice skipped because of their limits. */
+    /** Returns the endpoints that the last choice skipped because of what they advertise. */
     Set<EndpointState> limited() {
         return limited;
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
@@ -17,6 +17,13 @@
                 retryAfterMillis);
     }
 
+    static Unavailability fragile(long retryAfterMillis) {
+        return new Unavailability(
+                "endpoints may be full and fail if they reject more requests",
+                Optional.of("requests_past_rejection_tolerance"),
+                retryAfterMillis);
+    }
+
     static Unavailability inBackoff(long retryAfterMillis) {
         return new Unavailability(
                 "endpoints have asked for a backoff",
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointAdvertisements.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointAdvertisements.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointBackoff;
 import org.bronzelug.core.limit.EndpointLimit;
@@ -12,8 +13,8 @@
 
 /**
  * What the responses of one start of an endpoint advertise about the requests that it accepts: a
- * limit on the requests of all VMs, a backoff for this VM, and whether the endpoint is about to
- * leave.
+ * limit on the requests of all VMs, the rejections that it withstands, a backoff for this VM, and
+ * whether the endpoint is about to leave.
  *
  * <p>Invariants: only responses that the endpoint itself sent change what is known; a malformed
  * value changes nothing. An endpoint that leaves does so until its next start. Confined to the
@@ -26,6 +27,7 @@
     private final String endpointId;
     private final EndpointBackoff backoff = new EndpointBackoff();
     private Optional<EndpointLimit> limit = Optional.empty();
+    private OptionalDouble rejectionTolerance = OptionalDouble.empty();
     private boolean leaving;
 
     EndpointAdvertisements(String endpointId) {
@@ -47,6 +49,7 @@
 
     void recordResponse(EndpointResponse response, long nowNanos) {
         recordLimit(response, nowNanos);
+        recordRejectionTolerance(response);
         if (isFromEndpoint(response) && response.status() == UNAVAILABLE) {
             recordBackoff(response.backoff(), nowNanos);
         }
@@ -83,6 +86,38 @@
         }
     }
 
+    /** Returns the rejections in a second that the endpoint withstands; empty if it states none. */
+    OptionalDouble rejectionTolerance() {
+        return rejectionTolerance;
+    }
+
+    private void recordRejectionTolerance(EndpointResponse response) {
+        OptionalDouble before = rejectionTolerance;
+        switch (response.rejectionTolerance()) {
+            case AdvertisedLimit.Rate rate -> {
+                if (isFromEndpoint(response)) {
+                    rejectionTolerance = OptionalDouble.of(rate.requestsPerSecond());
+                }
+            }
+            case AdvertisedLimit.None none -> {
+                if (response.genuine()) {
+                    rejectionTolerance = OptionalDouble.empty();
+                }
+            }
+            case AdvertisedLimit.Malformed malformed ->
+                    EventLog.warn(
+                            LogEvent.REJECTION_TOLERANCE_MALFORMED,
+                            "endpoint=" + endpointId + " value=\"" + malformed.text() + "\"");
+        }
+        if (!before.equals(rejectionTolerance)) {
+            EventLog.info(
+                    LogEvent.REJECTION_TOLERANCE_CHANGED,
+                    ("endpoint=" + endpointId)
+                            + (" perSecond=" + rejectionTolerance)
+                            + (" before=" + before));
+        }
+    }
+
     /** Applies the limit that a peer has observed, and the peer's usage of it. */
     void recordPeerLimit(PeerLimitUsage peer, long nowNanos) {
         applyLimit(peer.limit(), peer.seenNanos(), "vm " + peer.vm());
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
@@ -54,6 +55,7 @@
     private final EndpointAdvertisements advertisements;
     private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
+    private final RejectionRisk rejectionRisk = new RejectionRisk();
     private final Map<String, Long> observedWeights = new HashMap<>();
     // The last name that cacheIncarnation returned: placement asks for it for each prompt.
     private String incarnation = "";
@@ -269,7 +271,9 @@
     }
 
     public void recordResponse(EndpointResponse response) {
-        advertisements.recordResponse(response, System.nanoTime());
+        long nowNanos = System.nanoTime();
+        advertisements.recordResponse(response, nowNanos);
+        rejectionRisk.recordResponse(response, nowNanos);
         if (isLeaving()) {
             connections.retire();
         }
@@ -279,6 +283,15 @@
         }
     }
 
+    /** Returns the rejections in a second that the endpoint withstands; empty if it states none. */
+    OptionalDouble rejectionTolerance() {
+        return advertisements.rejectionTolerance();
+    }
+
+    public RejectionRisk rejectionRisk() {
+        return rejectionRisk;
+    }
+
     /** Returns the limit on the endpoint's requests; empty if it has never advertised one. */
     public Optional<EndpointLimit> limit() {
         return advertisements.limit();
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
@@ -144,6 +145,17 @@
                 .toList();
     }
 
+    /**
+     * Returns the lowest number of rejections in a second that an endpoint of the pool withstands;
+     * empty if none states any. The endpoints of a pool are alike, and one that has not responded
+     * yet states nothing.
+     */
+    public OptionalDouble rejectionTolerance(String pool) {
+        return acceptingRequests(pool).stream()
+                .flatMapToDouble(state -> state.rejectionTolerance().stream())
+                .min();
+    }
+
     @Override
     public Optional<InetSocketAddress> addressOf(RelayTarget target) {
         return find(target.endpoint())
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.bronzelug.core.retry.RetryBudget;
 import org.bronzelug.core.retry.RetryKind;
@@ -92,6 +93,22 @@
         return rates;
     }
 
+    /**
+     * Returns whether a request may be sent to an endpoint whose pool fails if it has to reject too
+     * many; true for any other pool.
+     */
+    public boolean tryRiskRejection(EndpointState endpoint, long nowNanos) {
+        OptionalDouble tolerance = endpoints.rejectionTolerance(endpoint.entry().pool());
+        return tolerance.isEmpty()
+                || endpoint.rejectionRisk()
+                        .tryTake(
+                                endpoint.requests(),
+                                endpoint.entry().slots(),
+                                tolerance.getAsDouble(),
+                                vmCount,
+                                nowNanos);
+    }
+
     /** Records that a request is sent to a pool for the first time. */
     public void recordFirstAttempt(String pool, long nowNanos) {
         budget(pool).recordFirstAttempt(nowNanos);
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -33,6 +33,7 @@
                     false,
                     Optional.empty(),
                     new AdvertisedLimit.None(),
+                    new AdvertisedLimit.None(),
                     new RequestedBackoff.None(),
                     true,
                     OptionalLong.empty(),
