Leave a stream at a runner that pauses but still accepts connections

A sound runner may fall silent for a second or so and go on. After 0.9 s of silence its resumable streams were sent to another runner, and both worked on them; the retry and the second reading of the prompt were wasted, and the caller's gap was no shorter for it.

The path check tells a pause from a lost machine: an endpoint that accepted a connection since it fell silent keeps its streams for 1.7 s, below the two seconds after which callers give up. One that accepts none leaves after 0.9 s as before; new requests avoid either after 0.9 s.

--- a/core/src/main/java/org/bronzelug/core/path/DirectPath.java
+++ b/core/src/main/java/org/bronzelug/core/path/DirectPath.java
@@ -43,6 +43,11 @@
         return regained;
     }
 
+    /** Returns whether a direct connection was opened after a time. */
+    public boolean isConnectedSince(long nanos) {
+        return connectedNanos.isPresent() && connectedNanos.getAsLong() - nanos > 0;
+    }
+
     /** Forgets a loss, since the endpoint has left the list. */
     public void reset() {
         lostNanos = OptionalLong.empty();
@@ -74,7 +79,6 @@
         if (lastLossNanos.isEmpty() || lastReceivedNanos - lastLossNanos.getAsLong() > 0) {
             return false;
         }
-        return connectedNanos.isEmpty()
-                || connectedNanos.getAsLong() - lastLossNanos.getAsLong() <= 0;
+        return !isConnectedSince(lastLossNanos.getAsLong());
     }
 }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -124,6 +124,11 @@
         return path.isLost();
     }
 
+    /** Returns whether this VM has opened a direct connection to the endpoint after a time. */
+    public boolean isConnectedSince(long nanos) {
+        return path.isConnectedSince(nanos);
+    }
+
     /** Returns whether a call waits on a connection that the loss of its path has silenced. */
     public boolean isSilenced(EndpointCall call) {
         return call.connection()
--- a/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -77,7 +77,7 @@
                 !route.stream()
                         && !dataReceived
                         && waitedMillis > STALLED_GOAL_MULTIPLE * route.goalMillis();
-        return slow || current.isSilent(nowNanos)
+        return slow || current.isStalled(nowNanos)
                 ? Optional.of("endpoint is silent")
                 : Optional.empty();
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -39,6 +39,9 @@
     /** Several times the latency of a request without a prompt or with a short prompt. */
     private static final long MINIMUM_SILENCE_NANOS = 900_000_000L;
 
+    /** A pause of a sound endpoint; callers abandon a stream after a gap of two seconds. */
+    private static final long MAXIMUM_PAUSE_NANOS = 1_700_000_000L;
+
     /** Several times the response time of a request without a prompt. */
     private static final long PLAIN_PATH_CHECK_NANOS = 250_000_000L;
 
@@ -174,6 +177,17 @@
         return !ownRequests.isEmpty() && nowNanos - lastActivityNanos > silenceLimitNanos();
     }
 
+    /**
+     * Returns whether requests in flight wait in vain. An endpoint that still accepts connections
+     * may only pause, and works on when the pause is over; a request that is sent elsewhere
+     * meanwhile would run twice.
+     */
+    public boolean isStalled(long nowNanos) {
+        return isSilent(nowNanos)
+                && (!connections.isConnectedSince(lastActivityNanos)
+                        || nowNanos - lastActivityNanos > MAXIMUM_PAUSE_NANOS);
+    }
+
     /**
      * Returns how long the endpoint may send nothing before it counts as silent. The limit grows
      * with the queued prompts, since an engine sends nothing while it prefills a single long
