Reject requests at once while no VM can connect to any endpoint of their pool

With all endpoints of a pool out of reach, ten requests in a row waited 12.2 s for connects that hang.

An endpoint to which a connect has failed, and which has no kept connection, is not chosen for half a second; if that leaves none, the request is rejected at once with the time that is left. A path check that fails also closes the kept connections, since the requests that made it run get no response either.

LostPathTest, EndpointBackoffTest and the tests of streams, limits and failed responses pass.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -18,6 +18,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.bronzelug.core.path.DirectPath;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
@@ -44,6 +45,9 @@
 
     private static final long CHECK_INTERVAL_NANOS = 1_000_000_000L;
 
+    /** Time after a failed connect for which no other one is tried. */
+    private static final long UNREACHABLE_NANOS = 500_000_000L;
+
     /** Less than the interval between probes, so that each round can probe the path again. */
     private static final int PROBE_CONNECT_MILLIS = 200;
 
@@ -57,6 +61,7 @@
     private boolean retired;
     private boolean probing;
     private long nextCheckNanos = System.nanoTime();
+    private OptionalLong unreachableSinceNanos = OptionalLong.empty();
 
     public EndpointConnections(
             EventLoop traffic,
@@ -106,11 +111,15 @@
 
     /** Closes the idle connections; requests in flight continue. */
     public void closeIdle() {
+        closeIdleConnections();
+        path.reset();
+        paths.forget(this);
+    }
+
+    private void closeIdleConnections() {
         // Copied, since closing a connection removes it from the queue during the iteration.
         List.copyOf(idle).forEach(EndpointConnection::close);
         idle.clear();
-        path.reset();
-        paths.forget(this);
     }
 
     /** Closes the idle connections now and each other one when its request has ended. */
@@ -124,6 +133,21 @@
         return path.isLost();
     }
 
+    /**
+     * Returns the time for which no request can be sent, since neither this VM nor another one
+     * could connect to the endpoint a moment ago, and no connection is kept; 0 if one can be sent.
+     */
+    public long unreachableNanos(long nowNanos) {
+        if (unreachableSinceNanos.isEmpty() || !idle.isEmpty()) {
+            return 0;
+        }
+        return Math.max(0, UNREACHABLE_NANOS - (nowNanos - unreachableSinceNanos.getAsLong()));
+    }
+
+    private void recordUnreachable() {
+        unreachableSinceNanos = OptionalLong.of(System.nanoTime());
+    }
+
     /** Returns whether this VM has opened a direct connection to the endpoint after a time. */
     public boolean isConnectedSince(long nanos) {
         return path.isConnectedSince(nanos);
@@ -178,6 +202,7 @@
 
     /** Takes a connection over whose channel is open. */
     void adopt(EndpointConnection connection, Channel channel) {
+        unreachableSinceNanos = OptionalLong.empty();
         connection.bind(channel);
         channel.closeFuture().addListener(closed -> idle.remove(connection));
     }
@@ -266,7 +291,13 @@
     }
 
     /** Sends a request on the connection that was opened for it. */
-    private record CallListener(EndpointCall call) implements ConnectionAttempt.Listener {
+    private final class CallListener implements ConnectionAttempt.Listener {
+        private final EndpointCall call;
+
+        private CallListener(EndpointCall call) {
+            this.call = call;
+        }
+
         @Override
         public void onConnected(EndpointConnection connection, ConnectionUse use) {
             call.start(connection, use);
@@ -274,6 +305,7 @@
 
         @Override
         public void onFailed(String cause) {
+            recordUnreachable();
             call.unreachable(cause);
         }
     }
@@ -287,7 +319,9 @@
 
         @Override
         public void onFailed(String cause) {
-            // The endpoint is down for other VMs too: the requests that wait there find that out.
+            // Requests on open connections get no response either: the endpoint is down.
+            closeIdleConnections();
+            recordUnreachable();
         }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -134,20 +134,27 @@
     Unavailability unavailability(long nowNanos) {
         OptionalLong limitMillis = limitRetryMillis(nowNanos);
         if (limitMillis.isPresent()) {
-            long backoffMillis = backoffRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
-            long millis = Math.min(limitMillis.getAsLong(), backoffMillis);
+            long unavailableMillis = unavailableRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
+            long millis = Math.min(limitMillis.getAsLong(), unavailableMillis);
             return fragile.containsAll(limited)
                     ? Unavailability.fragile(millis)
                     : Unavailability.atLimits(millis);
         }
-        return backoffRetryMillis(nowNanos).isPresent()
-                ? Unavailability.inBackoff(retryMillis(nowNanos))
-                : Unavailability.noEndpoint(NO_ENDPOINT_RETRY_MILLIS);
+        if (unavailableRetryMillis(nowNanos).isEmpty()) {
+            return Unavailability.noEndpoint(NO_ENDPOINT_RETRY_MILLIS);
+        }
+        boolean unreachable =
+                accepting().stream()
+                        .anyMatch(
+                                endpoint -> endpoint.connections().unreachableNanos(nowNanos) > 0);
+        return unreachable
+                ? Unavailability.unreachable(retryMillis(nowNanos))
+                : Unavailability.inBackoff(retryMillis(nowNanos));
     }
 
     /** Returns the retry delay of a request that is rejected after its last attempt. */
     long retryMillis(long nowNanos) {
-        return backoffRetryMillis(nowNanos).orElse(NO_ENDPOINT_RETRY_MILLIS);
+        return unavailableRetryMillis(nowNanos).orElse(NO_ENDPOINT_RETRY_MILLIS);
     }
 
     /**
@@ -169,20 +176,25 @@
     }
 
     /**
-     * Returns the time until the first endpoint accepts requests again after a backoff; empty if an
-     * endpoint that the last choice did not find to be at its limit accepts requests now.
+     * Returns the time until the first endpoint accepts requests again after a backoff or a failed
+     * connect; empty if an endpoint that the last choice did not find to be at its limit accepts
+     * requests now.
      */
-    private OptionalLong backoffRetryMillis(long nowNanos) {
+    private OptionalLong unavailableRetryMillis(long nowNanos) {
         if (admitted.pool().isEmpty() || !limited.containsAll(available(nowNanos))) {
             return OptionalLong.empty();
         }
-        return state.endpoints().acceptingRequests(admitted.pool().get().name()).stream()
-                .mapToLong(endpoint -> endpoint.backoffNanos(nowNanos))
+        return accepting().stream()
+                .mapToLong(endpoint -> endpoint.unavailableNanos(nowNanos))
                 .filter(nanos -> nanos > 0)
                 .map(nanos -> 1 + nanos / NANOS_PER_MILLI)
                 .min();
     }
 
+    private List<EndpointState> accepting() {
+        return state.endpoints().acceptingRequests(admitted.pool().orElseThrow().name());
+    }
+
     private List<EndpointState> available(long nowNanos) {
         return state.endpoints().available(admitted.pool().orElseThrow().name(), nowNanos);
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
@@ -31,6 +31,13 @@
                 retryAfterMillis);
     }
 
+    static Unavailability unreachable(long retryAfterMillis) {
+        return new Unavailability(
+                "no VM can connect to the endpoints",
+                Optional.of("requests_without_reachable_endpoint"),
+                retryAfterMillis);
+    }
+
     static Unavailability noEndpoint(long retryAfterMillis) {
         return new Unavailability(
                 "no endpoint takes the request", Optional.empty(), retryAfterMillis);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -318,7 +318,7 @@
 
     /** Returns whether this VM may send new requests to the endpoint now. */
     public boolean isAvailable(long nowNanos) {
-        return !isLeaving() && !advertisements.backoff().isActive(nowNanos);
+        return !isLeaving() && unavailableNanos(nowNanos) == 0;
     }
 
     /** Returns whether a response has stated that the endpoint leaves, whatever its entry says. */
@@ -326,9 +326,14 @@
         return advertisements.isLeaving();
     }
 
-    /** Returns the time until the end of the backoff that the endpoint asked for; 0 if none. */
-    public long backoffNanos(long nowNanos) {
-        return advertisements.backoff().remainingNanos(nowNanos);
+    /**
+     * Returns the time until this VM may send new requests to the endpoint, after a backoff that
+     * the endpoint asked for or a failed connect; 0 if it may now.
+     */
+    public long unavailableNanos(long nowNanos) {
+        return Math.max(
+                advertisements.backoff().remainingNanos(nowNanos),
+                connections.unreachableNanos(nowNanos));
     }
 
     public void recordFailure(long nowNanos) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -207,7 +207,7 @@
         state.recordResponse(response(503, true, new RequestedBackoff.None()));
         state.recordResponse(response(503, true, new RequestedBackoff.Delay(0)));
         assertThat(state.isAvailable(System.nanoTime())).isFalse();
-        assertThat(state.backoffNanos(System.nanoTime() + 9_000 * MILLI)).isEqualTo(0);
+        assertThat(state.unavailableNanos(System.nanoTime() + 9_000 * MILLI)).isEqualTo(0);
     }
 
     /**
