--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.fleet.v1.EndpointLimitUse;
@@ -77,8 +78,10 @@
         List<PeerLimitUsage> limits = new ArrayList<>();
         List<PrefixRead> reads = new ArrayList<>();
         Set<String> ordered = new HashSet<>(orders.orderedEndpoints());
+        List<RelayPeer> relays = new ArrayList<>();
         for (Member member : members.live(nowNanos)) {
             addUsage(member, usage);
+            relayPeer(member.state()).ifPresent(relays::add);
             if (member.receivedNanos() >= lastUpdateNanos) {
                 member.state()
                         .getTeamsList()
@@ -105,22 +108,17 @@
                 rollouts.views(),
                 members.reachableFraction(nowNanos),
                 1 + members.notExpired(nowNanos).size(),
-                relayPeers(nowNanos),
+                relays,
                 propagationDelayNanos);
     }
 
-    /** Returns the VMs that relay connections, except those that stop. */
-    private List<RelayPeer> relayPeers(long nowNanos) {
-        List<RelayPeer> peers = new ArrayList<>();
-        for (Member member : members.live(nowNanos)) {
-            VmState peer = member.state();
-            if (peer.getRelayPort() > 0 && !peer.getStopping()) {
-                String address =
-                        SocketSettings.withPort(peer.getPeersAddress(), peer.getRelayPort());
-                peers.add(new RelayPeer(peer.getVm(), address, peer.getLostPaths()));
-            }
+    /** Returns a VM as one that relays connections; empty if it stops or relays none. */
+    private static Optional<RelayPeer> relayPeer(VmState peer) {
+        if (peer.getRelayPort() == 0 || peer.getStopping()) {
+            return Optional.empty();
         }
-        return peers;
+        String address = SocketSettings.withPort(peer.getPeersAddress(), peer.getRelayPort());
+        return Optional.of(new RelayPeer(peer.getVm(), address, peer.getLostPaths()));
     }
 
     private static void addUsage(Member member, Map<String, PeerEndpointUsage> usage) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -80,7 +80,6 @@
     public EndpointCall send(
             FullHttpRequest request, String requestId, ResponseListener listener, long nowNanos) {
         EndpointCall call = new EndpointCall(request, requestId, listener);
-        paths.watchSilence();
         Optional<EndpointConnection> kept = takeIdle(nowNanos);
         if (kept.isPresent()) {
             call.start(kept.get(), kept.get().keptUse());
--- a/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
 import org.bronzelug.core.path.RelayPeer;
 import org.bronzelug.core.path.RelaySelection;
@@ -29,46 +28,22 @@
     /** Time between two rounds of probes of lost paths. */
     private static final long PROBE_MILLIS = 250;
 
-    private static final long SILENCE_CHECK_MILLIS = 100;
-
     /** Paths probed in one round. */
     private static final int PROBES_PER_ROUND = 4;
 
     private final EventLoop traffic;
-    private final BooleanSupplier silenceCheck;
     private final RelayConnector connector;
     private final RelaySelection relays = new RelaySelection(ThreadLocalRandom.current());
     private final Set<EndpointConnections> lost = new LinkedHashSet<>();
     private final Deque<EndpointConnections> probeQueue = new ArrayDeque<>();
     private OptionalLong lastSilentLossNanos = OptionalLong.empty();
     private boolean probing;
-    private boolean watching;
 
-    /**
-     * @param silenceCheck checks the paths to endpoints that don't respond to requests, and returns
-     *     whether any requests are in flight
-     */
-    public VmPaths(EventLoop traffic, BooleanSupplier silenceCheck) {
+    public VmPaths(EventLoop traffic) {
         this.traffic = traffic;
-        this.silenceCheck = silenceCheck;
         this.connector = new RelayConnector(traffic);
     }
 
-    /** Checks for silent endpoints periodically as long as requests are in flight. */
-    void watchSilence() {
-        if (!watching) {
-            watching = true;
-            traffic.schedule(this::checkSilence, SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void checkSilence() {
-        watching = false;
-        if (silenceCheck.getAsBoolean()) {
-            watchSilence();
-        }
-    }
-
     /** Sets the VMs that relay connections. */
     public void updatePeers(List<RelayPeer> peers, long nowNanos) {
         relays.update(peers, nowNanos);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -205,6 +205,10 @@
      * @param lastSilentLossNanos when this VM last lost a path to silence; empty if never
      */
     void checkPathIfSilent(OptionalLong lastSilentLossNanos, long nowNanos) {
+        if (ownRequests.isEmpty() || loadOrdered) {
+            // A runner that loads weights sends nothing for a while.
+            return;
+        }
         boolean othersLost =
                 lastSilentLossNanos.isPresent()
                         && lastSilentLossNanos.getAsLong() - lastActivityNanos > 0;
@@ -214,7 +218,7 @@
     }
 
     private double pathCheckNanos() {
-        return load.ownTokens() > 0 ? silenceLimitNanos() / 2 : PLAIN_PATH_CHECK_NANOS;
+        return entry.weights().isEmpty() ? PLAIN_PATH_CHECK_NANOS : silenceLimitNanos() / 2;
     }
 
     /** Records that a request of this VM has left the endpoint. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -36,7 +36,7 @@
     public EndpointTable(EventLoop traffic, WireFormat wire) {
         this.traffic = traffic;
         this.wire = wire;
-        this.paths = new VmPaths(traffic, this::checkSilentEndpoints);
+        this.paths = new VmPaths(traffic);
     }
 
     /** Returns the paths from this VM to the endpoints. */
@@ -44,19 +44,6 @@
         return paths;
     }
 
-    /** Returns whether requests of this VM are in flight at any endpoint. */
-    private boolean checkSilentEndpoints() {
-        long nowNanos = System.nanoTime();
-        boolean inFlight = false;
-        for (EndpointState state : states.values()) {
-            if (state.ownRequests() > 0) {
-                inFlight = true;
-                state.checkPathIfSilent(paths.lastSilentLossNanos(), nowNanos);
-            }
-        }
-        return inFlight;
-    }
-
     /** Applies the list of endpoints; requests in flight at removed endpoints continue. */
     void update(TrafficUpdate update) {
         paths.updatePeers(update.relayPeers(), System.nanoTime());
@@ -73,10 +60,18 @@
             }
         }
         updateLimits(update);
+        checkSilentPaths();
         // Only after all updates: a moved request must not select another endpoint that loads.
         draining.forEach(EndpointState::drain);
     }
 
+    private void checkSilentPaths() {
+        long nowNanos = System.nanoTime();
+        for (EndpointState state : states.values()) {
+            state.checkPathIfSilent(paths.lastSilentLossNanos(), nowNanos);
+        }
+    }
+
     private void updateLimits(TrafficUpdate update) {
         long nowNanos = System.nanoTime();
         for (PeerLimitUsage peer : update.peerLimits()) {
@@ -151,9 +146,15 @@
      * yet states nothing.
      */
     public OptionalDouble rejectionTolerance(String pool) {
-        return acceptingRequests(pool).stream()
-                .flatMapToDouble(state -> state.rejectionTolerance().stream())
-                .min();
+        OptionalDouble lowest = OptionalDouble.empty();
+        for (EndpointState state : states.values()) {
+            OptionalDouble own = state.rejectionTolerance();
+            boolean lower = own.isPresent() && own.getAsDouble() < lowest.orElse(Double.MAX_VALUE);
+            if (lower && state.entry().pool().equals(pool)) {
+                lowest = own;
+            }
+        }
+        return lowest;
     }
 
     @Override
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -53,7 +53,7 @@
                         address,
                         new NoWireFormat(),
                         new RelayTarget("a", 1),
-                        new VmPaths(group.next(), () -> false)),
+                        new VmPaths(group.next())),
                 new PrefillRate());
     }
 
