Relay large requests, and forget lost paths to endpoints that are not listed

A request's body is one frame of a relayed connection, and frames were bounded by 1 MB where bodies may have 4 MB: the request was broken off. And a connect that was pending when its endpoint left the list could add a lost path that nothing removed, so that the VM probed it and asked other VMs for each connect from then on.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -191,7 +191,7 @@
                         });
     }
 
-    RelayTarget target() {
+    public RelayTarget target() {
         return target;
     }
 
--- a/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.bronzelug.core.path.RelayPeer;
 import org.bronzelug.core.path.RelaySelection;
@@ -87,6 +88,18 @@
         probeNext();
     }
 
+    /**
+     * Drops the lost paths to endpoints that are not listed any more. A connect that was pending
+     * when its endpoint left the list may have added one since.
+     */
+    public void retainListed(Predicate<EndpointConnections> isListed) {
+        for (EndpointConnections endpoint : List.copyOf(lost)) {
+            if (!isListed.test(endpoint)) {
+                endpoint.closeIdle();
+            }
+        }
+    }
+
     /** Drops what is known of an endpoint that has left the platform's list. */
     void forget(EndpointConnections endpoint) {
         lost.remove(endpoint);
--- a/router/src/main/java/org/bronzelug/router/relay/RelayFraming.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayFraming.java
@@ -14,8 +14,8 @@
 final class RelayFraming {
     private static final int LENGTH_BYTES = 4;
 
-    /** Larger than the largest chunk that a VM reads from a connection at once. */
-    private static final int MAXIMUM_FRAME_BYTES = 1_048_576;
+    /** Larger than a request's body, which is one frame and which the ingress bounds. */
+    private static final int MAXIMUM_FRAME_BYTES = 64 * 1_048_576;
 
     private RelayFraming() {}
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -65,7 +65,14 @@
         draining.forEach(EndpointState::drain);
     }
 
+    private boolean isListed(EndpointConnections connections) {
+        return find(connections.target().endpoint())
+                .filter(state -> state.connections() == connections)
+                .isPresent();
+    }
+
     private void checkSilentPaths() {
+        paths.retainListed(this::isListed);
         long nowNanos = System.nanoTime();
         for (EndpointState state : states.values()) {
             state.checkPathIfSilent(paths.lastSilentLossNanos(), nowNanos);
