Ask fewer VMs to relay while this VM has lost no path

An endpoint that is down makes every VM that tries it ask others, each of which connects as well. In a large fleet whose processor time is short, four asked VMs a try cost more than they help; a VM that has lost paths still asks four, as others may have lost theirs. The cost at size is reckoned, not measured.

--- a/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
@@ -28,8 +28,13 @@
     /** Bounds how long other VMs are asked one after the other. */
     private static final long RELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
-    /** VMs asked at most, so that an endpoint that is down does not make the fleet connect. */
-    private static final int MAXIMUM_ASKED_VMS = 4;
+    /**
+     * VMs asked at most. An endpoint that is down makes each VM ask this many others, so that few
+     * are asked unless this VM has lost paths, as others may have too.
+     */
+    private static final int MAXIMUM_ASKED_VMS = 2;
+
+    private static final int MAXIMUM_ASKED_VMS_WITH_LOST_PATHS = 4;
 
     private final EventLoop traffic;
     private final EndpointConnections owner;
@@ -113,8 +118,8 @@
 
     private void askNextVm() {
         long nowNanos = System.nanoTime();
-        boolean exhausted =
-                askedVms.size() == MAXIMUM_ASKED_VMS || nowNanos - relayStartNanos > RELAY_NANOS;
+        int maximum = paths.lostCount() > 0 ? MAXIMUM_ASKED_VMS_WITH_LOST_PATHS : MAXIMUM_ASKED_VMS;
+        boolean exhausted = askedVms.size() >= maximum || nowNanos - relayStartNanos > RELAY_NANOS;
         Optional<RelayPeer> peer =
                 exhausted
                         ? Optional.empty()
