--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
@@ -50,10 +50,6 @@
         return connection;
     }
 
-    boolean isCancelled() {
-        return cancelled;
-    }
-
     /** Pauses or resumes reading the response. */
     public void setReading(boolean reading) {
         connection.ifPresent(opened -> opened.setReading(reading));
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -13,10 +13,6 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.bronzelug.core.path.DirectPath;
@@ -35,14 +31,6 @@
  * request before a direct connect to the endpoint has succeeded. Confined to the traffic thread.
  */
 public final class EndpointConnections {
-    /**
-     * How long before an endpoint's idle limit an idle connection is not used any more. The
-     * endpoint closes the connection at its limit, and a request sent at that moment may or may not
-     * have run. Endpoints state their limits in whole seconds, and links have delays of
-     * milliseconds.
-     */
-    private static final long IDLE_MARGIN_MILLIS = 1_000;
-
     private static final long CHECK_INTERVAL_NANOS = 1_000_000_000L;
 
     /** Time after a failed connect for which no other one is tried. */
@@ -57,7 +45,7 @@
     private final RelayTarget target;
     private final VmPaths paths;
     private final DirectPath path = new DirectPath();
-    private final Deque<EndpointConnection> idle = new ArrayDeque<>();
+    private final IdleConnections idle = new IdleConnections();
     private boolean retired;
     private boolean probing;
     private long nextCheckNanos = System.nanoTime();
@@ -80,7 +68,7 @@
     public EndpointCall send(
             FullHttpRequest request, String requestId, ResponseListener listener, long nowNanos) {
         EndpointCall call = new EndpointCall(request, requestId, listener);
-        Optional<EndpointConnection> kept = takeIdle(nowNanos);
+        Optional<EndpointConnection> kept = idle.take(this::isDoubtful, nowNanos);
         if (kept.isPresent()) {
             call.start(kept.get(), kept.get().keptUse());
         } else {
@@ -89,20 +77,6 @@
         return call;
     }
 
-    /** Removes the most recently used idle connection that can carry a request now. */
-    private Optional<EndpointConnection> takeIdle(long nowNanos) {
-        for (EndpointConnection candidate : List.copyOf(idle)) {
-            if (!candidate.isUsable(nowNanos, IDLE_MARGIN_MILLIS)) {
-                idle.remove(candidate);
-                candidate.close();
-            } else if (!isDoubtful(candidate)) {
-                idle.remove(candidate);
-                return Optional.of(candidate);
-            }
-        }
-        return Optional.empty();
-    }
-
     private boolean isDoubtful(EndpointConnection connection) {
         return connection.relayVm().isEmpty()
                 && path.isDoubtful(connection.lastReceivedNanos(), paths.lastSilentLossNanos());
@@ -110,17 +84,11 @@
 
     /** Closes the idle connections; requests in flight continue. */
     public void closeIdle() {
-        closeIdleConnections();
+        idle.closeIf(connection -> true);
         path.reset();
         paths.forget(this);
     }
 
-    private void closeIdleConnections() {
-        // Copied, since closing a connection removes it from the queue during the iteration.
-        List.copyOf(idle).forEach(EndpointConnection::close);
-        idle.clear();
-    }
-
     /** Closes the idle connections now and each other one when its request has ended. */
     public void retire() {
         retired = true;
@@ -212,7 +180,7 @@
         if (retired || needless) {
             connection.close();
         } else {
-            idle.addFirst(connection);
+            idle.add(connection);
         }
     }
 
@@ -222,23 +190,14 @@
 
     /** Closes the idle connections through VMs that relay no more. */
     void closeUnlistedRelays() {
-        closeIdleRelays(false);
-    }
-
-    private void closeIdleRelays(boolean listedOnes) {
-        for (EndpointConnection connection : new ArrayList<>(idle)) {
-            boolean relayed = connection.relayVm().isPresent();
-            if (relayed && (listedOnes || !isRelayWanted(connection))) {
-                connection.close();
-            }
-        }
+        idle.closeIf(connection -> connection.relayVm().isPresent() && !isRelayWanted(connection));
     }
 
     /** Records that a direct connection was opened. */
     void recordConnected() {
         if (path.recordConnected(System.nanoTime())) {
             EventLog.info(LogEvent.PATH_REGAINED, "endpoint=" + target.endpoint());
-            closeIdleRelays(true);
+            idle.closeIf(connection -> connection.relayVm().isPresent());
             paths.recordRegained(this);
         }
     }
@@ -319,7 +278,7 @@
         @Override
         public void onFailed(String cause) {
             // Requests on open connections get no response either: the endpoint is down.
-            closeIdleConnections();
+            idle.closeIf(connection -> true);
             recordUnreachable();
         }
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -36,18 +36,6 @@
     private static final long INITIAL_SUSPECT_NANOS = 500_000_000L;
     private static final int MAXIMUM_DOUBLINGS = 3;
 
-    /** Several times the latency of a request without a prompt or with a short prompt. */
-    private static final long MINIMUM_SILENCE_NANOS = 900_000_000L;
-
-    /** A pause of a sound endpoint; callers abandon a stream after a gap of two seconds. */
-    private static final long MAXIMUM_PAUSE_NANOS = 1_700_000_000L;
-
-    /** Several times the response time of a request without a prompt. */
-    private static final long PLAIN_PATH_CHECK_NANOS = 250_000_000L;
-
-    /** Number of estimated prefill times of this VM's prompts that a runner may stay silent. */
-    private static final double SILENCE_PREFILL_MULTIPLE = 2;
-
     /**
      * How long the weights of an endpoint stay unknown. The control thread queries the runner
      * within a round of 150 ms and has the response a few milliseconds later.
@@ -59,6 +47,7 @@
     private final PrefillRate prefillRate;
     private final LoadEstimate load = new LoadEstimate();
     private final RejectionRisk rejectionRisk = new RejectionRisk();
+    private final SilenceDetector silence;
     private final Map<String, Long> observedWeights = new HashMap<>();
     // The last name that cacheIncarnation returned: placement asks for it for each prompt.
     private String incarnation = "";
@@ -70,7 +59,6 @@
     private int consecutiveFailures;
     private long suspectUntilNanos = Long.MIN_VALUE;
     private final Set<DrainListener> ownRequests = new HashSet<>();
-    private long lastActivityNanos;
     private long weightsUnknownUntilNanos = Long.MIN_VALUE;
 
     EndpointState(EndpointEntry entry, EndpointConnections connections, PrefillRate prefillRate) {
@@ -78,6 +66,7 @@
         this.connections = connections;
         this.advertisements = new EndpointAdvertisements(entry.id());
         this.prefillRate = prefillRate;
+        this.silence = new SilenceDetector(connections, load, prefillRate);
     }
 
     public EndpointEntry entry() {
@@ -150,7 +139,7 @@
     /** Records that this VM sends a request to the endpoint. */
     public void begin(DrainListener request, long nowNanos) {
         if (ownRequests.isEmpty()) {
-            lastActivityNanos = nowNanos;
+            silence.recordActivity(nowNanos);
         }
         ownRequests.add(request);
     }
@@ -165,62 +154,32 @@
 
     /** Records that bytes of a response have arrived. */
     public void recordActivity(long nowNanos) {
-        lastActivityNanos = nowNanos;
+        silence.recordActivity(nowNanos);
     }
 
-    /**
-     * Returns whether requests are in flight but no bytes have arrived for too long. This detects
-     * an endpoint that lost its power or whose network path is cut: its connections stay open and
-     * the platform lists its entry for seconds more.
-     */
+    /** Returns whether requests are in flight but no bytes have arrived for too long. */
     public boolean isSilent(long nowNanos) {
-        return !ownRequests.isEmpty() && nowNanos - lastActivityNanos > silenceLimitNanos();
+        return !ownRequests.isEmpty() && silence.isSilent(nowNanos);
     }
 
-    /**
-     * Returns whether requests in flight wait in vain. An endpoint that still accepts connections
-     * may only pause, and works on when the pause is over; a request that is sent elsewhere
-     * meanwhile would run twice.
-     */
+    /** Returns whether requests in flight wait in vain. */
     public boolean isStalled(long nowNanos) {
-        return isSilent(nowNanos)
-                && (!connections.isConnectedSince(lastActivityNanos)
-                        || nowNanos - lastActivityNanos > MAXIMUM_PAUSE_NANOS);
-    }
-
-    /**
-     * Returns how long the endpoint may send nothing before it counts as silent. The limit grows
-     * with the queued prompts, since an engine sends nothing while it prefills a single long
-     * prompt.
-     */
-    private double silenceLimitNanos() {
-        double prefillNanos = load.ownTokens() * prefillRate.nanosPerToken();
-        return Math.max(MINIMUM_SILENCE_NANOS, SILENCE_PREFILL_MULTIPLE * prefillNanos);
+        return !ownRequests.isEmpty() && silence.isStalled(nowNanos);
     }
 
     /**
-     * Checks this VM's path to the endpoint if requests have waited there for longer than usual, or
-     * since this VM lost a path to another endpoint.
+     * Checks this VM's path to the endpoint if requests in flight get no response. A runner that
+     * loads weights sends nothing for a while.
      *
      * @param lastSilentLossNanos when this VM last lost a path to silence; empty if never
      */
     void checkPathIfSilent(OptionalLong lastSilentLossNanos, long nowNanos) {
-        if (ownRequests.isEmpty() || loadOrdered) {
-            // A runner that loads weights sends nothing for a while.
-            return;
-        }
-        boolean othersLost =
-                lastSilentLossNanos.isPresent()
-                        && lastSilentLossNanos.getAsLong() - lastActivityNanos > 0;
-        if (othersLost || nowNanos - lastActivityNanos > pathCheckNanos()) {
-            connections.check(nowNanos);
+        if (!ownRequests.isEmpty() && !loadOrdered) {
+            boolean engine = !entry.weights().isEmpty();
+            silence.checkPathIfSilent(engine, lastSilentLossNanos, nowNanos);
         }
     }
 
-    private double pathCheckNanos() {
-        return entry.weights().isEmpty() ? PLAIN_PATH_CHECK_NANOS : silenceLimitNanos() / 2;
-    }
-
     /** Records that a request of this VM has left the endpoint. */
     public void end(DrainListener request) {
         ownRequests.remove(request);
