Give a slow direct connect 300 ms even if other VMs refuse at once; draw numbers on the traffic thread

Two faults found while reading the change. VMs that do not know an endpoint yet refuse to connect within milliseconds, and a direct connect that only took long was then given up after some 80 ms, and the endpoint not chosen for half a second. And the generators of the relay choice and of the rejection allowance were taken from the thread that starts the process, and used on the traffic thread, where they need not be seeded.

--- a/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ConnectionAttempt.java
@@ -25,6 +25,9 @@
     /** A direct connect takes two link delays of milliseconds; this covers a busy VM as well. */
     static final long DIRECT_MILLIS = 75;
 
+    /** Least time that a direct connect gets if other VMs say at once that they can't connect. */
+    private static final long MINIMUM_DIRECT_MILLIS = 300;
+
     /** Bounds how long other VMs are asked one after the other. */
     private static final long RELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
@@ -43,6 +46,7 @@
     private final Set<String> askedVms = new HashSet<>();
     private final Set<ChannelFuture> pendingDirect = new HashSet<>();
     private String cause = "no path to the endpoint";
+    private final long startNanos = System.nanoTime();
     private long relayStartNanos;
     private boolean relaying;
     private boolean relaysExhausted;
@@ -176,6 +180,12 @@
         if (done || !over) {
             return;
         }
+        long waitedMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        if (!pendingDirect.isEmpty() && waitedMillis < MINIMUM_DIRECT_MILLIS) {
+            long remainingMillis = MINIMUM_DIRECT_MILLIS - waitedMillis;
+            traffic.schedule(this::failIfOver, remainingMillis, TimeUnit.MILLISECONDS);
+            return;
+        }
         done = true;
         cancelDirect();
         listener.onFailed(cause);
--- a/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/VmPaths.java
@@ -34,7 +34,8 @@
 
     private final EventLoop traffic;
     private final RelayConnector connector;
-    private final RelaySelection relays = new RelaySelection(ThreadLocalRandom.current());
+    private final RelaySelection relays =
+            new RelaySelection(() -> ThreadLocalRandom.current().nextLong());
     private final Set<EndpointConnections> lost = new LinkedHashSet<>();
     private final Deque<EndpointConnections> probeQueue = new ArrayDeque<>();
     private OptionalLong lastSilentLossNanos = OptionalLong.empty();
--- a/router/src/main/java/org/bronzelug/router/traffic/RejectionRisk.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RejectionRisk.java
@@ -13,7 +13,7 @@
 public final class RejectionRisk {
     private final OccupancyEstimate occupancy = new OccupancyEstimate();
     private final RejectionAllowance allowance =
-            new RejectionAllowance(ThreadLocalRandom.current());
+            new RejectionAllowance(() -> ThreadLocalRandom.current().nextLong());
 
     void recordResponse(EndpointResponse response, long nowNanos) {
         response.load()
