Log how the end of a response was marked, and where a stream ended

It now has framing= (LENGTH, CHUNKED, CONNECTION_CLOSE) and, for a stream that is not split into events, streamEnd= (BEFORE_FIRST_EVENT, AFTER_EVENT, WITHIN_EVENT); the counter responses_ended_by_connection counts the unframed ones. Nothing that callers get has changed.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.core.routing.RetryPolicy;
+import org.bronzelug.router.endpoint.BodyFraming;
 import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
@@ -315,6 +316,9 @@
             return;
         }
         endAttempt();
+        if (relay.framing().filter(BodyFraming.CONNECTION_CLOSE::equals).isPresent()) {
+            metrics.count("responses_ended_by_connection");
+        }
         if (relay.complete()) {
             outcome.complete(relay.status());
         } else {
@@ -494,6 +498,7 @@
                 reason,
                 selection.tried(),
                 prefill.runner().or(selection::runner),
+                relay.describeEnd(),
                 firstDataNanos);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -102,6 +102,7 @@
     /**
      * Logs the end of the request.
      *
+     * @param responseEnd how the end of the last endpoint's response was marked
      * @param firstDataNanos when the first bytes of a response body arrived, by the local monotonic
      *     clock; 0 if none did
      */
@@ -110,6 +111,7 @@
             String reason,
             Set<String> tried,
             Optional<RunnerChoice> runner,
+            String responseEnd,
             long firstDataNanos) {
         EventLog.info(
                 LogEvent.REQUEST_ENDED,
@@ -121,6 +123,7 @@
                         + (" tokens=" + admitted.tokens())
                         + (" tried=" + tried)
                         + (" connection=" + connection)
+                        + (" " + responseEnd)
                         + (" configuration=" + admitted.configurationVersion())
                         + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
                         + (" firstMillis=" + (firstDataNanos == 0 ? -1 : millisTo(firstDataNanos)))
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -9,8 +9,10 @@
 import java.util.OptionalLong;
 import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
+import org.bronzelug.router.endpoint.BodyFraming;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.ingress.CallerConnection;
+import org.bronzelug.router.stream.EventBoundary;
 import org.bronzelug.router.stream.EventSplitter;
 
 /**
@@ -29,8 +31,10 @@
     private final WireFormat wire;
     private final Route route;
     private final EventSplitter events = new EventSplitter();
+    private final EventBoundary boundary = new EventBoundary();
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
     private Optional<HttpHeaders> headers = Optional.empty();
+    private Optional<BodyFraming> framing = Optional.empty();
     private int status;
     private boolean splitsEvents;
     private boolean begun;
@@ -53,6 +57,11 @@
         return status;
     }
 
+    /** Returns how the end of the last endpoint's response is marked; empty before its head. */
+    Optional<BodyFraming> framing() {
+        return framing;
+    }
+
     /** Returns the id of the last event that was forwarded to the caller. */
     OptionalLong lastEventId() {
         return events.lastId();
@@ -60,6 +69,7 @@
 
     /** Starts a response with its head; the head of a resumed stream is ignored. */
     void begin(EndpointResponse head, HttpResponse response) {
+        framing = Optional.of(BodyFraming.of(response));
         if (begun) {
             return;
         }
@@ -95,6 +105,7 @@
             return holding || forwardEvents();
         }
         if (begun) {
+            boundary.scanAll(data);
             caller.writeData(data);
             return true;
         }
@@ -164,6 +175,13 @@
         return true;
     }
 
+    /** Describes for the log how the end of the last endpoint's response was marked. */
+    String describeEnd() {
+        String framingName = framing.map(BodyFraming::name).orElse("NONE");
+        boolean scanned = route.stream() && begun && !splitsEvents;
+        return "framing=" + framingName + (scanned ? " streamEnd=" + boundary.position() : "");
+    }
+
     /** Discards a response of which nothing was forwarded to the caller. */
     void reset() {
         buffered.release();
