Split events whose lines end with CR, and forward blank lines after an event

EventSplitter knew LF LF and LF CR LF as the end of an event: a resumable stream with CR alone was held back for ever and then taken for broken off, and a whole stream with one more blank line at its end was taken for broken off as well. It now uses EventBoundary and scans each byte once.

--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -161,7 +161,7 @@
      * @return false if the stream ended within an event
      */
     boolean complete() {
-        if (splitsEvents && events.hasPartialEvent()) {
+        if (splitsEvents && events.position() == EventBoundary.Position.WITHIN_EVENT) {
             return false;
         }
         if (begun) {
--- a/router/src/main/java/org/bronzelug/router/stream/EventBoundary.java
+++ b/router/src/main/java/org/bronzelug/router/stream/EventBoundary.java
@@ -6,8 +6,8 @@
  * Finds the ends of server-sent events (text/event-stream) in a stream of bytes. A line ends with
  * LF, CR LF or CR, and a blank line ends an event.
  *
- * <p>Invariant: the result does not depend on how the stream is split into buffers. Confined to the
- * traffic thread.
+ * <p>Invariant: the position does not depend on how the stream is split into buffers. Confined to
+ * the traffic thread.
  */
 public final class EventBoundary {
     /** Where the bytes scanned so far end. */
@@ -17,10 +17,21 @@
         WITHIN_EVENT
     }
 
-    private Position position = Position.BEFORE_FIRST_EVENT;
-    private boolean lineBlank = true;
+    private Position position;
+    private boolean lineBlank;
     private boolean afterCarriageReturn;
 
+    public EventBoundary() {
+        restart();
+    }
+
+    /** Starts over with the first bytes of a response. */
+    public void restart() {
+        position = Position.BEFORE_FIRST_EVENT;
+        lineBlank = true;
+        afterCarriageReturn = false;
+    }
+
     /** Returns where the bytes scanned so far end. */
     public Position position() {
         return position;
@@ -70,13 +81,4 @@
         }
         return after;
     }
-
-    /** Starts over within the same stream, after its last whole event. */
-    public void dropPartialEvent() {
-        if (position == Position.WITHIN_EVENT) {
-            position = Position.AFTER_EVENT;
-        }
-        lineBlank = true;
-        afterCarriageReturn = false;
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
+++ b/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
@@ -17,7 +17,11 @@
 public final class EventSplitter {
     private static final String ID_FIELD = "id:";
 
+    private static final String LINE_ENDS = "[\r\n]+";
+
+    private final EventBoundary boundary = new EventBoundary();
     private ByteBuf buffer = Unpooled.buffer();
+    private int scannedBytes;
     private OptionalLong lastId = OptionalLong.empty();
     private boolean gap;
 
@@ -63,9 +67,9 @@
         return lastId;
     }
 
-    /** Returns whether a partial event is buffered. */
-    public boolean hasPartialEvent() {
-        return buffer.isReadable();
+    /** Returns where the bytes end that the current runner has sent. */
+    public EventBoundary.Position position() {
+        return boundary.position();
     }
 
     /**
@@ -73,6 +77,8 @@
      */
     public void dropBuffered() {
         buffer.clear();
+        scannedBytes = 0;
+        boundary.restart();
         gap = false;
     }
 
@@ -82,26 +88,20 @@
     }
 
     private int endOfEvent() {
-        int from = buffer.readerIndex();
-        int to = buffer.writerIndex();
-        for (int index = from; index + 1 < to; index++) {
-            if (buffer.getByte(index) != '\n') {
-                continue;
-            }
-            if (buffer.getByte(index + 1) == '\n') {
-                return index + 2;
-            }
-            boolean carriageReturn = index + 2 < to && buffer.getByte(index + 1) == '\r';
-            if (carriageReturn && buffer.getByte(index + 2) == '\n') {
-                return index + 3;
-            }
+        int from = buffer.readerIndex() + scannedBytes;
+        int end = boundary.scan(buffer, from, buffer.writerIndex());
+        boolean blankLinesOnly =
+                buffer.isReadable() && boundary.position() == EventBoundary.Position.AFTER_EVENT;
+        if (end < 0 && blankLinesOnly) {
+            end = buffer.writerIndex();
         }
-        return -1;
+        scannedBytes = end < 0 ? buffer.readableBytes() : 0;
+        return end;
     }
 
     private static OptionalLong idOf(ByteBuf event) {
         String text = event.toString(StandardCharsets.UTF_8);
-        for (String line : text.split("\n")) {
+        for (String line : text.split(LINE_ENDS)) {
             if (line.startsWith(ID_FIELD)) {
                 return parseId(line.substring(ID_FIELD.length()).strip());
             }
--- a/router/src/test/java/org/bronzelug/router/stream/EventSplitterTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/EventSplitterTest.java
@@ -12,6 +12,8 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against events that a caller receives twice, partially or not at all: a runner dies in the
@@ -68,6 +70,32 @@
         splitter.release();
     }
 
+    /** Guards against a stream of which nothing is forwarded, since its lines end with CR. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", "\r"})
+    void wholeEventsAreReturnedForEachLineEnd(String lineEnd) {
+        String stream = events(1, 3).replace("\n", lineEnd);
+        EventSplitter splitter = new EventSplitter();
+        StringBuilder passed = new StringBuilder();
+        for (char next : stream.toCharArray()) {
+            passed.append(passThrough(splitter, String.valueOf(next)));
+        }
+        assertThat(passed.toString()).isEqualTo(stream);
+        assertThat(splitter.lastId().orElseThrow()).isEqualTo(3);
+        splitter.release();
+    }
+
+    /** Guards against a whole stream that is taken for broken off. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", "\r\n", "\r"})
+    void blankLinesAfterAnEventAreNoPartialEvent(String lineEnd) {
+        String stream = events(1, 2).replace("\n", lineEnd) + lineEnd;
+        EventSplitter splitter = new EventSplitter();
+        assertThat(passThrough(splitter, stream)).isEqualTo(stream);
+        assertThat(splitter.position()).isEqualTo(EventBoundary.Position.AFTER_EVENT);
+        splitter.release();
+    }
+
     @Test
     void missingEventIsReportedAsGap() {
         EventSplitter splitter = new EventSplitter();
