Never frame a stream as complete that ends within an event

Callers got a 200 with a part of its events and the last chunk. Cause: the end of an endpoint's connection ends an unframed response for the decoder, and ResponseRelay.complete looked for a partial event only on resumable routes. Now every event stream is scanned as it is forwarded, without delay; one that ends within an event, and an unframed one that has no event yet, is broken off: resumed where the route allows it, else the caller's connection is closed within the response. The endpoint counts as failed. A declared length of an event stream is no longer passed on, since the caller would have all of it before the end is judged; it gets chunks. Whole streams of each framing and line end stay whole.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -315,15 +315,18 @@
         if (mover.isMoving() && !mover.stay("the response is complete")) {
             return;
         }
-        endAttempt();
+        EndpointState responded = endAttempt();
         if (relay.framing().filter(BodyFraming.CONNECTION_CLOSE::equals).isPresent()) {
             metrics.count("responses_ended_by_connection");
         }
-        if (relay.complete()) {
-            outcome.complete(relay.status());
-        } else {
-            resumer.resumeOrBreakOff("stream ended within an event");
+        Optional<String> brokenOff = relay.brokenOffCause();
+        if (brokenOff.isPresent()) {
+            responded.recordFailure(System.nanoTime());
+            resumer.resumeOrBreakOff(brokenOff.get());
+            return;
         }
+        relay.complete();
+        outcome.complete(relay.status());
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -37,6 +38,7 @@
     private Optional<BodyFraming> framing = Optional.empty();
     private int status;
     private boolean splitsEvents;
+    private boolean eventStream;
     private boolean begun;
     private boolean eventForwarded;
     private boolean holding;
@@ -77,9 +79,11 @@
         headers = Optional.of(wire.callerHeaders(response));
         boolean streaming = route.stream() && head.isSuccess();
         splitsEvents = streaming && route.retryPolicy() == RetryPolicy.RESUMABLE;
+        eventStream = splitsEvents || (streaming && isEventStream(response));
         if (streaming) {
+            // With a length, a stream that ends within an event would look complete.
             OptionalLong length =
-                    HttpUtil.isContentLengthSet(response) && !splitsEvents
+                    HttpUtil.isContentLengthSet(response) && !eventStream
                             ? OptionalLong.of(HttpUtil.getContentLength(response))
                             : OptionalLong.empty();
             sendHead(length);
@@ -88,6 +92,12 @@
         }
     }
 
+    private static boolean isEventStream(HttpResponse response) {
+        CharSequence mimeType = HttpUtil.getMimeType(response);
+        return mimeType == null
+                || HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(mimeType);
+    }
+
     private void sendHead(OptionalLong length) {
         begun = true;
         caller.writeHead(status, headers.orElseThrow(), length);
@@ -156,30 +166,45 @@
     }
 
     /**
-     * Completes the response after its last chunk.
-     *
-     * @return false if the stream ended within an event
+     * Returns why the stream was broken off although its endpoint's response has ended; empty if
+     * the response is whole. A stream never ends within an event; the close of a connection also
+     * ends none that has no event yet, as a run has at least one.
      */
-    boolean complete() {
-        if (splitsEvents && events.position() == EventBoundary.Position.WITHIN_EVENT) {
-            return false;
+    Optional<String> brokenOffCause() {
+        if (!eventStream) {
+            return Optional.empty();
         }
+        boolean unframed = framing.filter(BodyFraming.CONNECTION_CLOSE::equals).isPresent();
+        return switch (streamEnd()) {
+            case WITHIN_EVENT -> Optional.of("stream ended within an event");
+            case BEFORE_FIRST_EVENT ->
+                    unframed
+                            ? Optional.of("connection closed before the first event")
+                            : Optional.empty();
+            case AFTER_EVENT -> Optional.empty();
+        };
+    }
+
+    private EventBoundary.Position streamEnd() {
+        return splitsEvents ? events.position() : boundary.position();
+    }
+
+    /** Completes the response after its last chunk, if it was not broken off. */
+    void complete() {
         if (begun) {
             caller.writeEnd();
-            return true;
+            return;
         }
         ByteBuf whole = buffered;
         buffered = Unpooled.EMPTY_BUFFER;
         begun = true;
         caller.writeResponse(status, headers.orElseThrow(), whole);
-        return true;
     }
 
     /** Describes for the log how the end of the last endpoint's response was marked. */
     String describeEnd() {
         String framingName = framing.map(BodyFraming::name).orElse("NONE");
-        boolean scanned = route.stream() && begun && !splitsEvents;
-        return "framing=" + framingName + (scanned ? " streamEnd=" + boundary.position() : "");
+        return "framing=" + framingName + (eventStream ? " streamEnd=" + streamEnd() : "");
     }
 
     /** Discards a response of which nothing was forwarded to the caller. */
