Take only the endpoint's own close for the end of an unframed response

Callers could get a truncated response with a length or its last chunk: a reset that a failed write meets first, and a close by this VM, end the HTTP decoder's response exactly as the endpoint's close does, without an exception before. The relaying VM passed both on as an orderly close. Connections to endpoints now allow half closure, so that the endpoint's close is an event of its own; an unframed response that ends without it is broken. The relay's empty frame is sent for that event alone.

Ruled out: a reset that is read raises its exception before the decoder's end, and was broken already (ResponseFailureTest, 'unframed and reset').

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -22,11 +24,16 @@
  * responds twice, or a response that arrives late, would give the next caller the response to
  * another caller's request. A late response that arrives after the next request was sent is
  * recognized by its request id and skipped. An idle connection is always read, so that its close is
- * noticed. Confined to the traffic thread.
+ * noticed.
+ *
+ * <p>Invariant: a response without a length or chunks is complete only if the endpoint's orderly
+ * close was read. A reset, a failed write and a close by this VM end the decoder's response too.
+ * Confined to the traffic thread.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final int CONTINUE = 100;
     private static final int FIRST_FINAL_STATUS = 200;
+    private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
 
     private final WireFormat wire;
     private final Consumer<EndpointConnection> onIdle;
@@ -38,6 +45,8 @@
     private boolean reusable = true;
     private boolean skippingResponse;
     private boolean headSeen;
+    private boolean endsWithConnection;
+    private boolean closedByEndpoint;
     private long idleSinceNanos;
     private long lastReceivedNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -148,6 +157,7 @@
             return;
         }
         headSeen = true;
+        endsWithConnection = BodyFraming.of(response) == BodyFraming.CONNECTION_CLOSE;
         reusable &= head.keepAlive();
         head.idleMillis().ifPresent(millis -> idleLimitMillis = millis);
         listener.ifPresent(active -> active.onHead(head, response));
@@ -166,7 +176,11 @@
             content.release();
         }
         if (last && headSeen) {
-            complete();
+            if (endsWithConnection && !closedByEndpoint) {
+                fail("connection lost within a response that has no length");
+            } else {
+                complete();
+            }
         }
     }
 
@@ -193,6 +207,18 @@
         active.ifPresent(waiting -> waiting.onBroken(cause));
     }
 
+    /** Notes the endpoint's orderly close before the decoder takes it for the end of a response. */
+    ChannelHandler closeDetector() {
+        return new CloseDetector();
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail(CLOSED_BY_ENDPOINT);
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         fail("connection failed: " + cause.getMessage());
@@ -200,6 +226,18 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        fail("connection closed by the endpoint");
+        fail(CLOSED_BY_ENDPOINT);
+    }
+
+    /** Confined to the traffic thread. */
+    private final class CloseDetector extends ChannelInboundHandlerAdapter {
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                closedByEndpoint = true;
+                reusable = false;
+            }
+            context.fireUserEventTriggered(event);
+        }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -228,6 +228,8 @@
                         .group(traffic)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                        // Tells the endpoint's close from any other end of the connection.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(pipeline(connection));
         SocketSettings.enableKeepAlive(bootstrap);
         return bootstrap.connect(address);
@@ -244,6 +246,7 @@
 
     static void addCodec(ChannelPipeline pipeline, EndpointConnection connection) {
         pipeline.addLast(new HttpRequestEncoder())
+                .addLast(connection.closeDetector())
                 .addLast(new HttpResponseDecoder())
                 .addLast(connection);
     }
--- a/router/src/main/java/org/bronzelug/router/relay/RelayClientHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayClientHandler.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
 import java.util.Optional;
@@ -17,8 +18,8 @@
  * The end of a relayed connection at the VM that uses it: sends the request for the endpoint, reads
  * the response, and then passes the endpoint's bytes on.
  *
- * <p>Invariant: if the connection ends without the endpoint having closed its own in an orderly
- * way, an exception is raised first, as for a reset connection. Confined to the traffic thread.
+ * <p>Invariant: the close of the endpoint's connection is passed on as on a direct one, by an event
+ * if it was an orderly close, else by an exception. Confined to the traffic thread.
  */
 final class RelayClientHandler extends ChannelInboundHandlerAdapter {
     private final RelayTarget target;
@@ -73,6 +74,7 @@
         }
         frame.release();
         closedByEndpoint = true;
+        context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
         context.close();
     }
 
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
@@ -98,6 +99,7 @@
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                         // Nothing may be passed on before the response to the request.
                         .option(ChannelOption.AUTO_READ, false)
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(new EndpointHandler(context.channel()));
         SocketSettings.enableKeepAlive(bootstrap);
         bootstrap
@@ -163,10 +165,13 @@
         context.close();
     }
 
-    /** The endpoint's side of a relayed connection. Confined to the traffic thread. */
+    /**
+     * The endpoint's side of a relayed connection. Only the endpoint's own close is passed on as an
+     * orderly one. Confined to the traffic thread.
+     */
     private static final class EndpointHandler extends ChannelInboundHandlerAdapter {
         private final Channel peer;
-        private boolean failed;
+        private boolean closed;
 
         EndpointHandler(Channel peer) {
             this.peer = peer;
@@ -186,19 +191,25 @@
             peer.config().setAutoRead(context.channel().isWritable());
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                closed = true;
+                // The empty frame of an orderly close.
+                peer.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+                context.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            failed = true;
             context.close();
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            if (failed) {
+            if (!closed) {
                 peer.close();
-            } else {
-                // The empty frame of an orderly close.
-                peer.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             }
         }
     }
