--- a/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
@@ -1,7 +1,6 @@
 package org.bronzelug.daemon.platform;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,6 +15,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.bronzelug.core.configuration.VersionedObject;
+import org.bronzelug.router.http.JsonBody;
 
 /**
  * HTTP client for the platform's object API. Each method makes one call, which has a deadline and
@@ -29,7 +29,6 @@
     private static final MediaType BINARY_MEDIA_TYPE = MediaType.get("application/octet-stream");
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
-    private static final ObjectMapper JSON = new ObjectMapper();
 
     private final HttpUrl baseUrl;
     private final OkHttpClient http;
@@ -73,7 +72,7 @@
                 return Optional.empty();
             }
             requireSuccess(response);
-            return Optional.of(toObject(JSON.readTree(response.body().bytes())));
+            return Optional.of(toObject(JsonBody.parseObject(response.body().bytes())));
         } catch (IOException failed) {
             throw new PlatformException("reading " + key + " failed", failed);
         }
@@ -121,7 +120,7 @@
     private Listing listing(HttpUrl url) throws PlatformException {
         try (Response response = execute(new Request.Builder().url(url).build())) {
             requireSuccess(response);
-            JsonNode responseBody = JSON.readTree(response.body().bytes());
+            JsonNode responseBody = JsonBody.parseObject(response.body().bytes());
             List<VersionedObject> objects = new ArrayList<>();
             responseBody.path("objects").forEach(node -> objects.add(toObject(node)));
             return new Listing(responseBody.path("revision").asLong(), objects);
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
@@ -22,6 +22,7 @@
 import okio.BufferedSource;
 import org.bronzelug.core.stream.StreamGapException;
 import org.bronzelug.daemon.settings.Settings;
+import org.bronzelug.router.http.JsonBody;
 
 /**
  * HTTP client for the calls to endpoints. Blocking; thread-safe.
@@ -133,7 +134,7 @@
         Request request = new Request.Builder().url(endpoint.url() + "/v1/state").build();
         try (Response response = stateHttp.newCall(request).execute()) {
             requireSuccess(endpoint, response);
-            return toReport(JSON.readTree(response.body().bytes()));
+            return toReport(JsonBody.parseObject(response.body().bytes()));
         } catch (IOException unreachable) {
             throw new RunnerException(
                     endpoint.name() + " did not answer the state request", true, unreachable);
