Split the attempt in progress off Exchange

CurrentAttempt holds the endpoint, the call and the prefill of the attempt and keeps the invariant that a request counts at one endpoint from its begin to its end.

--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -0,0 +1,101 @@
+package org.bronzelug.router.exchange;
+
+import java.util.Optional;
+import org.bronzelug.router.endpoint.EndpointCall;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.RunnerChoice;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * The attempt of a request that is in progress: its endpoint, its call and the prefill of its
+ * prompt there.
+ *
+ * <p>Invariant: the request counts as in flight at its endpoint from {@link #begin} to {@link
+ * #end}, and at no other one. Confined to the traffic thread.
+ */
+final class CurrentAttempt {
+    private final EndpointState.DrainListener owner;
+    private Optional<EndpointState> endpoint = Optional.empty();
+    private Optional<EndpointCall> call = Optional.empty();
+    private PrefillProgress prefill;
+    private long sentNanos;
+    private boolean accepted;
+
+    CurrentAttempt(
+            TrafficState state, AdmittedRequest admitted, EndpointState.DrainListener owner) {
+        this.owner = owner;
+        this.prefill = new PrefillProgress(state, admitted);
+    }
+
+    /** Returns the endpoint of the attempt; empty if no attempt is in progress. */
+    Optional<EndpointState> endpoint() {
+        return endpoint;
+    }
+
+    /** Returns the endpoint of the attempt, which must be in progress. */
+    EndpointState currentEndpoint() {
+        return endpoint.orElseThrow();
+    }
+
+    Optional<EndpointCall> call() {
+        return call;
+    }
+
+    PrefillProgress prefill() {
+        return prefill;
+    }
+
+    long sentNanos() {
+        return sentNanos;
+    }
+
+    /** Returns whether the endpoint has begun to send the response that is forwarded. */
+    boolean isAccepted() {
+        return accepted;
+    }
+
+    void accept() {
+        accepted = true;
+    }
+
+    /**
+     * Begins an attempt.
+     *
+     * @param runner the choice of the runner; empty for requests without a prompt
+     */
+    void begin(EndpointState chosen, Optional<RunnerChoice> runner, long nowNanos) {
+        endpoint = Optional.of(chosen);
+        chosen.begin(owner, nowNanos);
+        sentNanos = nowNanos;
+        accepted = false;
+        prefill.begin(runner, nowNanos);
+    }
+
+    void setCall(EndpointCall started) {
+        call = Optional.of(started);
+    }
+
+    /** Continues with the attempt of a move, at which the request counts already. */
+    void takeOver(StreamMove move) {
+        endpoint = Optional.of(move.target());
+        call = move.call();
+        prefill = move.prefill();
+        sentNanos = move.startNanos();
+        accepted = false;
+    }
+
+    void cancelCall() {
+        call.ifPresent(EndpointCall::cancel);
+        call = Optional.empty();
+    }
+
+    /** Ends the attempt and returns the endpoint that it was sent to. */
+    EndpointState end() {
+        EndpointState current = currentEndpoint();
+        endpoint = Optional.empty();
+        current.end(owner);
+        prefill.end();
+        call = Optional.empty();
+        return current;
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -12,13 +12,13 @@
 import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.router.endpoint.BodyFraming;
 import org.bronzelug.router.endpoint.ConnectionUse;
-import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.endpoint.ResponseListener;
 import org.bronzelug.router.ingress.CallerConnection;
 import org.bronzelug.router.ingress.CallerListener;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.RunnerChoice;
 import org.bronzelug.router.traffic.TrafficState;
 
 /**
@@ -59,14 +59,10 @@
     private final StreamMover mover;
     private final SilenceWatch silence;
     private final ExchangeLog log;
+    private final CurrentAttempt attempt;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
-    private Optional<EndpointState> endpoint = Optional.empty();
-    private Optional<EndpointCall> call = Optional.empty();
-    private PrefillProgress prefill;
     private long firstDataNanos;
-    private long sentNanos;
-    private boolean attemptAccepted;
 
     Exchange(
             EventLoop traffic,
@@ -85,7 +81,7 @@
         this.selection = new EndpointSelection(state, admitted);
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
-        this.prefill = new PrefillProgress(state, admitted);
+        this.attempt = new CurrentAttempt(state, admitted, this);
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
         this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
@@ -115,35 +111,31 @@
             abandon(DEADLINE_PASSED);
             return;
         }
-        endpoint = selection.choose(nowNanos);
-        if (endpoint.isEmpty()) {
+        Optional<EndpointState> chosen = selection.choose(nowNanos);
+        if (chosen.isEmpty()) {
             abandonWithoutEndpoint(nowNanos);
             return;
         }
         if (selection.retryAfterMillis().isPresent()) {
-            endpoint = Optional.empty();
             long queued = Math.round(selection.runner().orElseThrow().queuedTokens());
             rejectNotRun(
                     "runners are full, queued=" + queued, selection.retryAfterMillis().getAsLong());
             return;
         }
-        send(endpoint.get(), nowNanos);
+        send(chosen.get(), nowNanos);
     }
 
     /** Starts an attempt at the chosen endpoint. */
     private void send(EndpointState chosen, long nowNanos) {
-        endpoint = Optional.of(chosen);
         attempts.chargeRetry();
         selection.recordTried(chosen);
-        chosen.begin(this, nowNanos);
-        sentNanos = nowNanos;
-        attemptAccepted = false;
-        prefill.begin(selection.runner(), nowNanos);
-        log.sent(chosen, prefill.runner(), selection.limited());
+        attempt.begin(chosen, selection.runner(), nowNanos);
+        Optional<RunnerChoice> runner = selection.runner();
+        log.sent(chosen, runner, selection.limited());
         metrics.routed(nowNanos - admitted.arrivedNanos());
         FullHttpRequest copy =
-                builder.build(request, chosen, prefill.runner(), relay.lastEventId(), nowNanos);
-        call = Optional.of(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
+                builder.build(request, chosen, runner, relay.lastEventId(), nowNanos);
+        attempt.setCall(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
     }
 
     private void abandonWithoutEndpoint(long nowNanos) {
@@ -157,13 +149,13 @@
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
             selection.refund(nowNanos);
-            endAttempt();
+            attempt.end();
             abandon(DEADLINE_PASSED);
             return false;
         }
-        if (!endpoint.orElseThrow().isAvailable(nowNanos)) {
+        if (!attempt.currentEndpoint().isAvailable(nowNanos)) {
             selection.refund(nowNanos);
-            leaveUnsent(endAttempt(), "endpoint accepts no more requests");
+            leaveUnsent(attempt.end(), "endpoint accepts no more requests");
             return false;
         }
         builder.remainingMillis(nowNanos).ifPresent(millis -> wire.setDeadline(headers, millis));
@@ -173,7 +165,7 @@
     @Override
     public void onUnreachable(String cause) {
         selection.refund(System.nanoTime());
-        EndpointState failed = endAttempt();
+        EndpointState failed = attempt.end();
         failed.recordFailure(System.nanoTime());
         leaveUnsent(failed, "unreachable: " + cause);
     }
@@ -191,21 +183,22 @@
     @Override
     public void onSent(ConnectionUse use) {
         log.written(use);
-        attempts.recordSent(endpoint.orElseThrow());
+        attempts.recordSent(attempt.currentEndpoint());
     }
 
     @Override
     public void onHead(EndpointResponse head, HttpResponse response) {
-        EndpointState responding = endpoint.orElseThrow();
+        EndpointState responding = attempt.currentEndpoint();
         responding.recordResponse(head);
         responding.recordActivity(System.nanoTime());
-        prefill.recordHead(responding, head);
+        attempt.prefill().recordHead(responding, head);
         if (head.notExecuted() || head.status() == MISDIRECTED) {
             onNotExecuted(head);
             return;
         }
         if (head.genuine()) {
-            prefill.recordResponse(responding, head, System.nanoTime() - sentNanos);
+            attempt.prefill()
+                    .recordResponse(responding, head, System.nanoTime() - attempt.sentNanos());
         }
         if (relay.hasBegun() && !(head.isSuccess() && head.genuine())) {
             onResumptionFailed(head);
@@ -216,20 +209,20 @@
         if (failed) {
             Optional<EndpointState> other = chooseForRetry(RetryKind.REQUIRED);
             if (other.isPresent()) {
-                cancelCall();
+                attempt.cancelCall();
                 responding.recordFailure(System.nanoTime());
-                log.moved(endAttempt(), attempts.sends(), "answered " + head.status());
+                log.moved(attempt.end(), attempts.sends(), "answered " + head.status());
                 send(other.get(), System.nanoTime());
                 return;
             }
         }
         if (notGenuine) {
-            cancelCall();
-            endAttempt().recordFailure(System.nanoTime());
+            attempt.cancelCall();
+            attempt.end().recordFailure(System.nanoTime());
             outcome.fail(BAD_GATEWAY, "the endpoint's answer is not genuine");
             return;
         }
-        attemptAccepted = true;
+        attempt.accept();
         relay.begin(head, response);
     }
 
@@ -238,8 +231,8 @@
      * response must not be forwarded: its end would look like the end of the stream.
      */
     private void onResumptionFailed(EndpointResponse head) {
-        cancelCall();
-        EndpointState failed = endAttempt();
+        attempt.cancelCall();
+        EndpointState failed = attempt.end();
         failed.recordFailure(System.nanoTime());
         String cause = "answered " + head.status() + " in place of the rest of the stream";
         log.moved(failed, attempts.sends(), cause);
@@ -248,8 +241,8 @@
 
     /** Retries a request that the endpoint did not execute, within the retry budget. */
     private void onNotExecuted(EndpointResponse head) {
-        cancelCall();
-        EndpointState rejecting = endAttempt();
+        attempt.cancelCall();
+        EndpointState rejecting = attempt.end();
         attempts.recordNotExecuted(rejecting);
         if (head.status() == MISDIRECTED) {
             rejecting.markWeightsUnknown(System.nanoTime());
@@ -292,12 +285,12 @@
     @Override
     public void onData(ByteBuf data) {
         long nowNanos = System.nanoTime();
-        endpoint.ifPresent(responding -> responding.recordActivity(nowNanos));
+        attempt.endpoint().ifPresent(responding -> responding.recordActivity(nowNanos));
         if (firstDataNanos == 0) {
             firstDataNanos = nowNanos;
         }
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
-        prefill.recordData(wholePrompt, builder.isSaving(), nowNanos);
+        attempt.prefill().recordData(wholePrompt, builder.isSaving(), nowNanos);
         if (!relay.forward(data)) {
             leaveIncompleteStream();
         }
@@ -305,8 +298,8 @@
 
     /** Continues the stream at another endpoint, since its own has left out an event. */
     void leaveIncompleteStream() {
-        cancelCall();
-        endAttempt().recordFailure(System.nanoTime());
+        attempt.cancelCall();
+        attempt.end().recordFailure(System.nanoTime());
         resumer.resumeOrBreakOff("an event of the stream is missing");
     }
 
@@ -315,7 +308,7 @@
         if (mover.isMoving() && !mover.stay("the response is complete")) {
             return;
         }
-        EndpointState responded = endAttempt();
+        EndpointState responded = attempt.end();
         if (relay.framing().filter(BodyFraming.CONNECTION_CLOSE::equals).isPresent()) {
             metrics.count("responses_ended_by_connection");
         }
@@ -332,12 +325,12 @@
     @Override
     public void onBroken(String cause) {
         if (mover.isMoving()) {
-            endpoint.orElseThrow().recordFailure(System.nanoTime());
+            attempt.currentEndpoint().recordFailure(System.nanoTime());
             resumer.begin();
             mover.accept();
             return;
         }
-        EndpointState broken = endAttempt();
+        EndpointState broken = attempt.end();
         broken.recordFailure(System.nanoTime());
         if (relay.hasBegun()) {
             resumer.resumeOrBreakOff(cause);
@@ -365,14 +358,16 @@
         if (mover.isMoving()) {
             mover.stayIfOverdue(System.nanoTime());
         } else {
-            endpoint.flatMap(this::stallCause)
+            attempt.endpoint()
+                    .flatMap(this::stallCause)
                     .ifPresent(cause -> moveToOtherEndpoint(cause, RetryKind.REQUIRED));
         }
     }
 
     private Optional<String> stallCause(EndpointState current) {
         boolean dataReceived = firstDataNanos != 0;
-        return silence.stallCause(current, call, sentNanos, dataReceived, System.nanoTime());
+        return silence.stallCause(
+                current, attempt.call(), attempt.sentNanos(), dataReceived, System.nanoTime());
     }
 
     /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
@@ -399,28 +394,24 @@
             return;
         }
         // An attempt that its endpoint has not accepted has nothing that the stream could stay for.
-        if (relay.hasBegun() && attemptAccepted) {
+        if (relay.hasBegun() && attempt.isAccepted()) {
             mover.begin(other.get(), cause, System.nanoTime());
             return;
         }
-        cancelCall();
+        attempt.cancelCall();
         if (!relay.hasBegun()) {
             relay.reset();
         }
-        log.moved(endAttempt(), attempts.sends(), cause);
+        log.moved(attempt.end(), attempts.sends(), cause);
         send(other.get(), System.nanoTime());
     }
 
     /** Continues the stream at the endpoint that has accepted it. */
     void takeOver(StreamMove accepted) {
-        cancelCall();
+        attempt.cancelCall();
         relay.prepareResume();
-        log.moved(endAttempt(), attempts.sends(), accepted.cause());
-        endpoint = Optional.of(accepted.target());
-        call = accepted.call();
-        prefill = accepted.prefill();
-        sentNanos = accepted.startNanos();
-        attemptAccepted = false;
+        log.moved(attempt.end(), attempts.sends(), accepted.cause());
+        attempt.takeOver(accepted);
     }
 
     private void onTimeout() {
@@ -428,8 +419,8 @@
         if (outcome.isDone()) {
             return;
         }
-        cancelCall();
-        endpoint.ifPresent(state -> endAttempt());
+        attempt.cancelCall();
+        attempt.endpoint().ifPresent(current -> attempt.end());
         if (relay.hasBegun()) {
             breakOff("timeout before the response was complete");
         } else if (attempts.mayHaveRun()) {
@@ -464,29 +455,14 @@
 
     @Override
     public void onCallerClosed() {
-        cancelCall();
-        endpoint.ifPresent(state -> endAttempt());
+        attempt.cancelCall();
+        attempt.endpoint().ifPresent(current -> attempt.end());
         outcome.callerLeft();
     }
 
     @Override
     public void onWritable(boolean writable) {
-        call.ifPresent(current -> current.setReading(writable));
-    }
-
-    private void cancelCall() {
-        call.ifPresent(EndpointCall::cancel);
-        call = Optional.empty();
-    }
-
-    /** Ends the current attempt and returns the endpoint that it was sent to. */
-    private EndpointState endAttempt() {
-        EndpointState current = endpoint.orElseThrow();
-        endpoint = Optional.empty();
-        current.end(this);
-        prefill.end();
-        call = Optional.empty();
-        return current;
+        attempt.call().ifPresent(current -> current.setReading(writable));
     }
 
     private void release(String outcomeName, String reason) {
@@ -500,7 +476,7 @@
                 outcomeName,
                 reason,
                 selection.tried(),
-                prefill.runner().or(selection::runner),
+                attempt.prefill().runner().or(selection::runner),
                 relay.describeEnd(),
                 firstDataNanos);
     }
