Log the software version of each send and the stream that a caller resumes

The head of a request now holds the id that Resumes names, if exactly one; nothing decides by it yet.

--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -35,6 +35,8 @@
                 LogEvent.REQUEST_SENT,
                 request()
                         + (" endpoint=" + endpoint.entry().id())
+                        + (" softwareVersion=" + endpoint.entry().softwareVersion())
+                        + resumption()
                         + (" requests=" + endpoint.ownRequests())
                         + ("+" + endpoint.peerRequests())
                         + runner.map(RunnerChoice::describe).orElse("")
@@ -130,6 +132,18 @@
                         + (" millis=" + millisTo(System.nanoTime())));
     }
 
+    /** Names the stream that the caller resumes, if it resumes one. */
+    private String resumption() {
+        return admitted.head()
+                .lastEventId()
+                .map(
+                        id ->
+                                (" after=" + id)
+                                        + (" resumes="
+                                                + admitted.head().resumedRequest().orElse("-")))
+                .orElse("");
+    }
+
     private String request() {
         return "request=" + admitted.head().id();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/RequestHead.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/RequestHead.java
@@ -13,6 +13,8 @@
  * @param key the key as the caller presents it; never logged
  * @param prompt the prompt; present if tokens are to be generated
  * @param lastEventId id of the event after which the caller wants a stream to resume
+ * @param resumedRequest id of the caller's attempt that brought the first event of that stream;
+ *     empty if the caller names none, or not exactly one
  */
 public record RequestHead(
         String id,
@@ -21,4 +23,5 @@
         OptionalLong deadlineMillis,
         Optional<String> key,
         Optional<PromptSpec> prompt,
-        Optional<String> lastEventId) {}
+        Optional<String> lastEventId,
+        Optional<String> resumedRequest) {}
