Continue a stream only at the software version that began it

Callers got streams whose events came from two software versions, which do not fit together. Cause: the choice of an endpoint knew weights, health, load and cache, never the version that had generated the first event. The first event that is forwarded now binds the stream to its endpoint's version (StreamVersion); each later choice, for a retry, a resumption or a move, takes endpoints of that version only, and a limit, a backoff or a Retry-After is judged over these alone. A stream that has no event yet may start anywhere. If no endpoint of the version accepts requests, or a rollout has withdrawn it, the stream is broken off at once (counter streams_without_their_version) instead of waiting for its deadline. A rollout that shifts no longer moves begun streams; they complete at the version that they began at.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -25,7 +25,8 @@
  * instead; {@link #retryAfterMillis} is then present.
  *
  * <p>Invariants: an endpoint that was tried is not chosen again until {@link #clearTried}. A prompt
- * that was sent once is never rejected for overload. Confined to the traffic thread.
+ * that was sent once is never rejected for overload. A stream goes on at no other software version
+ * than the one that it is bound to. Confined to the traffic thread.
  */
 final class EndpointSelection {
     /** Priority of the most urgent routes. */
@@ -38,6 +39,7 @@
 
     private final TrafficState state;
     private final AdmittedRequest admitted;
+    private final StreamVersion streamVersion;
     private final Set<String> tried = new HashSet<>();
     private final Set<EndpointState> limited = new HashSet<>();
     private final Set<EndpointState> fragile = new HashSet<>();
@@ -47,9 +49,10 @@
     private Optional<EndpointLimit> chargedLimit = Optional.empty();
     private boolean sentBefore;
 
-    EndpointSelection(TrafficState state, AdmittedRequest admitted) {
+    EndpointSelection(TrafficState state, AdmittedRequest admitted, StreamVersion streamVersion) {
         this.state = state;
         this.admitted = admitted;
+        this.streamVersion = streamVersion;
     }
 
     /**
@@ -132,6 +135,9 @@
 
     /** Returns why the last choice found no endpoint, and when one may accept the request. */
     Unavailability unavailability(long nowNanos) {
+        if (isVersionGone()) {
+            return Unavailability.versionGone(streamVersion.version().orElseThrow());
+        }
         OptionalLong limitMillis = limitRetryMillis(nowNanos);
         if (limitMillis.isPresent()) {
             long unavailableMillis = unavailableRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
@@ -191,12 +197,32 @@
                 .min();
     }
 
+    /**
+     * Returns whether the stream is bound to a software version that no endpoint has which accepts
+     * requests, or that a rollout has withdrawn.
+     */
+    boolean isVersionGone() {
+        return streamVersion.version().isPresent()
+                && admitted.pool().isPresent()
+                && (accepting().isEmpty() || isVersionWithdrawn());
+    }
+
+    private boolean isVersionWithdrawn() {
+        String pool = admitted.pool().orElseThrow().name();
+        return streamVersion
+                .version()
+                .filter(version -> state.rollouts().isWithdrawn(pool, version))
+                .isPresent();
+    }
+
     private List<EndpointState> accepting() {
-        return state.endpoints().acceptingRequests(admitted.pool().orElseThrow().name());
+        return state.endpoints().acceptingRequests(admitted.pool().orElseThrow().name()).stream()
+                .filter(endpoint -> streamVersion.allows(endpoint.entry()))
+                .toList();
     }
 
     private List<EndpointState> available(long nowNanos) {
-        return state.endpoints().available(admitted.pool().orElseThrow().name(), nowNanos);
+        return accepting().stream().filter(endpoint -> endpoint.isAvailable(nowNanos)).toList();
     }
 
     /** Returns the endpoints that the last choice skipped because of what they advertise. */
@@ -209,6 +235,11 @@
             return Optional.empty();
         }
         EndpointPool pool = admitted.pool().get();
+        if (streamVersion.version().isPresent()) {
+            return isVersionWithdrawn()
+                    ? Optional.empty()
+                    : selectBest(pool, this::isAllowedForStream, nowNanos);
+        }
         return switch (state.rollouts().preference(pool.name(), !sentBefore)) {
             case ANY -> selectBest(pool, this::isAllowed, nowNanos);
             case CURRENT_ONLY -> selectBest(pool, this::isAllowedCurrent, nowNanos);
@@ -248,6 +279,10 @@
                 && limited.stream().noneMatch(endpoint -> endpoint.entry().id().equals(id));
     }
 
+    private boolean isAllowedForStream(String id) {
+        return isAllowed(id) && entry(id).filter(streamVersion::allows).isPresent();
+    }
+
     private boolean isAllowedCurrent(String id) {
         return isAllowed(id) && entry(id).filter(state.rollouts()::isCurrent).isPresent();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -60,6 +60,7 @@
     private final SilenceWatch silence;
     private final ExchangeLog log;
     private final CurrentAttempt attempt;
+    private final StreamVersion streamVersion = new StreamVersion();
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long firstDataNanos;
@@ -78,14 +79,14 @@
         this.metrics = metrics;
         this.request = request;
         this.admitted = admitted;
-        this.selection = new EndpointSelection(state, admitted);
+        this.selection = new EndpointSelection(state, admitted, streamVersion);
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
         this.attempt = new CurrentAttempt(state, admitted, this);
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
         this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
-        this.relay = new ResponseRelay(caller, wire, admitted.route());
+        this.relay = new ResponseRelay(caller, wire, admitted.route(), this::bindStreamVersion);
         this.resumer =
                 new StreamResumer(this, traffic, relay, attempts, selection, builder, metrics, log);
         this.mover =
@@ -296,6 +297,10 @@
         }
     }
 
+    private void bindStreamVersion() {
+        streamVersion.bind(attempt.currentEndpoint().entry().softwareVersion());
+    }
+
     /** Continues the stream at another endpoint, since its own has left out an event. */
     void leaveIncompleteStream() {
         attempt.cancelCall();
@@ -373,11 +378,18 @@
     /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
     @Override
     public void onDrain() {
-        if (admitted.route().retryPolicy() == RetryPolicy.RESUMABLE) {
+        boolean resumable = admitted.route().retryPolicy() == RetryPolicy.RESUMABLE;
+        if (resumable && !isBoundToReplacedVersion()) {
             moveToOtherEndpoint("runner drains", RetryKind.OPTIONAL);
         }
     }
 
+    /** Returns whether all endpoints at which the stream could go on are about to be replaced. */
+    private boolean isBoundToReplacedVersion() {
+        return streamVersion.version().isPresent()
+                && state.rollouts().isBeingReplaced(attempt.currentEndpoint().entry());
+    }
+
     /** Chooses another endpoint before the current attempt is cancelled: there may be none. */
     private Optional<EndpointState> chooseForRetry(RetryKind kind) {
         long nowNanos = System.nanoTime();
@@ -478,6 +490,7 @@
                 selection.tried(),
                 attempt.prefill().runner().or(selection::runner),
                 relay.describeEnd(),
+                streamVersion.version(),
                 firstDataNanos);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -105,6 +105,7 @@
      * Logs the end of the request.
      *
      * @param responseEnd how the end of the last endpoint's response was marked
+     * @param streamVersion the software version that the stream is bound to
      * @param firstDataNanos when the first bytes of a response body arrived, by the local monotonic
      *     clock; 0 if none did
      */
@@ -114,6 +115,7 @@
             Set<String> tried,
             Optional<RunnerChoice> runner,
             String responseEnd,
+            Optional<String> streamVersion,
             long firstDataNanos) {
         EventLog.info(
                 LogEvent.REQUEST_ENDED,
@@ -126,6 +128,7 @@
                         + (" tried=" + tried)
                         + (" connection=" + connection)
                         + (" " + responseEnd)
+                        + streamVersion.map(version -> " streamVersion=" + version).orElse("")
                         + (" configuration=" + admitted.configurationVersion())
                         + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
                         + (" firstMillis=" + (firstDataNanos == 0 ? -1 : millisTo(firstDataNanos)))
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseRelay.java
@@ -31,6 +31,7 @@
     private final CallerConnection caller;
     private final WireFormat wire;
     private final Route route;
+    private final Runnable onFirstEvent;
     private final EventSplitter events = new EventSplitter();
     private final EventBoundary boundary = new EventBoundary();
     private ByteBuf buffered = Unpooled.EMPTY_BUFFER;
@@ -44,10 +45,14 @@
     private boolean holding;
     private boolean holdsData;
 
-    ResponseRelay(CallerConnection caller, WireFormat wire, Route route) {
+    /**
+     * @param onFirstEvent called when the first event of a resumable stream is forwarded
+     */
+    ResponseRelay(CallerConnection caller, WireFormat wire, Route route, Runnable onFirstEvent) {
         this.caller = caller;
         this.wire = wire;
         this.route = route;
+        this.onFirstEvent = onFirstEvent;
     }
 
     /** Returns whether the head of a response was forwarded to the caller. */
@@ -158,8 +163,11 @@
                 event.get().release();
                 return false;
             }
-            eventForwarded = true;
             caller.writeData(event.get());
+            if (!eventForwarded) {
+                eventForwarded = true;
+                onFirstEvent.run();
+            }
             event = events.next();
         }
         return true;
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamResumer.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamResumer.java
@@ -10,8 +10,8 @@
  * after delays, until its caller's deadline.
  *
  * <p>Invariant: the caller's connection is closed within the response only if the route allows no
- * further endpoint, the stream has no event to resume after, or the deadline has passed. Confined
- * to the traffic thread.
+ * further endpoint, the stream has no event to resume after, no endpoint of its software version is
+ * left, or the deadline has passed. Confined to the traffic thread.
  */
 final class StreamResumer {
     private final Exchange exchange;
@@ -61,7 +61,8 @@
     /** Schedules another attempt, since no endpoint accepts the stream now. */
     void resumeLater(String reason) {
         long nowNanos = System.nanoTime();
-        if (!relay.canResume() || builder.isExpired(nowNanos)) {
+        boolean hopeless = builder.isExpired(nowNanos) || selection.isVersionGone();
+        if (!relay.canResume() || hopeless) {
             exchange.breakOff(reason);
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Unavailability.java
@@ -10,6 +10,9 @@
  * @param retryAfterMillis the time until an endpoint may accept the request
  */
 record Unavailability(String reason, Optional<String> counter, long retryAfterMillis) {
+    /** An endpoint that has failed is replaced after about two seconds. */
+    private static final long VERSION_RETRY_MILLIS = 2_000;
+
     static Unavailability atLimits(long retryAfterMillis) {
         return new Unavailability(
                 "endpoints are at the limits that they named",
@@ -38,6 +41,14 @@
                 retryAfterMillis);
     }
 
+    /** An endpoint of the version may start again, as a replacement of one that has failed. */
+    static Unavailability versionGone(String softwareVersion) {
+        return new Unavailability(
+                "no endpoint of the stream's software version " + softwareVersion + " is left",
+                Optional.of("streams_without_their_version"),
+                VERSION_RETRY_MILLIS);
+    }
+
     static Unavailability noEndpoint(long retryAfterMillis) {
         return new Unavailability(
                 "no endpoint takes the request", Optional.empty(), retryAfterMillis);
--- a/router/src/main/java/org/bronzelug/router/traffic/PoolRollout.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/PoolRollout.java
@@ -103,6 +103,20 @@
         return !hasTarget(entry);
     }
 
+    /** Returns whether a version is the target and may get no requests any more. */
+    boolean isWithdrawn(String softwareVersion) {
+        boolean suspended = view.stage() == RolloutStage.TRIAL && currentSeen && !view.open();
+        return softwareVersion.equals(target)
+                && (suspended || view.stage() == RolloutStage.ROLLED_BACK);
+    }
+
+    /** Returns whether an endpoint has the version that the target replaces from now on. */
+    boolean isBeingReplaced(EndpointEntry entry) {
+        boolean shifting =
+                view.stage() == RolloutStage.SHIFTING || view.stage() == RolloutStage.SUCCEEDED;
+        return shifting && isCurrent(entry);
+    }
+
     void recordSent(EndpointEntry entry) {
         exposure.recordSent(hasTarget(entry));
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
@@ -72,6 +72,18 @@
         return rollout == null || rollout.isCurrent(entry);
     }
 
+    /** Returns whether a pool's rollout has ended or been suspended for a version's faults. */
+    public boolean isWithdrawn(String pool, String softwareVersion) {
+        PoolRollout rollout = rollouts.get(pool);
+        return rollout != null && rollout.isWithdrawn(softwareVersion);
+    }
+
+    /** Returns whether an endpoint has a version that a rollout is about to replace. */
+    public boolean isBeingReplaced(EndpointEntry entry) {
+        PoolRollout rollout = rollouts.get(entry.pool());
+        return rollout != null && rollout.isBeingReplaced(entry);
+    }
+
     /** Records that a request is sent to an endpoint. */
     public void recordSent(EndpointEntry entry) {
         PoolRollout rollout = rollouts.get(entry.pool());
