Resume a stream at any VM at the software version that began it

Callers that took a stream up at another VM got the rest from any software version: nothing read Resumes, and the VM that had forwarded the first event is often dead, which is why its caller comes. A state that only one process held was needed by its successor. The first event now records the stream's origin (StreamOriginDirectory), by a hash of team and request id. While a pool's past leaves open which version began a stream, the record goes to three VMs in different zones (ZoneSpread), also when a second version appears or the VM stops. A VM without the record asks six, 200 ms at most. Without any record the version is known only if the pool has had a single one for as long as a stream can last, watched by one VM that answers and contradicted by none; VMs that start adopt what a peer has watched. Else the request is rejected at once as not run (527), never guessed. Weighed: asking all peers costs 349 datagrams a resumption at 350 VMs and finds nothing once the first VM is dead; the version as a function of the id fails while views differ and binds load to a hash; no record at all is what happens while one version serves, at no cost.

--- a/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
+++ b/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
@@ -91,6 +91,18 @@
         return teams.values();
     }
 
+    /**
+     * Returns the longest time that a resumable stream may take; 0 if no route has such streams.
+     */
+    public long resumableMillis() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.retryPolicy() == RetryPolicy.RESUMABLE)
+                .mapToLong(Route::timeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
     }
--- /dev/null
+++ b/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
@@ -0,0 +1,82 @@
+package org.bronzelug.core.stream;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * The origins of the streams that this VM began, and of those that it keeps for other VMs.
+ *
+ * <p>Invariants: the first origin of a stream that is recorded holds until the stream's caller has
+ * given up, whatever is recorded later. At most {@link #MAXIMUM_ORIGINS} are kept, the latest ones.
+ * Not thread-safe.
+ */
+public final class StreamOrigins {
+    /** Some 4 MB, more than a VM begins and keeps within the time limit of a stream. */
+    static final int MAXIMUM_ORIGINS = 20_000;
+
+    private final Map<StreamKey, StreamOrigin> origins = new LinkedHashMap<>();
+    private final Map<StreamKey, StreamOrigin> unshared = new LinkedHashMap<>();
+
+    /** Records an origin that other VMs know as well. */
+    public void record(StreamOrigin origin, long nowNanos) {
+        if (origin.untilNanos() - nowNanos <= 0 || find(origin.key(), nowNanos).isPresent()) {
+            return;
+        }
+        origins.remove(origin.key());
+        origins.put(origin.key(), origin);
+        if (origins.size() > MAXIMUM_ORIGINS) {
+            StreamKey eldest = origins.keySet().iterator().next();
+            origins.remove(eldest);
+            unshared.remove(eldest);
+        }
+    }
+
+    /** Records the origin of a stream of this VM that no other VM knows yet. */
+    public void recordUnshared(StreamOrigin origin, long nowNanos) {
+        record(origin, nowNanos);
+        if (origin.equals(origins.get(origin.key()))) {
+            unshared.put(origin.key(), origin);
+        }
+    }
+
+    /** Returns the pools that have origins which no other VM knows. */
+    public Set<String> unsharedPools() {
+        return unshared.values().stream().map(StreamOrigin::pool).collect(Collectors.toSet());
+    }
+
+    /** Returns the origins in a pool that no other VM knows; from now on they count as known. */
+    public List<StreamOrigin> takeUnshared(String pool, long nowNanos) {
+        List<StreamOrigin> taken = new ArrayList<>();
+        for (StreamOrigin origin : List.copyOf(unshared.values())) {
+            if (origin.pool().equals(pool)) {
+                unshared.remove(origin.key());
+                if (origin.untilNanos() - nowNanos > 0) {
+                    taken.add(origin);
+                }
+            }
+        }
+        return taken;
+    }
+
+    /** Returns the origin of a stream; empty if it is not known or the caller has given up. */
+    public Optional<StreamOrigin> find(StreamKey key, long nowNanos) {
+        return Optional.ofNullable(origins.get(key))
+                .filter(origin -> origin.untilNanos() - nowNanos > 0);
+    }
+
+    /** Forgets the streams whose callers have given up. */
+    public void expire(long nowNanos) {
+        origins.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
+        unshared.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
+    }
+
+    /** Returns the number of origins kept. */
+    public int size() {
+        return origins.size();
+    }
+}
--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -61,6 +61,10 @@
             524, "endpoint states how many rejections it withstands, or none any more"),
     REJECTION_TOLERANCE_MALFORMED(
             525, "endpoint states rejections that are not a number; ignoring it"),
+    STREAM_ORIGIN_FOUND(526, "software version that began a resumed stream found; going on at it"),
+    STREAM_ORIGIN_UNKNOWN(
+            527,
+            "software version that began a resumed stream not known; rejecting the resumption"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -64,6 +64,7 @@
     private final OrderService orders;
     private final RolloutService rollouts;
     private final FleetUpdates updates;
+    private final FleetStreamOrigins streamOrigins;
     private final RoundPeriod period = new RoundPeriod();
     private final ProcessorOverload overload = new ProcessorOverload();
     private final long startNanos = System.nanoTime();
@@ -105,6 +106,10 @@
         this.orders =
                 new OrderService(control, store, settings, incarnation, state, members, runners);
         this.rollouts = new RolloutService(store, decoder, settings, incarnation, state, members);
+        this.streamOrigins =
+                new FleetStreamOrigins(
+                        control, traffic, settings, members, gossip, trafficState.origins());
+        trafficState.origins().setPeers(streamOrigins);
         this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
     }
 
@@ -151,6 +156,7 @@
     public void beginStop() {
         stopping = true;
         control.execute(this::runRoundSafely);
+        traffic.execute(trafficState.origins()::shareAll);
     }
 
     /**
@@ -162,6 +168,7 @@
                 "configuration_version",
                 () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
         metrics.gauge("vms_heard", () -> members.live(System.nanoTime()).size());
+        metrics.gauge("stream_origins_kept", () -> trafficState.origins().size());
         metrics.gauge("paths_lost", () -> report.lostPaths().size());
         metrics.gauge("endpoints_suspect", () -> report.suspects().size());
         for (String kind : state.kinds()) {
@@ -415,6 +422,7 @@
     }
 
     private void onStateUpdate(VmState peer, long nowNanos) {
+        streamOrigins.receive(peer, nowNanos);
         Optional<String> knownIncarnation = members.incarnation(peer.getVm());
         if (!members.update(peer, nowNanos)) {
             return;
@@ -424,14 +432,22 @@
         if (restarted && isServing()) {
             // Notifies the restarted VM at once that it can read the configuration from this VM.
             gossip.sendTo(ownState(), peer.getPeersAddress());
+            streamOrigins.sendHistory(peer.getPeersAddress());
         }
     }
 
     private void updateTraffic() {
-        TrafficUpdate update = updates.next(period.propagationDelayNanos(fleetSize()));
+        TrafficUpdate update =
+                updates.next(isListCurrent(), period.propagationDelayNanos(fleetSize()));
         traffic.execute(() -> trafficState.apply(update));
     }
 
+    /** Returns whether this VM knows the endpoints that the other VMs know. */
+    private boolean isListCurrent() {
+        int reachable = 1 + members.live(System.nanoTime()).size();
+        return state.isComplete() && (reading.isReading() || 2 * reachable > fleetSize());
+    }
+
     private int fleetSize() {
         return members.addresses().size();
     }
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -0,0 +1,243 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.bronzelug.api.fleet.v1.ListedVersion;
+import org.bronzelug.api.fleet.v1.StreamOriginAnswer;
+import org.bronzelug.api.fleet.v1.StreamOriginQuery;
+import org.bronzelug.api.fleet.v1.StreamOriginRecord;
+import org.bronzelug.api.fleet.v1.VersionWatch;
+import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.core.membership.ZoneSpread;
+import org.bronzelug.core.stream.OriginEvidence;
+import org.bronzelug.core.stream.StreamKey;
+import org.bronzelug.core.stream.StreamOrigin;
+import org.bronzelug.core.stream.VersionHistory;
+import org.bronzelug.router.fleet.FleetGossip;
+import org.bronzelug.router.fleet.Member;
+import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.settings.VmSettings;
+import org.bronzelug.router.stream.StreamOriginDirectory;
+
+/**
+ * Exchanges the origins of streams with the other VMs, in datagrams that are neither acknowledged
+ * nor sent again: a lost record is kept by the other holders, and a lost answer counts as none.
+ *
+ * <p>Each stream has its holders: the first VMs of the {@link ZoneSpread} of its key. More VMs are
+ * asked than keep a record, since VMs differ for a moment in who is live.
+ *
+ * <p>Invariant: messages of this class carry nothing else, so that they change no member's state.
+ * Confined to the control thread, except for {@link #keep} and {@link #ask}.
+ */
+final class FleetStreamOrigins implements StreamOriginDirectory.Peers {
+    /** With these and the VM that began the stream, two availability zones may be lost. */
+    private static final int HOLDERS = 3;
+
+    private static final int ASKED_VMS = 6;
+
+    /** Bounds a datagram to some kilobytes. */
+    private static final int RECORDS_PER_MESSAGE = 100;
+
+    private final EventLoop control;
+    private final EventLoop traffic;
+    private final VmSettings settings;
+    private final MemberTable members;
+    private final FleetGossip gossip;
+    private final StreamOriginDirectory directory;
+
+    FleetStreamOrigins(
+            EventLoop control,
+            EventLoop traffic,
+            VmSettings settings,
+            MemberTable members,
+            FleetGossip gossip,
+            StreamOriginDirectory directory) {
+        this.control = control;
+        this.traffic = traffic;
+        this.settings = settings;
+        this.members = members;
+        this.gossip = gossip;
+        this.directory = directory;
+    }
+
+    @Override
+    public void keep(List<StreamOrigin> begun) {
+        control.execute(() -> sendToHolders(begun));
+    }
+
+    private void sendToHolders(List<StreamOrigin> begun) {
+        long nowNanos = System.nanoTime();
+        Map<String, VmState.Builder> messages = new HashMap<>();
+        for (StreamOrigin origin : begun) {
+            for (String holder : peers(origin.key(), peer -> !peer.getStopping(), HOLDERS)) {
+                VmState.Builder message =
+                        messages.computeIfAbsent(holder, address -> newMessage())
+                                .addStreamOrigins(encode(origin, nowNanos));
+                if (message.getStreamOriginsCount() == RECORDS_PER_MESSAGE) {
+                    gossip.sendTo(messages.remove(holder).build(), holder);
+                }
+            }
+        }
+        messages.forEach((holder, message) -> gossip.sendTo(message.build(), holder));
+    }
+
+    @Override
+    public void ask(StreamKey key, String pool) {
+        control.execute(
+                () -> {
+                    List<String> asked = peers(key, peer -> true, ASKED_VMS);
+                    traffic.execute(() -> directory.onAsked(key, asked.size()));
+                    VmState query =
+                            newMessage()
+                                    .addStreamOriginQueries(
+                                            StreamOriginQuery.newBuilder()
+                                                    .setKeyHigh(key.high())
+                                                    .setKeyLow(key.low())
+                                                    .setPool(pool))
+                                    .build();
+                    asked.forEach(address -> gossip.sendTo(query, address));
+                });
+    }
+
+    /** Returns the addresses of the first VMs of a stream's order. */
+    private List<String> peers(StreamKey key, Predicate<VmState> filter, int count) {
+        Map<String, String> zones = new HashMap<>();
+        Map<String, String> addresses = new HashMap<>();
+        zones.put(settings.vm(), settings.availabilityZone());
+        members.live(System.nanoTime()).stream()
+                .map(Member::state)
+                .filter(filter)
+                .forEach(
+                        peer -> {
+                            zones.put(peer.getVm(), peer.getAvailabilityZone());
+                            addresses.put(peer.getVm(), peer.getPeersAddress());
+                        });
+        return ZoneSpread.order(key.toString(), zones).stream()
+                .filter(addresses::containsKey)
+                .limit(count)
+                .map(addresses::get)
+                .toList();
+    }
+
+    /** Returns a message that VMs without this class ignore. */
+    private VmState.Builder newMessage() {
+        return VmState.newBuilder()
+                .setVm(settings.vm())
+                .setPeersAddress(settings.peersAddress())
+                .setCountsOnly(true);
+    }
+
+    /** Sends a VM that has just started what this VM has watched of software versions. */
+    void sendHistory(String address) {
+        traffic.execute(
+                () -> {
+                    VersionWatch watch = encode(directory.history(), System.nanoTime());
+                    control.execute(
+                            () ->
+                                    gossip.sendTo(
+                                            newMessage().setVersionWatch(watch).build(), address));
+                });
+    }
+
+    /** Receives what a message contains for this class. */
+    void receive(VmState message, long nowNanos) {
+        for (StreamOriginRecord kept : message.getStreamOriginsList()) {
+            StreamOrigin origin = decode(kept, nowNanos);
+            traffic.execute(() -> directory.keep(origin));
+        }
+        for (StreamOriginQuery query : message.getStreamOriginQueriesList()) {
+            traffic.execute(() -> answer(query, message.getPeersAddress()));
+        }
+        for (StreamOriginAnswer answer : message.getStreamOriginAnswersList()) {
+            StreamKey key = new StreamKey(answer.getKeyHigh(), answer.getKeyLow());
+            OriginEvidence.Answer decoded = decode(answer, nowNanos);
+            traffic.execute(() -> directory.onAnswer(key, decoded));
+        }
+        if (message.hasVersionWatch()) {
+            VersionWatch watch = message.getVersionWatch();
+            traffic.execute(() -> adopt(watch, nowNanos));
+        }
+    }
+
+    private void adopt(VersionWatch watch, long receivedNanos) {
+        List<VersionHistory.ListedVersion> versions =
+                watch.getVersionsList().stream()
+                        .map(
+                                version ->
+                                        new VersionHistory.ListedVersion(
+                                                version.getPool(),
+                                                version.getSoftwareVersion(),
+                                                nanos(version.getAgeMillis())))
+                        .toList();
+        directory.history().adopt(nanos(watch.getWatchedMillis()), versions, receivedNanos);
+    }
+
+    private void answer(StreamOriginQuery query, String address) {
+        StreamKey key = new StreamKey(query.getKeyHigh(), query.getKeyLow());
+        OriginEvidence.Answer known = directory.answer(key, query.getPool());
+        StreamOriginAnswer.Builder answer =
+                StreamOriginAnswer.newBuilder()
+                        .setKeyHigh(key.high())
+                        .setKeyLow(key.low())
+                        .addAllSoftwareVersions(known.versions())
+                        .setWatched(known.watched());
+        known.origin().ifPresent(origin -> answer.setOrigin(encode(origin, System.nanoTime())));
+        VmState message = newMessage().addStreamOriginAnswers(answer).build();
+        control.execute(() -> gossip.sendTo(message, address));
+    }
+
+    private static OriginEvidence.Answer decode(StreamOriginAnswer answer, long nowNanos) {
+        Optional<StreamOrigin> origin =
+                answer.hasOrigin()
+                        ? Optional.of(decode(answer.getOrigin(), nowNanos))
+                        : Optional.empty();
+        Set<String> versions = new HashSet<>(answer.getSoftwareVersionsList());
+        return new OriginEvidence.Answer(origin, versions, answer.getWatched());
+    }
+
+    private static StreamOrigin decode(StreamOriginRecord kept, long nowNanos) {
+        return new StreamOrigin(
+                new StreamKey(kept.getKeyHigh(), kept.getKeyLow()),
+                kept.getPool(),
+                kept.getSoftwareVersion(),
+                nowNanos + nanos(kept.getRemainingMillis()));
+    }
+
+    private static StreamOriginRecord encode(StreamOrigin origin, long nowNanos) {
+        return StreamOriginRecord.newBuilder()
+                .setKeyHigh(origin.key().high())
+                .setKeyLow(origin.key().low())
+                .setPool(origin.pool())
+                .setSoftwareVersion(origin.softwareVersion())
+                .setRemainingMillis(millis(origin.untilNanos() - nowNanos))
+                .build();
+    }
+
+    private static VersionWatch encode(VersionHistory history, long nowNanos) {
+        VersionWatch.Builder watch =
+                VersionWatch.newBuilder().setWatchedMillis(millis(history.watchedNanos(nowNanos)));
+        for (VersionHistory.ListedVersion version : history.listedVersions(nowNanos)) {
+            watch.addVersions(
+                    ListedVersion.newBuilder()
+                            .setPool(version.pool())
+                            .setSoftwareVersion(version.softwareVersion())
+                            .setAgeMillis(millis(version.ageNanos())));
+        }
+        return watch.build();
+    }
+
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -71,7 +71,7 @@
      *
      * @param propagationDelayNanos time until the usage of one VM is known to all
      */
-    TrafficUpdate next(long propagationDelayNanos) {
+    TrafficUpdate next(boolean listCurrent, long propagationDelayNanos) {
         long nowNanos = System.nanoTime();
         Map<String, PeerEndpointUsage> usage = new HashMap<>();
         List<PeerTeamUsage> teams = new ArrayList<>();
@@ -99,6 +99,7 @@
         return new TrafficUpdate(
                 state.configuration(),
                 state.endpoints(),
+                listCurrent,
                 state.weights(),
                 usage,
                 teams,
--- a/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
@@ -2,9 +2,12 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.routing.EndpointPool;
+import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.core.routing.Team;
+import org.bronzelug.core.stream.StreamKey;
 
 /**
  * A request that {@link Forwarder} has admitted, with its routing decision. Immutable.
@@ -31,6 +34,37 @@
      */
     private static final long DEADLINE_GRACE_MILLIS = 150;
 
+    /** Returns the same request for another pool of its route. */
+    AdmittedRequest withPool(EndpointPool other) {
+        return new AdmittedRequest(
+                head, route, team, tokens, Optional.of(other), configurationVersion, arrivedNanos);
+    }
+
+    /** Returns whether the caller resumes a stream of which it has got events. */
+    boolean resumesStream() {
+        return route.retryPolicy() == RetryPolicy.RESUMABLE && head.lastEventId().isPresent();
+    }
+
+    /** Returns the key of the stream that the request begins. */
+    StreamKey streamKey() {
+        return streamKey(head.id());
+    }
+
+    /** Returns the key of the stream that the request resumes; empty if it names none. */
+    Optional<StreamKey> resumedStreamKey() {
+        return head.resumedRequest().map(this::streamKey);
+    }
+
+    private StreamKey streamKey(String requestId) {
+        return StreamKey.of(team.map(Team::name), requestId);
+    }
+
+    /** Returns when the caller gives up, by the local monotonic clock. */
+    long limitNanos() {
+        long millis = Math.max(route.timeoutMillis(), head.deadlineMillis().orElse(0));
+        return arrivedNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     /**
      * Returns a name that separates a dedicated team's cache entries; empty for all other teams.
      */
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -60,7 +60,7 @@
     private final SilenceWatch silence;
     private final ExchangeLog log;
     private final CurrentAttempt attempt;
-    private final StreamVersion streamVersion = new StreamVersion();
+    private final StreamVersion streamVersion;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private long firstDataNanos;
@@ -72,13 +72,15 @@
             RouterMetrics metrics,
             FullHttpRequest request,
             CallerConnection caller,
-            AdmittedRequest admitted) {
+            AdmittedRequest admitted,
+            StreamVersion streamVersion) {
         this.traffic = traffic;
         this.state = state;
         this.wire = wire;
         this.metrics = metrics;
         this.request = request;
         this.admitted = admitted;
+        this.streamVersion = streamVersion;
         this.selection = new EndpointSelection(state, admitted, streamVersion);
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
@@ -298,7 +300,7 @@
     }
 
     private void bindStreamVersion() {
-        streamVersion.bind(attempt.currentEndpoint().entry().softwareVersion());
+        streamVersion.bind(attempt.currentEndpoint().entry());
     }
 
     /** Continues the stream at another endpoint, since its own has left out an event. */
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.Optional;
 import org.bronzelug.core.key.KeyDigest;
+import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.IngressLimits;
 import org.bronzelug.core.routing.Route;
@@ -34,7 +35,7 @@
     private static final int UNAUTHORIZED = 401;
     private static final int NOT_FOUND = 404;
     private static final int TOO_MANY = 429;
-    private static final int UNAVAILABLE = 503;
+    static final int UNAVAILABLE = 503;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /**
@@ -154,11 +155,75 @@
                         state.configuration().flatMap(present -> poolOf(present, route.get())),
                         configuration.version(),
                         arrivedNanos);
-        Exchange exchange = new Exchange(traffic, state, wire, metrics, request, caller, admitted);
+        if (!admitted.resumesStream()) {
+            StreamVersion version =
+                    StreamVersion.unbound(endpoint -> recordBegun(admitted, endpoint));
+            return forward(request, caller, admitted, version);
+        }
+        StreamResumption resumption =
+                new StreamResumption(
+                        admitted, configuration, request, new ResumptionOutcome(request, caller));
+        Optional<String> onlyPool =
+                admitted.pool()
+                        .map(EndpointPool::name)
+                        .filter(name -> route.get().pools().size() == 1);
+        state.origins().find(admitted.resumedStreamKey(), onlyPool, resumption);
+        return resumption;
+    }
+
+    private void recordBegun(AdmittedRequest admitted, EndpointEntry endpoint) {
+        state.origins()
+                .recordBegun(
+                        admitted.streamKey(),
+                        endpoint.pool(),
+                        endpoint.softwareVersion(),
+                        admitted.limitNanos());
+    }
+
+    private CallerListener forward(
+            FullHttpRequest request,
+            CallerConnection caller,
+            AdmittedRequest admitted,
+            StreamVersion version) {
+        Exchange exchange =
+                new Exchange(traffic, state, wire, metrics, request, caller, admitted, version);
         exchange.start();
         return exchange;
     }
 
+    private void refund(AdmittedRequest admitted) {
+        admitted.team().ifPresent(team -> state.rates().refund(team, admitted.tokens()));
+    }
+
+    /** Carries out what is decided on a resumption. Confined to the traffic thread. */
+    private final class ResumptionOutcome implements StreamResumption.Outcome {
+        private final FullHttpRequest request;
+        private final CallerConnection caller;
+
+        private ResumptionOutcome(FullHttpRequest request, CallerConnection caller) {
+            this.request = request;
+            this.caller = caller;
+        }
+
+        @Override
+        public CallerListener forward(AdmittedRequest admitted, StreamVersion version) {
+            metrics.count("stream_origins_found");
+            return Forwarder.this.forward(request, caller, admitted, version);
+        }
+
+        @Override
+        public void reject(AdmittedRequest admitted, Rejection rejection) {
+            metrics.count("stream_origins_unknown");
+            refund(admitted);
+            Forwarder.this.reject(admitted.head().id(), request, caller, rejection);
+        }
+
+        @Override
+        public void withdraw(AdmittedRequest admitted) {
+            refund(admitted);
+        }
+    }
+
     private static Optional<EndpointPool> poolOf(RoutingConfiguration configuration, Route route) {
         return configuration.pool(route.pool(Math.random()));
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.exchange;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.bronzelug.core.routing.EndpointEntry;
 
 /**
@@ -12,12 +13,34 @@
  * <p>Invariant: once bound, the version does not change. Confined to the traffic thread.
  */
 final class StreamVersion {
+    private final Consumer<EndpointEntry> onBegun;
     private Optional<String> version = Optional.empty();
 
-    /** Binds the stream to a version, if it is not bound yet. */
-    void bind(String softwareVersion) {
+    private StreamVersion(Consumer<EndpointEntry> onBegun) {
+        this.onBegun = onBegun;
+    }
+
+    /**
+     * Returns the version of a stream that has no event yet.
+     *
+     * @param onBegun receives the endpoint that generates the first event
+     */
+    static StreamVersion unbound(Consumer<EndpointEntry> onBegun) {
+        return new StreamVersion(onBegun);
+    }
+
+    /** Returns the version of a stream that has begun earlier. */
+    static StreamVersion bound(String softwareVersion) {
+        StreamVersion bound = new StreamVersion(begun -> {});
+        bound.version = Optional.of(softwareVersion);
+        return bound;
+    }
+
+    /** Binds the stream to the version of the endpoint that generates its events. */
+    void bind(EndpointEntry endpoint) {
         if (version.isEmpty()) {
-            version = Optional.of(softwareVersion);
+            version = Optional.of(endpoint.softwareVersion());
+            onBegun.accept(endpoint);
         }
     }
 
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -0,0 +1,257 @@
+package org.bronzelug.router.stream;
+
+import io.netty.channel.EventLoop;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.stream.OriginEvidence;
+import org.bronzelug.core.stream.StreamKey;
+import org.bronzelug.core.stream.StreamOrigin;
+import org.bronzelug.core.stream.StreamOrigins;
+import org.bronzelug.core.stream.VersionHistory;
+
+/**
+ * Knows at which software version each resumable stream began, so that its caller can resume it at
+ * any VM.
+ *
+ * <p>The VM that forwards a stream's first event records its origin. While the pool's past leaves
+ * open which version began a stream, it also has some other VMs keep the record, since a caller
+ * resumes a stream at another VM mostly because the first one has died. A VM without the record
+ * asks these VMs. If none has it, the version is known only if the pool has had a single one for as
+ * long as a stream can last.
+ *
+ * <p>Invariant: a version is never guessed. Confined to the traffic thread.
+ */
+public final class StreamOriginDirectory {
+    /** Time for the answers: two link delays of milliseconds, and some for a busy VM. */
+    private static final long ANSWER_MILLIS = 200;
+
+    /** Time for which a caller may resume a stream after its time limit, including clock drift. */
+    private static final long GRACE_MILLIS = 2_000;
+
+    /** Retry delay if no answer can be expected to change: a caller may reach another VM. */
+    private static final long UNKNOWN_RETRY_MILLIS = 1_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final EventLoop traffic;
+    private final StreamOrigins origins = new StreamOrigins();
+    private final VersionHistory history = new VersionHistory();
+    private final Map<StreamKey, OriginLookup> lookups = new HashMap<>();
+    private Peers peers = new NoPeers();
+    private long windowNanos = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
+
+    public StreamOriginDirectory(EventLoop traffic) {
+        this.traffic = traffic;
+    }
+
+    /** The other VMs. Implementations may be called on the traffic thread and must not block. */
+    public interface Peers {
+        /** Has some other VMs keep the origins of streams that this VM began. */
+        void keep(List<StreamOrigin> begun);
+
+        /** Asks some other VMs for an origin; calls {@link #onAsked} and {@link #onAnswer}. */
+        void ask(StreamKey key, String pool);
+    }
+
+    /** Is notified once of the outcome of a lookup, on the traffic thread. */
+    public interface Listener {
+        /**
+         * Called if the origin is known.
+         *
+         * @param source what it is known from, for the log
+         */
+        void onFound(StreamOrigin origin, String source);
+
+        /** Called if the origin is not known; the stream must not be resumed. */
+        void onUnknown(String reason, long retryAfterMillis);
+    }
+
+    /** A fleet of one VM. */
+    private final class NoPeers implements Peers {
+        @Override
+        public void keep(List<StreamOrigin> begun) {
+            // No other VM could keep them.
+        }
+
+        @Override
+        public void ask(StreamKey key, String pool) {
+            onAsked(key, 0);
+        }
+    }
+
+    public void setPeers(Peers fleet) {
+        peers = fleet;
+    }
+
+    /** Returns the number of streams whose origins this VM knows. */
+    public int size() {
+        return origins.size();
+    }
+
+    /**
+     * Applies the list of endpoints.
+     *
+     * @param listCurrent whether the list is known to be current
+     * @param resumableMillis the longest time that a resumable stream may take
+     */
+    public void update(
+            Collection<EndpointEntry> endpoints, boolean listCurrent, long resumableMillis) {
+        long nowNanos = System.nanoTime();
+        windowNanos = TimeUnit.MILLISECONDS.toNanos(resumableMillis + GRACE_MILLIS);
+        Map<String, Set<String>> versions = new HashMap<>();
+        for (EndpointEntry entry : endpoints) {
+            versions.computeIfAbsent(entry.pool(), pool -> new HashSet<>())
+                    .add(entry.softwareVersion());
+        }
+        history.update(versions, listCurrent, nowNanos);
+        origins.expire(nowNanos);
+        shareAmbiguous(nowNanos);
+    }
+
+    /** Has other VMs keep the origins that can't be told from the past of their pools any more. */
+    private void shareAmbiguous(long nowNanos) {
+        for (String pool : origins.unsharedPools()) {
+            if (!history.hasSoleVersion(pool, windowNanos, nowNanos)) {
+                share(pool, nowNanos);
+            }
+        }
+    }
+
+    private void share(String pool, long nowNanos) {
+        List<StreamOrigin> begun = origins.takeUnshared(pool, nowNanos);
+        if (!begun.isEmpty()) {
+            peers.keep(begun);
+        }
+    }
+
+    /** Has other VMs keep all origins, since this VM stops. */
+    public void shareAll() {
+        origins.unsharedPools().forEach(pool -> share(pool, System.nanoTime()));
+    }
+
+    /**
+     * Records that this VM has forwarded the first event of a stream.
+     *
+     * @param limitNanos when the time limit of the stream's caller ends
+     */
+    public void recordBegun(StreamKey key, String pool, String softwareVersion, long limitNanos) {
+        long nowNanos = System.nanoTime();
+        long untilNanos = limitNanos + TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
+        origins.recordUnshared(new StreamOrigin(key, pool, softwareVersion, untilNanos), nowNanos);
+        if (!history.hasSoleVersion(pool, windowNanos, nowNanos)) {
+            share(pool, nowNanos);
+        }
+    }
+
+    /** Keeps the origin of a stream that another VM has begun. */
+    public void keep(StreamOrigin begunByPeer) {
+        origins.record(begunByPeer, System.nanoTime());
+    }
+
+    /**
+     * Looks up where a stream began.
+     *
+     * @param key empty if the caller does not name the stream
+     * @param pool the only pool to which the stream's route leads; empty if there are several
+     */
+    public void find(Optional<StreamKey> key, Optional<String> pool, Listener listener) {
+        long nowNanos = System.nanoTime();
+        Optional<StreamOrigin> own = key.flatMap(known -> origins.find(known, nowNanos));
+        if (own.isPresent()) {
+            listener.onFound(own.get(), "own record");
+            return;
+        }
+        StreamKey lookedUp = key.orElseGet(() -> new StreamKey(0, 0));
+        OriginLookup running = key.isPresent() ? lookups.get(lookedUp) : null;
+        if (running != null) {
+            running.addListener(listener);
+            return;
+        }
+        OriginLookup lookup = new OriginLookup(lookedUp, pool, listener);
+        lookup.add(ownAnswer(Optional.empty(), pool, nowNanos));
+        if (key.isEmpty()) {
+            conclude(lookup, 0);
+            return;
+        }
+        lookups.put(lookedUp, lookup);
+        traffic.schedule(() -> end(lookup), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+        peers.ask(lookedUp, pool.orElse(""));
+    }
+
+    /** Records how many VMs were asked. */
+    public void onAsked(StreamKey key, int vms) {
+        Optional.ofNullable(lookups.get(key))
+                .filter(lookup -> lookup.expect(vms))
+                .ifPresent(this::end);
+    }
+
+    /** Records the answer of another VM. */
+    public void onAnswer(StreamKey key, OriginEvidence.Answer answer) {
+        OriginLookup lookup = lookups.get(key);
+        if (lookup != null && lookup.add(answer)) {
+            end(lookup);
+        }
+    }
+
+    /** Returns the answer to another VM that asks for an origin. */
+    public OriginEvidence.Answer answer(StreamKey key, String pool) {
+        long nowNanos = System.nanoTime();
+        Optional<String> named = Optional.of(pool).filter(name -> !name.isEmpty());
+        return ownAnswer(origins.find(key, nowNanos), named, nowNanos);
+    }
+
+    private OriginEvidence.Answer ownAnswer(
+            Optional<StreamOrigin> origin, Optional<String> pool, long nowNanos) {
+        return new OriginEvidence.Answer(
+                origin, versions(pool, nowNanos), history.isWatched(windowNanos, nowNanos));
+    }
+
+    private Set<String> versions(Optional<String> pool, long nowNanos) {
+        return pool.map(name -> history.versions(name, windowNanos, nowNanos)).orElse(Set.of());
+    }
+
+    private void end(OriginLookup lookup) {
+        if (lookups.remove(lookup.key(), lookup)) {
+            conclude(lookup, lookup.askedVms());
+        }
+    }
+
+    private void conclude(OriginLookup lookup, int askedVms) {
+        long nowNanos = System.nanoTime();
+        lookup.origin().ifPresent(origin -> origins.record(origin, nowNanos));
+        Optional<StreamOrigin> known = lookup.origin().or(() -> lookup.soleOrigin(nowNanos));
+        String source =
+                (lookup.origin().isPresent() ? "record of a peer" : "sole version")
+                        + (", asked=" + askedVms)
+                        + (" answers=" + lookup.peerAnswers());
+        for (Listener listener : lookup.listeners()) {
+            if (known.isPresent()) {
+                listener.onFound(known.get(), source);
+            } else {
+                listener.onUnknown(
+                        "asked=" + askedVms + " answers=" + lookup.peerAnswers(),
+                        retryMillis(lookup.pool(), nowNanos));
+            }
+        }
+    }
+
+    /** Returns the time until the pool's past tells the version, if it can, else a second. */
+    private long retryMillis(Optional<String> pool, long nowNanos) {
+        boolean willBeKnown = versions(pool, nowNanos).size() == 1;
+        return willBeKnown
+                ? 1 + history.unwatchedNanos(windowNanos, nowNanos) / NANOS_PER_MILLI
+                : UNKNOWN_RETRY_MILLIS;
+    }
+
+    /** Returns what this VM has seen of past versions, for a VM that has just started. */
+    public VersionHistory history() {
+        return history;
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -11,6 +11,7 @@
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.stream.StreamOriginDirectory;
 
 /**
  * State that decisions on requests are based on: the configuration in force, endpoints, team rates
@@ -33,6 +34,7 @@
     private final TeamRates rates;
     private final EndpointChoice choice;
     private final RolloutTable rollouts;
+    private final StreamOriginDirectory origins;
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
@@ -46,6 +48,7 @@
         this.bounds = bounds;
         this.endpoints = new EndpointTable(traffic, wire);
         this.rates = new TeamRates(fleetStarts);
+        this.origins = new StreamOriginDirectory(traffic);
         this.rollouts = new RolloutTable(bounds.exposureShare());
         this.choice =
                 new EndpointChoice(
@@ -58,6 +61,10 @@
         vmCount = Math.max(update.vmCount(), bounds.leastVms());
         Set<String> shifting = rollouts.update(update.rollouts(), update.endpoints().values());
         endpoints.update(update);
+        origins.update(
+                update.endpoints().values(),
+                update.listCurrent(),
+                configuration.map(RoutingConfiguration::resumableMillis).orElse(0L));
         choice.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
@@ -89,6 +96,11 @@
         return rollouts;
     }
 
+    /** Returns what is known of the software versions at which streams began. */
+    public StreamOriginDirectory origins() {
+        return origins;
+    }
+
     public TeamRates rates() {
         return rates;
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -17,6 +17,8 @@
  *
  * @param configuration the configuration in force; empty until one is known
  * @param endpoints the listed endpoints by id
+ * @param listCurrent whether the list of endpoints is known to be current: this VM reads the
+ *     platform, or hears most of its peers
  * @param weights the published target versions by model
  * @param peerUsage the other VMs' load on each endpoint, by endpoint id
  * @param peerTeams usage of teams' rates that peers reported since the previous update
@@ -35,6 +37,7 @@
 public record TrafficUpdate(
         Optional<RoutingConfiguration> configuration,
         Map<String, EndpointEntry> endpoints,
+        boolean listCurrent,
         Map<String, WeightsTarget> weights,
         Map<String, PeerEndpointUsage> peerUsage,
         List<PeerTeamUsage> peerTeams,
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -63,6 +63,7 @@
                 new TrafficUpdate(
                         Optional.empty(),
                         listed,
+                        true,
                         Map.of(),
                         Map.of(),
                         List.of(),
