Keep recent software versions of each pool on the platform

Callers that resumed a stream after all VMs had restarted were rejected for the time that a stream can last, although one version alone had served: a restarted VM knew nothing of the past, and no peer did. Evidence: aStreamGoesOnAfterAllVmsHaveRestarted.

--- a/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
+++ b/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
@@ -91,16 +91,12 @@
         return teams.values();
     }
 
-    /**
-     * Returns the longest time that a resumable stream may take; 0 if no route has such streams.
-     */
-    public long resumableMillis() {
+    /** Returns the routes whose streams can be resumed. */
+    public List<Route> resumableRoutes() {
         return routesByHost.values().stream()
                 .flatMap(List::stream)
                 .filter(route -> route.retryPolicy() == RetryPolicy.RESUMABLE)
-                .mapToLong(Route::timeoutMillis)
-                .max()
-                .orElse(0);
+                .toList();
     }
 
     public int routeCount() {
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
@@ -65,6 +66,7 @@
     private final RolloutService rollouts;
     private final FleetUpdates updates;
     private final FleetStreamOrigins streamOrigins;
+    private final StoredVersions storedVersions;
     private final RoundPeriod period = new RoundPeriod();
     private final ProcessorOverload overload = new ProcessorOverload();
     private final long startNanos = System.nanoTime();
@@ -110,6 +112,8 @@
                 new FleetStreamOrigins(
                         control, traffic, settings, members, gossip, trafficState.origins());
         trafficState.origins().setPeers(streamOrigins);
+        this.storedVersions =
+                new StoredVersions(control, store, settings.vm(), members, this::adoptVersions);
         this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
     }
 
@@ -140,13 +144,18 @@
                 () -> {
                     registration.start();
                     reading.start();
+                    storedVersions.start();
                 });
         control.execute(this::runPeriodically);
     }
 
     @Override
     public void stop() {
-        control.execute(reading::stop);
+        control.execute(
+                () -> {
+                    reading.stop();
+                    storedVersions.stop();
+                });
     }
 
     /**
@@ -313,6 +322,7 @@
         orders.updateLoad(load);
         orders.updateUnreachable(newReport.lostPaths());
         rollouts.round(newReport.rollouts(), load);
+        storedVersions.round(newReport.recentVersions(), newReport.versionsWatched());
         newReport.weights().forEach(this::recordObservedWeights);
         newReport.runnersWithUnknownWeights().forEach(orders::queryWeights);
     }
@@ -448,6 +458,10 @@
         return state.isComplete() && (reading.isReading() || 2 * reachable > fleetSize());
     }
 
+    private void adoptVersions(Map<String, Set<String>> stored) {
+        traffic.execute(() -> trafficState.origins().adopt(stored));
+    }
+
     private int fleetSize() {
         return members.addresses().size();
     }
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -34,6 +35,9 @@
  *     report
  * @param lostPaths ids of the endpoints that this VM reaches through other VMs only
  * @param rollouts what this VM has seen of each rollout of a software version
+ * @param recentVersions the software versions that each pool with resumable streams has had for as
+ *     long as a stream can last
+ * @param versionsWatched whether this VM has watched the list of endpoints for as long
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -46,12 +50,14 @@
         List<EndpointLimitUse> limits,
         List<EndpointLimitUse> contendedLimits,
         Set<String> lostPaths,
-        List<RolloutUse> rollouts) {
+        List<RolloutUse> rollouts,
+        Map<String, Set<String>> recentVersions,
+        boolean versionsWatched) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), Set.of(), List.of());
+                List.of(), List.of(), Set.of(), List.of(), Map.of(), false);
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -64,18 +70,7 @@
 
     /** Returns a snapshot of the state; call on the traffic thread. */
     static TrafficReport of(TrafficState state) {
-        List<TeamUse> teams = new ArrayList<>();
         long nowNanos = System.nanoTime();
-        state.rates()
-                .forEach(
-                        (team, bucket) ->
-                                teams.add(
-                                        TeamUse.newBuilder()
-                                                .setTeam(team)
-                                                .setAdmittedTokens(bucket.admitted())
-                                                .setOfferedTokens(bucket.offered())
-                                                .setLevelTokens((long) bucket.level(nowNanos))
-                                                .build()));
         List<EndpointUse> endpoints =
                 state.endpoints().all().stream()
                         .filter(endpoint -> endpoint.ownRequests() > 0)
@@ -111,7 +106,7 @@
                             });
         }
         return new TrafficReport(
-                teams,
+                teams(state, nowNanos),
                 endpoints,
                 weights,
                 reads,
@@ -121,7 +116,24 @@
                 limits,
                 contendedLimits,
                 state.endpoints().paths().lostEndpoints(),
-                state.rollouts().report());
+                state.rollouts().report(),
+                state.origins().recentVersions(),
+                state.origins().isWatched());
+    }
+
+    private static List<TeamUse> teams(TrafficState state, long nowNanos) {
+        List<TeamUse> teams = new ArrayList<>();
+        state.rates()
+                .forEach(
+                        (team, bucket) ->
+                                teams.add(
+                                        TeamUse.newBuilder()
+                                                .setTeam(team)
+                                                .setAdmittedTokens(bucket.admitted())
+                                                .setOfferedTokens(bucket.offered())
+                                                .setLevelTokens((long) bucket.level(nowNanos))
+                                                .build()));
+        return teams;
     }
 
     private static EndpointLimitUse limitUsage(
--- a/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
+++ b/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
@@ -1,41 +1,45 @@
 package org.bronzelug.router.stream;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
 
-/** A lookup of a stream's origin that waits for the answers of peers. Confined to its thread. */
+/**
+ * A lookup of a stream's origin that waits for the answers of peers.
+ *
+ * <p>Invariant: it ends once. Confined to the traffic thread.
+ */
 final class OriginLookup {
-    private final StreamKey key;
+    private final Optional<StreamKey> key;
     private final Optional<String> pool;
-    private final List<StreamOriginDirectory.Listener> listeners = new ArrayList<>();
+    private final StreamOriginDirectory.Listener listener;
     private final OriginEvidence evidence = new OriginEvidence();
     private OptionalInt askedVms = OptionalInt.empty();
+    private boolean ended;
 
-    OriginLookup(StreamKey key, Optional<String> pool, StreamOriginDirectory.Listener listener) {
+    OriginLookup(
+            Optional<StreamKey> key,
+            Optional<String> pool,
+            StreamOriginDirectory.Listener listener) {
         this.key = key;
         this.pool = pool;
-        listeners.add(listener);
+        this.listener = listener;
     }
 
-    StreamKey key() {
+    /** Returns the key of the stream; empty if its caller names none. */
+    Optional<StreamKey> key() {
         return key;
     }
 
+    /** Returns the only pool that may have begun the stream; empty if there are several. */
     Optional<String> pool() {
         return pool;
     }
 
-    List<StreamOriginDirectory.Listener> listeners() {
-        return listeners;
-    }
-
-    void addListener(StreamOriginDirectory.Listener listener) {
-        listeners.add(listener);
+    StreamOriginDirectory.Listener listener() {
+        return listener;
     }
 
     /**
@@ -49,7 +53,7 @@
     }
 
     /**
-     * Adds an answer; the first one is this VM's own.
+     * Adds an answer.
      *
      * @return whether the lookup is complete
      */
@@ -59,29 +63,36 @@
     }
 
     private boolean isComplete() {
-        boolean allAnswered = askedVms.isPresent() && peerAnswers() >= askedVms.getAsInt();
+        boolean allAnswered = askedVms.isPresent() && answers() >= askedVms.getAsInt();
         return evidence.origin().isPresent() || allAnswered;
     }
 
+    /** Ends the lookup; returns false if it has ended already. */
+    boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+
     int askedVms() {
         return askedVms.orElse(0);
     }
 
-    int peerAnswers() {
-        return evidence.answers() - 1;
+    int answers() {
+        return evidence.answers();
     }
 
     Optional<StreamOrigin> origin() {
         return evidence.origin();
     }
 
-    /** Returns the origin that follows from the pool's only version. */
+    /** Returns the origin that follows from the pool's only version; it is not kept. */
     Optional<StreamOrigin> soleOrigin(long nowNanos) {
-        return evidence.soleVersion()
-                .flatMap(version -> pool.map(name -> origin(name, version, nowNanos)));
+        return evidence.soleVersion().flatMap(version -> origin(version, nowNanos));
     }
 
-    private StreamOrigin origin(String poolName, String version, long nowNanos) {
-        return new StreamOrigin(key, poolName, version, nowNanos);
+    private Optional<StreamOrigin> origin(String version, long nowNanos) {
+        StreamKey named = key.orElseGet(() -> new StreamKey(0, 0));
+        return pool.map(name -> new StreamOrigin(named, name, version, nowNanos));
     }
 }
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.stream;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -9,7 +10,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.routing.Route;
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
@@ -43,7 +46,9 @@
     private final EventLoop traffic;
     private final StreamOrigins origins = new StreamOrigins();
     private final VersionHistory history = new VersionHistory();
-    private final Map<StreamKey, OriginLookup> lookups = new HashMap<>();
+    private final Map<StreamKey, List<OriginLookup>> lookups = new HashMap<>();
+    private Set<String> pools = Set.of();
+    private Optional<Map<String, Set<String>>> storedVersions = Optional.empty();
     private Peers peers = new NoPeers();
     private long windowNanos = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
 
@@ -99,22 +104,84 @@
      * Applies the list of endpoints.
      *
      * @param listCurrent whether the list is known to be current
-     * @param resumableMillis the longest time that a resumable stream may take
+     * @param resumableRoutes the routes whose streams can be resumed
      */
     public void update(
-            Collection<EndpointEntry> endpoints, boolean listCurrent, long resumableMillis) {
+            Collection<EndpointEntry> endpoints,
+            boolean listCurrent,
+            Collection<Route> resumableRoutes) {
         long nowNanos = System.nanoTime();
-        windowNanos = TimeUnit.MILLISECONDS.toNanos(resumableMillis + GRACE_MILLIS);
         Map<String, Set<String>> versions = new HashMap<>();
+        long longestMillis = 0;
+        for (Route route : resumableRoutes) {
+            longestMillis = Math.max(longestMillis, route.timeoutMillis());
+            route.pools().forEach(pool -> versions.put(pool.pool(), new HashSet<>()));
+        }
+        windowNanos = TimeUnit.MILLISECONDS.toNanos(longestMillis + GRACE_MILLIS);
         for (EndpointEntry entry : endpoints) {
-            versions.computeIfAbsent(entry.pool(), pool -> new HashSet<>())
-                    .add(entry.softwareVersion());
+            versions.computeIfPresent(
+                    entry.pool(), (pool, listed) -> with(listed, entry.softwareVersion()));
         }
+        pools = Set.copyOf(versions.keySet());
         history.update(versions, listCurrent, nowNanos);
+        adoptStored(nowNanos);
         origins.expire(nowNanos);
         shareAmbiguous(nowNanos);
     }
 
+    private static Set<String> with(Set<String> versions, String version) {
+        versions.add(version);
+        return versions;
+    }
+
+    /**
+     * Adopts the versions that the fleet had before this VM started.
+     *
+     * @param stored all versions that each pool has had for as long as a stream can last
+     */
+    public void adopt(Map<String, Set<String>> stored) {
+        storedVersions = Optional.of(stored);
+    }
+
+    private void adoptStored(long nowNanos) {
+        if (pools.isEmpty() || storedVersions.isEmpty()) {
+            return;
+        }
+        Map<String, Set<String>> stored = storedVersions.get();
+        storedVersions = Optional.empty();
+        // A pool without stored versions may have had any.
+        if (!stored.keySet().containsAll(pools)) {
+            return;
+        }
+        List<VersionHistory.ListedVersion> listed = new ArrayList<>();
+        stored.forEach(
+                (pool, versions) ->
+                        versions.forEach(
+                                version ->
+                                        listed.add(
+                                                new VersionHistory.ListedVersion(
+                                                        pool, version, 0))));
+        history.adopt(windowNanos, listed, nowNanos);
+    }
+
+    /** Returns the versions that each pool has had for as long as a stream can last. */
+    public Map<String, Set<String>> recentVersions() {
+        long nowNanos = System.nanoTime();
+        Map<String, Set<String>> recent = new HashMap<>();
+        for (String pool : pools) {
+            Set<String> versions = history.versions(pool, windowNanos, nowNanos);
+            if (!versions.isEmpty()) {
+                recent.put(pool, versions);
+            }
+        }
+        return recent;
+    }
+
+    /** Returns whether {@link #recentVersions} are all versions of that time. */
+    public boolean isWatched() {
+        return history.isWatched(windowNanos, System.nanoTime());
+    }
+
     /** Has other VMs keep the origins that can't be told from the past of their pools any more. */
     private void shareAmbiguous(long nowNanos) {
         for (String pool : origins.unsharedPools()) {
@@ -168,35 +235,38 @@
             listener.onFound(own.get(), "own record");
             return;
         }
-        StreamKey lookedUp = key.orElseGet(() -> new StreamKey(0, 0));
-        OriginLookup running = key.isPresent() ? lookups.get(lookedUp) : null;
-        if (running != null) {
-            running.addListener(listener);
+        OriginLookup lookup = new OriginLookup(key, pool, listener);
+        if (key.isEmpty() && isWatched()) {
+            conclude(lookup);
             return;
         }
-        OriginLookup lookup = new OriginLookup(lookedUp, pool, listener);
-        lookup.add(ownAnswer(Optional.empty(), pool, nowNanos));
-        if (key.isEmpty()) {
-            conclude(lookup, 0);
-            return;
-        }
-        lookups.put(lookedUp, lookup);
+        // Without a key no VM can be asked, but a VM that starts may still learn of the past.
         traffic.schedule(() -> end(lookup), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-        peers.ask(lookedUp, pool.orElse(""));
+        key.ifPresent(known -> ask(known, lookup));
+    }
+
+    private void ask(StreamKey key, OriginLookup lookup) {
+        lookups.computeIfAbsent(key, known -> new ArrayList<>()).add(lookup);
+        if (lookups.get(key).size() == 1) {
+            peers.ask(key, lookup.pool().orElse(""));
+        }
     }
 
     /** Records how many VMs were asked. */
     public void onAsked(StreamKey key, int vms) {
-        Optional.ofNullable(lookups.get(key))
-                .filter(lookup -> lookup.expect(vms))
-                .ifPresent(this::end);
+        endComplete(key, lookup -> lookup.expect(vms));
     }
 
     /** Records the answer of another VM. */
     public void onAnswer(StreamKey key, OriginEvidence.Answer answer) {
-        OriginLookup lookup = lookups.get(key);
-        if (lookup != null && lookup.add(answer)) {
-            end(lookup);
+        endComplete(key, lookup -> lookup.add(answer));
+    }
+
+    private void endComplete(StreamKey key, Predicate<OriginLookup> update) {
+        for (OriginLookup lookup : List.copyOf(lookups.getOrDefault(key, List.of()))) {
+            if (update.test(lookup)) {
+                end(lookup);
+            }
         }
     }
 
@@ -218,27 +288,31 @@
     }
 
     private void end(OriginLookup lookup) {
-        if (lookups.remove(lookup.key(), lookup)) {
-            conclude(lookup, lookup.askedVms());
+        if (lookup.end()) {
+            lookup.key().ifPresent(key -> forget(key, lookup));
+            conclude(lookup);
         }
     }
 
-    private void conclude(OriginLookup lookup, int askedVms) {
+    private void forget(StreamKey key, OriginLookup lookup) {
+        lookups.get(key).remove(lookup);
+        if (lookups.get(key).isEmpty()) {
+            lookups.remove(key);
+        }
+    }
+
+    private void conclude(OriginLookup lookup) {
         long nowNanos = System.nanoTime();
-        lookup.origin().ifPresent(origin -> origins.record(origin, nowNanos));
-        Optional<StreamOrigin> known = lookup.origin().or(() -> lookup.soleOrigin(nowNanos));
-        String source =
-                (lookup.origin().isPresent() ? "record of a peer" : "sole version")
-                        + (", asked=" + askedVms)
-                        + (" answers=" + lookup.peerAnswers());
-        for (Listener listener : lookup.listeners()) {
-            if (known.isPresent()) {
-                listener.onFound(known.get(), source);
-            } else {
-                listener.onUnknown(
-                        "asked=" + askedVms + " answers=" + lookup.peerAnswers(),
-                        retryMillis(lookup.pool(), nowNanos));
-            }
+        String answers = "asked=" + lookup.askedVms() + " answers=" + lookup.answers();
+        lookup.add(ownAnswer(Optional.empty(), lookup.pool(), nowNanos));
+        Optional<StreamOrigin> recorded = lookup.origin();
+        recorded.ifPresent(origin -> origins.record(origin, nowNanos));
+        Optional<StreamOrigin> known = recorded.or(() -> lookup.soleOrigin(nowNanos));
+        if (known.isPresent()) {
+            String source = recorded.isPresent() ? "record of a peer" : "sole version";
+            lookup.listener().onFound(known.get(), source + ", " + answers);
+        } else {
+            lookup.listener().onUnknown(answers, retryMillis(lookup.pool(), nowNanos));
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -64,7 +65,7 @@
         origins.update(
                 update.endpoints().values(),
                 update.listCurrent(),
-                configuration.map(RoutingConfiguration::resumableMillis).orElse(0L));
+                configuration.map(RoutingConfiguration::resumableRoutes).orElse(List.of()));
         choice.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
