--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -75,6 +75,7 @@
     private int rounds;
     private boolean reportPending;
     private boolean wasServing;
+    private boolean stopped;
     private volatile boolean stopping;
 
     public ControlService(
@@ -153,6 +154,7 @@
     public void stop() {
         control.execute(
                 () -> {
+                    stopped = true;
                     reading.stop();
                     storedVersions.stop();
                 });
@@ -231,6 +233,9 @@
     }
 
     private void runPeriodically() {
+        if (stopped) {
+            return;
+        }
         runRoundSafely();
         control.schedule(this::runPeriodically, period.millis(fleetSize()), TimeUnit.MILLISECONDS);
     }
