Count the answers of distinct VMs to a lookup of a stream's origin

A doubled datagram counted as the answer of another VM, so that a lookup could end before the VM with the record had answered, and the caller was rejected although its stream's version was known. A lookup that runs beside another one for the same stream now also takes the record that the other one found.

--- a/core/src/main/java/org/bronzelug/core/stream/OriginEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/stream/OriginEvidence.java
@@ -15,7 +15,6 @@
     private final Set<String> versions = new HashSet<>();
     private Optional<StreamOrigin> origin = Optional.empty();
     private boolean watched;
-    private int answers;
 
     /**
      * What one VM knows. Immutable.
@@ -31,7 +30,6 @@
     }
 
     public void add(Answer answer) {
-        answers++;
         if (origin.isEmpty()) {
             origin = answer.origin();
         }
@@ -39,11 +37,6 @@
         watched |= answer.watched();
     }
 
-    /** Returns the number of VMs that have answered. */
-    public int answers() {
-        return answers;
-    }
-
     /** Returns the stream's record, once a VM has answered with it. */
     public Optional<StreamOrigin> origin() {
         return origin;
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -158,7 +158,7 @@
         for (StreamOriginAnswer answer : message.getStreamOriginAnswersList()) {
             StreamKey key = new StreamKey(answer.getKeyHigh(), answer.getKeyLow());
             OriginEvidence.Answer decoded = decode(answer, nowNanos);
-            traffic.execute(() -> directory.onAnswer(key, decoded));
+            traffic.execute(() -> directory.onAnswer(key, message.getVm(), decoded));
         }
         if (message.hasVersionWatch()) {
             VersionWatch watch = message.getVersionWatch();
--- a/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
+++ b/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
@@ -1,7 +1,9 @@
 package org.bronzelug.router.stream;
 
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
@@ -16,6 +18,7 @@
     private final Optional<String> pool;
     private final StreamOriginDirectory.Listener listener;
     private final OriginEvidence evidence = new OriginEvidence();
+    private final Set<String> answeredVms = new HashSet<>();
     private OptionalInt askedVms = OptionalInt.empty();
     private boolean ended;
 
@@ -53,15 +56,21 @@
     }
 
     /**
-     * Adds an answer.
+     * Adds the answer of a VM, which may arrive twice.
      *
      * @return whether the lookup is complete
      */
-    boolean add(OriginEvidence.Answer answer) {
+    boolean add(String vm, OriginEvidence.Answer answer) {
+        answeredVms.add(vm);
         evidence.add(answer);
         return isComplete();
     }
 
+    /** Adds what this VM itself knows. */
+    void addOwn(OriginEvidence.Answer own) {
+        evidence.add(own);
+    }
+
     private boolean isComplete() {
         boolean allAnswered = askedVms.isPresent() && answers() >= askedVms.getAsInt();
         return evidence.origin().isPresent() || allAnswered;
@@ -79,7 +88,7 @@
     }
 
     int answers() {
-        return evidence.answers();
+        return answeredVms.size();
     }
 
     Optional<StreamOrigin> origin() {
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -258,8 +258,8 @@
     }
 
     /** Records the answer of another VM. */
-    public void onAnswer(StreamKey key, OriginEvidence.Answer answer) {
-        endComplete(key, lookup -> lookup.add(answer));
+    public void onAnswer(StreamKey key, String vm, OriginEvidence.Answer answer) {
+        endComplete(key, lookup -> lookup.add(vm, answer));
     }
 
     private void endComplete(StreamKey key, Predicate<OriginLookup> update) {
@@ -304,7 +304,9 @@
     private void conclude(OriginLookup lookup) {
         long nowNanos = System.nanoTime();
         String answers = "asked=" + lookup.askedVms() + " answers=" + lookup.answers();
-        lookup.add(ownAnswer(Optional.empty(), lookup.pool(), nowNanos));
+        // Another lookup of the same stream may have found its record meanwhile.
+        Optional<StreamOrigin> own = lookup.key().flatMap(key -> origins.find(key, nowNanos));
+        lookup.addOwn(ownAnswer(own, lookup.pool(), nowNanos));
         Optional<StreamOrigin> recorded = lookup.origin();
         recorded.ifPresent(origin -> origins.record(origin, nowNanos));
         Optional<StreamOrigin> known = recorded.or(() -> lookup.soleOrigin(nowNanos));
