Split EligibleEndpoints off EndpointSelection; wording of new comments

EligibleEndpoints holds which endpoints accept the request and have its stream's version, and when one of them does again. The gauge of kept origins is now read from the traffic thread's report instead of its map. No decision changes.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -179,7 +179,7 @@
                 "configuration_version",
                 () -> state.configuration().map(RoutingConfiguration::version).orElse(0L));
         metrics.gauge("vms_heard", () -> members.live(System.nanoTime()).size());
-        metrics.gauge("stream_origins_kept", () -> trafficState.origins().size());
+        metrics.gauge("stream_origins_kept", () -> report.streamOrigins());
         metrics.gauge("paths_lost", () -> report.lostPaths().size());
         metrics.gauge("endpoints_suspect", () -> report.suspects().size());
         for (String kind : state.kinds()) {
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -38,6 +38,7 @@
  * @param recentVersions the software versions that each pool with resumable streams has had for as
  *     long as a stream can last
  * @param versionsWatched whether this VM has watched the list of endpoints for as long
+ * @param streamOrigins number of streams whose origins this VM knows
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -52,12 +53,13 @@
         Set<String> lostPaths,
         List<RolloutUse> rollouts,
         Map<String, Set<String>> recentVersions,
-        boolean versionsWatched) {
+        boolean versionsWatched,
+        int streamOrigins) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), Set.of(), List.of(), Map.of(), false);
+                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0);
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -118,7 +120,8 @@
                 state.endpoints().paths().lostEndpoints(),
                 state.rollouts().report(),
                 state.origins().recentVersions(),
-                state.origins().isWatched());
+                state.origins().isWatched(),
+                state.origins().size());
     }
 
     private static List<TeamUse> teams(TrafficState state, long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -228,7 +228,7 @@
                         .group(traffic)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
-                        // Tells the endpoint's close from any other end of the connection.
+                        // Distinguishes the endpoint's close from any other end of the connection.
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .handler(pipeline(connection));
         SocketSettings.enableKeepAlive(bootstrap);
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -1,7 +1,6 @@
 package org.bronzelug.router.exchange;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -25,8 +24,8 @@
  * instead; {@link #retryAfterMillis} is then present.
  *
  * <p>Invariants: an endpoint that was tried is not chosen again until {@link #clearTried}. A prompt
- * that was sent once is never rejected for overload. A stream goes on at no other software version
- * than the one that it is bound to. Confined to the traffic thread.
+ * that was sent once is never rejected for overload. A stream continues at no other software
+ * version than the one that it is bound to. Confined to the traffic thread.
  */
 final class EndpointSelection {
     /** Priority of the most urgent routes. */
@@ -40,6 +39,7 @@
     private final TrafficState state;
     private final AdmittedRequest admitted;
     private final StreamVersion streamVersion;
+    private final EligibleEndpoints eligible;
     private final Set<String> tried = new HashSet<>();
     private final Set<EndpointState> limited = new HashSet<>();
     private final Set<EndpointState> fragile = new HashSet<>();
@@ -53,6 +53,7 @@
         this.state = state;
         this.admitted = admitted;
         this.streamVersion = streamVersion;
+        this.eligible = new EligibleEndpoints(state, admitted, streamVersion);
     }
 
     /**
@@ -101,7 +102,7 @@
                         || limit.get()
                                 .tryAcquire(
                                         requestSize(),
-                                        hasUnlimitedEndpoint(nowNanos),
+                                        eligible.hasUnlimited(this::isAllowed, nowNanos),
                                         draw,
                                         nowNanos);
         if (acquired) {
@@ -115,16 +116,6 @@
         return admitted.head().prompt().map(prompt -> (long) prompt.totalTokens()).orElse(1L);
     }
 
-    /** Returns whether the request can be sent to an endpoint that advertises no limit. */
-    private boolean hasUnlimitedEndpoint(long nowNanos) {
-        return available(nowNanos).stream()
-                .filter(endpoint -> isAllowed(endpoint.entry().id()))
-                .filter(endpoint -> !endpoint.isSuspect(nowNanos))
-                .filter(endpoint -> !endpoint.isExpectedToReject(nowNanos))
-                .anyMatch(
-                        endpoint -> endpoint.limit().filter(EndpointLimit::isAdvertised).isEmpty());
-    }
-
     /**
      * Refunds the last choice to the endpoint's limit, as the request did not reach the endpoint.
      */
@@ -135,32 +126,28 @@
 
     /** Returns why the last choice found no endpoint, and when one may accept the request. */
     Unavailability unavailability(long nowNanos) {
-        if (isVersionGone()) {
+        if (eligible.isVersionGone()) {
             return Unavailability.versionGone(streamVersion.version().orElseThrow());
         }
         OptionalLong limitMillis = limitRetryMillis(nowNanos);
         if (limitMillis.isPresent()) {
-            long unavailableMillis = unavailableRetryMillis(nowNanos).orElse(Long.MAX_VALUE);
+            long unavailableMillis = eligible.retryMillis(limited, nowNanos).orElse(Long.MAX_VALUE);
             long millis = Math.min(limitMillis.getAsLong(), unavailableMillis);
             return fragile.containsAll(limited)
                     ? Unavailability.fragile(millis)
                     : Unavailability.atLimits(millis);
         }
-        if (unavailableRetryMillis(nowNanos).isEmpty()) {
+        if (eligible.retryMillis(limited, nowNanos).isEmpty()) {
             return Unavailability.noEndpoint(NO_ENDPOINT_RETRY_MILLIS);
         }
-        boolean unreachable =
-                accepting().stream()
-                        .anyMatch(
-                                endpoint -> endpoint.connections().unreachableNanos(nowNanos) > 0);
-        return unreachable
+        return eligible.isAnyUnreachable(nowNanos)
                 ? Unavailability.unreachable(retryMillis(nowNanos))
                 : Unavailability.inBackoff(retryMillis(nowNanos));
     }
 
     /** Returns the retry delay of a request that is rejected after its last attempt. */
     long retryMillis(long nowNanos) {
-        return unavailableRetryMillis(nowNanos).orElse(NO_ENDPOINT_RETRY_MILLIS);
+        return eligible.retryMillis(limited, nowNanos).orElse(NO_ENDPOINT_RETRY_MILLIS);
     }
 
     /**
@@ -181,48 +168,9 @@
         return endpoint.limit().map(limit -> limit.nanosUntil(draw, nowNanos)).orElse(0L);
     }
 
-    /**
-     * Returns the time until the first endpoint accepts requests again after a backoff or a failed
-     * connect; empty if an endpoint that the last choice did not find to be at its limit accepts
-     * requests now.
-     */
-    private OptionalLong unavailableRetryMillis(long nowNanos) {
-        if (admitted.pool().isEmpty() || !limited.containsAll(available(nowNanos))) {
-            return OptionalLong.empty();
-        }
-        return accepting().stream()
-                .mapToLong(endpoint -> endpoint.unavailableNanos(nowNanos))
-                .filter(nanos -> nanos > 0)
-                .map(nanos -> 1 + nanos / NANOS_PER_MILLI)
-                .min();
-    }
-
-    /**
-     * Returns whether the stream is bound to a software version that no endpoint has which accepts
-     * requests, or that a rollout has withdrawn.
-     */
+    /** Returns whether no endpoint can continue the stream, now or after a wait. */
     boolean isVersionGone() {
-        return streamVersion.version().isPresent()
-                && admitted.pool().isPresent()
-                && (accepting().isEmpty() || isVersionWithdrawn());
-    }
-
-    private boolean isVersionWithdrawn() {
-        String pool = admitted.pool().orElseThrow().name();
-        return streamVersion
-                .version()
-                .filter(version -> state.rollouts().isWithdrawn(pool, version))
-                .isPresent();
-    }
-
-    private List<EndpointState> accepting() {
-        return state.endpoints().acceptingRequests(admitted.pool().orElseThrow().name()).stream()
-                .filter(endpoint -> streamVersion.allows(endpoint.entry()))
-                .toList();
-    }
-
-    private List<EndpointState> available(long nowNanos) {
-        return accepting().stream().filter(endpoint -> endpoint.isAvailable(nowNanos)).toList();
+        return eligible.isVersionGone();
     }
 
     /** Returns the endpoints that the last choice skipped because of what they advertise. */
@@ -236,7 +184,7 @@
         }
         EndpointPool pool = admitted.pool().get();
         if (streamVersion.version().isPresent()) {
-            return isVersionWithdrawn()
+            return eligible.isVersionWithdrawn()
                     ? Optional.empty()
                     : selectBest(pool, this::isAllowedForStream, nowNanos);
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -386,7 +386,7 @@
         }
     }
 
-    /** Returns whether all endpoints at which the stream could go on are about to be replaced. */
+    /** Returns whether all endpoints that could continue the stream are about to be replaced. */
     private boolean isBoundToReplacedVersion() {
         return streamVersion.version().isPresent()
                 && state.rollouts().isBeingReplaced(attempt.currentEndpoint().entry());
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
@@ -49,7 +49,7 @@
         return version;
     }
 
-    /** Returns whether the stream may go on at an endpoint. */
+    /** Returns whether an endpoint may continue the stream. */
     boolean allows(EndpointEntry entry) {
         return version.isEmpty() || version.get().equals(entry.softwareVersion());
     }
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -182,7 +182,7 @@
         return history.isWatched(windowNanos, System.nanoTime());
     }
 
-    /** Has other VMs keep the origins that can't be told from the past of their pools any more. */
+    /** Has other VMs keep the origins in pools that may have had several versions. */
     private void shareAmbiguous(long nowNanos) {
         for (String pool : origins.unsharedPools()) {
             if (!history.hasSoleVersion(pool, windowNanos, nowNanos)) {
@@ -318,7 +318,7 @@
         }
     }
 
-    /** Returns the time until the pool's past tells the version, if it can, else a second. */
+    /** Returns the time until the pool's only version is known, if it has one, else a second. */
     private long retryMillis(Optional<String> pool, long nowNanos) {
         boolean willBeKnown = versions(pool, nowNanos).size() == 1;
         return willBeKnown
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Guards against a stream that goes on at a guessed version while messages between VMs are lost,
+ * Guards against a stream that continues at a guessed version while messages between VMs are lost,
  * doubled or late and VMs are replaced.
  */
 class StreamOriginDirectoryTest {
