--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -464,7 +464,7 @@
     }
 
     private void adoptVersions(Map<String, Set<String>> stored) {
-        traffic.execute(() -> trafficState.origins().adopt(stored));
+        traffic.execute(() -> trafficState.origins().versions().adopt(stored));
     }
 
     private int fleetSize() {
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -138,7 +138,7 @@
     void sendHistory(String address) {
         traffic.execute(
                 () -> {
-                    VersionWatch watch = encode(directory.history(), System.nanoTime());
+                    VersionWatch watch = encode(directory.versions().history(), System.nanoTime());
                     control.execute(
                             () ->
                                     gossip.sendTo(
@@ -176,7 +176,10 @@
                                                 version.getSoftwareVersion(),
                                                 nanos(version.getAgeMillis())))
                         .toList();
-        directory.history().adopt(nanos(watch.getWatchedMillis()), versions, receivedNanos);
+        directory
+                .versions()
+                .history()
+                .adopt(nanos(watch.getWatchedMillis()), versions, receivedNanos);
     }
 
     private void answer(StreamOriginQuery query, String address) {
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -119,8 +119,8 @@
                 contendedLimits,
                 state.endpoints().paths().lostEndpoints(),
                 state.rollouts().report(),
-                state.origins().recentVersions(),
-                state.origins().isWatched(),
+                state.origins().versions().recent(),
+                state.origins().versions().isWatched(),
                 state.origins().size());
     }
 
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
@@ -0,0 +1,130 @@
+package org.bronzelug.router.stream;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.routing.EndpointEntry;
+import org.bronzelug.core.routing.Route;
+import org.bronzelug.core.stream.VersionHistory;
+
+/**
+ * The software versions that pools with resumable streams have had for as long as a stream can
+ * last: as this VM has watched them, as a peer has passed them on, and as the platform stores them.
+ * Confined to the traffic thread.
+ */
+public final class PoolVersions {
+    private final VersionHistory history = new VersionHistory();
+    private final long graceNanos;
+    private Set<String> pools = Set.of();
+    private Optional<Map<String, Set<String>>> stored = Optional.empty();
+    private long windowNanos;
+
+    /**
+     * @param graceMillis time for which a caller may resume a stream after its time limit
+     */
+    PoolVersions(long graceMillis) {
+        graceNanos = TimeUnit.MILLISECONDS.toNanos(graceMillis);
+        windowNanos = graceNanos;
+    }
+
+    /**
+     * Applies the list of endpoints.
+     *
+     * @param listCurrent whether the list is known to be current
+     * @param resumableRoutes the routes whose streams can be resumed
+     */
+    void update(
+            Collection<EndpointEntry> endpoints,
+            boolean listCurrent,
+            Collection<Route> resumableRoutes) {
+        long nowNanos = System.nanoTime();
+        Map<String, Set<String>> versions = new HashMap<>();
+        long longestMillis = 0;
+        for (Route route : resumableRoutes) {
+            longestMillis = Math.max(longestMillis, route.timeoutMillis());
+            route.pools().forEach(pool -> versions.put(pool.pool(), new HashSet<>()));
+        }
+        windowNanos = TimeUnit.MILLISECONDS.toNanos(longestMillis) + graceNanos;
+        for (EndpointEntry entry : endpoints) {
+            Optional.ofNullable(versions.get(entry.pool()))
+                    .ifPresent(listed -> listed.add(entry.softwareVersion()));
+        }
+        pools = Set.copyOf(versions.keySet());
+        history.update(versions, listCurrent, nowNanos);
+        adoptStored(nowNanos);
+    }
+
+    /**
+     * Adopts the versions that the fleet had before this VM started.
+     *
+     * @param versions all versions that each pool has had for as long as a stream can last
+     */
+    public void adopt(Map<String, Set<String>> versions) {
+        stored = Optional.of(versions);
+    }
+
+    private void adoptStored(long nowNanos) {
+        if (pools.isEmpty() || stored.isEmpty()) {
+            return;
+        }
+        Map<String, Set<String>> adopted = stored.get();
+        stored = Optional.empty();
+        // A pool without stored versions may have had any.
+        if (!adopted.keySet().containsAll(pools)) {
+            return;
+        }
+        List<VersionHistory.ListedVersion> listed = new ArrayList<>();
+        adopted.forEach(
+                (pool, versions) ->
+                        versions.forEach(
+                                version ->
+                                        listed.add(
+                                                new VersionHistory.ListedVersion(
+                                                        pool, version, 0))));
+        history.adopt(windowNanos, listed, nowNanos);
+    }
+
+    /** Returns the recent versions of each pool that has had any. */
+    public Map<String, Set<String>> recent() {
+        Map<String, Set<String>> recent = new HashMap<>();
+        for (String pool : pools) {
+            Set<String> versions = recent(pool);
+            if (!versions.isEmpty()) {
+                recent.put(pool, versions);
+            }
+        }
+        return recent;
+    }
+
+    /** Returns the recent versions of a pool, as far as they are known. */
+    Set<String> recent(String pool) {
+        return history.versions(pool, windowNanos, System.nanoTime());
+    }
+
+    /** Returns whether the recent versions are all that there were. */
+    public boolean isWatched() {
+        return history.isWatched(windowNanos, System.nanoTime());
+    }
+
+    /** Returns the time until the recent versions are all that there were; 0 if they are. */
+    long unwatchedMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(
+                history.unwatchedNanos(windowNanos, System.nanoTime()));
+    }
+
+    /** Returns whether a pool has had a single version, so that it has begun all streams. */
+    boolean hasSole(String pool) {
+        return history.hasSoleVersion(pool, windowNanos, System.nanoTime());
+    }
+
+    /** Returns what this VM has watched, for a VM that has just started. */
+    public VersionHistory history() {
+        return history;
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +16,6 @@
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
 import org.bronzelug.core.stream.StreamOrigins;
-import org.bronzelug.core.stream.VersionHistory;
 
 /**
  * Knows at which software version each resumable stream began, so that its caller can resume it at
@@ -41,16 +39,11 @@
     /** Retry delay if no answer can be expected to change: a caller may reach another VM. */
     private static final long UNKNOWN_RETRY_MILLIS = 1_000;
 
-    private static final long NANOS_PER_MILLI = 1_000_000L;
-
     private final EventLoop traffic;
     private final StreamOrigins origins = new StreamOrigins();
-    private final VersionHistory history = new VersionHistory();
+    private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
     private final Map<StreamKey, List<OriginLookup>> lookups = new HashMap<>();
-    private Set<String> pools = Set.of();
-    private Optional<Map<String, Set<String>>> storedVersions = Optional.empty();
     private Peers peers = new NoPeers();
-    private long windowNanos = TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
 
     public StreamOriginDirectory(EventLoop traffic) {
         this.traffic = traffic;
@@ -100,6 +93,11 @@
         return origins.size();
     }
 
+    /** Returns what is known of the versions of pools. */
+    public PoolVersions versions() {
+        return versions;
+    }
+
     /**
      * Applies the list of endpoints.
      *
@@ -111,81 +109,15 @@
             boolean listCurrent,
             Collection<Route> resumableRoutes) {
         long nowNanos = System.nanoTime();
-        Map<String, Set<String>> versions = new HashMap<>();
-        long longestMillis = 0;
-        for (Route route : resumableRoutes) {
-            longestMillis = Math.max(longestMillis, route.timeoutMillis());
-            route.pools().forEach(pool -> versions.put(pool.pool(), new HashSet<>()));
-        }
-        windowNanos = TimeUnit.MILLISECONDS.toNanos(longestMillis + GRACE_MILLIS);
-        for (EndpointEntry entry : endpoints) {
-            versions.computeIfPresent(
-                    entry.pool(), (pool, listed) -> with(listed, entry.softwareVersion()));
-        }
-        pools = Set.copyOf(versions.keySet());
-        history.update(versions, listCurrent, nowNanos);
-        adoptStored(nowNanos);
+        versions.update(endpoints, listCurrent, resumableRoutes);
         origins.expire(nowNanos);
         shareAmbiguous(nowNanos);
     }
 
-    private static Set<String> with(Set<String> versions, String version) {
-        versions.add(version);
-        return versions;
-    }
-
-    /**
-     * Adopts the versions that the fleet had before this VM started.
-     *
-     * @param stored all versions that each pool has had for as long as a stream can last
-     */
-    public void adopt(Map<String, Set<String>> stored) {
-        storedVersions = Optional.of(stored);
-    }
-
-    private void adoptStored(long nowNanos) {
-        if (pools.isEmpty() || storedVersions.isEmpty()) {
-            return;
-        }
-        Map<String, Set<String>> stored = storedVersions.get();
-        storedVersions = Optional.empty();
-        // A pool without stored versions may have had any.
-        if (!stored.keySet().containsAll(pools)) {
-            return;
-        }
-        List<VersionHistory.ListedVersion> listed = new ArrayList<>();
-        stored.forEach(
-                (pool, versions) ->
-                        versions.forEach(
-                                version ->
-                                        listed.add(
-                                                new VersionHistory.ListedVersion(
-                                                        pool, version, 0))));
-        history.adopt(windowNanos, listed, nowNanos);
-    }
-
-    /** Returns the versions that each pool has had for as long as a stream can last. */
-    public Map<String, Set<String>> recentVersions() {
-        long nowNanos = System.nanoTime();
-        Map<String, Set<String>> recent = new HashMap<>();
-        for (String pool : pools) {
-            Set<String> versions = history.versions(pool, windowNanos, nowNanos);
-            if (!versions.isEmpty()) {
-                recent.put(pool, versions);
-            }
-        }
-        return recent;
-    }
-
-    /** Returns whether {@link #recentVersions} are all versions of that time. */
-    public boolean isWatched() {
-        return history.isWatched(windowNanos, System.nanoTime());
-    }
-
     /** Has other VMs keep the origins in pools that may have had several versions. */
     private void shareAmbiguous(long nowNanos) {
         for (String pool : origins.unsharedPools()) {
-            if (!history.hasSoleVersion(pool, windowNanos, nowNanos)) {
+            if (!versions.hasSole(pool)) {
                 share(pool, nowNanos);
             }
         }
@@ -212,7 +144,7 @@
         long nowNanos = System.nanoTime();
         long untilNanos = limitNanos + TimeUnit.MILLISECONDS.toNanos(GRACE_MILLIS);
         origins.recordUnshared(new StreamOrigin(key, pool, softwareVersion, untilNanos), nowNanos);
-        if (!history.hasSoleVersion(pool, windowNanos, nowNanos)) {
+        if (!versions.hasSole(pool)) {
             share(pool, nowNanos);
         }
     }
@@ -236,7 +168,7 @@
             return;
         }
         OriginLookup lookup = new OriginLookup(key, pool, listener);
-        if (key.isEmpty() && isWatched()) {
+        if (key.isEmpty() && versions.isWatched()) {
             conclude(lookup);
             return;
         }
@@ -274,17 +206,12 @@
     public OriginEvidence.Answer answer(StreamKey key, String pool) {
         long nowNanos = System.nanoTime();
         Optional<String> named = Optional.of(pool).filter(name -> !name.isEmpty());
-        return ownAnswer(origins.find(key, nowNanos), named, nowNanos);
+        return ownAnswer(origins.find(key, nowNanos), named);
     }
 
-    private OriginEvidence.Answer ownAnswer(
-            Optional<StreamOrigin> origin, Optional<String> pool, long nowNanos) {
-        return new OriginEvidence.Answer(
-                origin, versions(pool, nowNanos), history.isWatched(windowNanos, nowNanos));
-    }
-
-    private Set<String> versions(Optional<String> pool, long nowNanos) {
-        return pool.map(name -> history.versions(name, windowNanos, nowNanos)).orElse(Set.of());
+    private OriginEvidence.Answer ownAnswer(Optional<StreamOrigin> origin, Optional<String> pool) {
+        Set<String> recent = pool.map(versions::recent).orElse(Set.of());
+        return new OriginEvidence.Answer(origin, recent, versions.isWatched());
     }
 
     private void end(OriginLookup lookup) {
@@ -306,7 +233,7 @@
         String answers = "asked=" + lookup.askedVms() + " answers=" + lookup.answers();
         // Another lookup of the same stream may have found its record meanwhile.
         Optional<StreamOrigin> own = lookup.key().flatMap(key -> origins.find(key, nowNanos));
-        lookup.addOwn(ownAnswer(own, lookup.pool(), nowNanos));
+        lookup.addOwn(ownAnswer(own, lookup.pool()));
         Optional<StreamOrigin> recorded = lookup.origin();
         recorded.ifPresent(origin -> origins.record(origin, nowNanos));
         Optional<StreamOrigin> known = recorded.or(() -> lookup.soleOrigin(nowNanos));
@@ -314,20 +241,13 @@
             String source = recorded.isPresent() ? "record of a peer" : "sole version";
             lookup.listener().onFound(known.get(), source + ", " + answers);
         } else {
-            lookup.listener().onUnknown(answers, retryMillis(lookup.pool(), nowNanos));
+            lookup.listener().onUnknown(answers, retryMillis(lookup.pool()));
         }
     }
 
     /** Returns the time until the pool's only version is known, if it has one, else a second. */
-    private long retryMillis(Optional<String> pool, long nowNanos) {
-        boolean willBeKnown = versions(pool, nowNanos).size() == 1;
-        return willBeKnown
-                ? 1 + history.unwatchedNanos(windowNanos, nowNanos) / NANOS_PER_MILLI
-                : UNKNOWN_RETRY_MILLIS;
-    }
-
-    /** Returns what this VM has seen of past versions, for a VM that has just started. */
-    public VersionHistory history() {
-        return history;
+    private long retryMillis(Optional<String> pool) {
+        boolean willBeKnown = pool.filter(name -> versions.recent(name).size() == 1).isPresent();
+        return willBeKnown ? 1 + versions.unwatchedMillis() : UNKNOWN_RETRY_MILLIS;
     }
 }
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -246,7 +246,7 @@
                                 () -> {
                                     StreamOriginDirectory started =
                                             new StreamOriginDirectory(traffic);
-                                    started.adopt(Map.of(POOL, Set.of("v1")));
+                                    started.versions().adopt(Map.of(POOL, Set.of("v1")));
                                     started.update(endpoints("v1"), true, List.of(ROUTE));
                                     return find(started, Optional.empty());
                                 })
@@ -262,7 +262,7 @@
                                 () -> {
                                     StreamOriginDirectory started =
                                             new StreamOriginDirectory(traffic);
-                                    started.adopt(Map.of(POOL, Set.of("v1")));
+                                    started.versions().adopt(Map.of(POOL, Set.of("v1")));
                                     started.update(endpoints("v2"), true, List.of(ROUTE));
                                     return find(started, Optional.empty());
                                 })
