--- a/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
@@ -17,8 +17,8 @@
  */
 public final class VersionHistory {
     /**
-     * Time from a peer's report to this VM's own list, which a VM that starts gets later. Endpoints
-     * drain for longer, so that no version starts and leaves in between.
+     * A VM that starts gets a peer's report before its own list. Endpoints drain for longer than
+     * this, so that no version starts and leaves in between.
      */
     private static final long ADOPTION_NANOS = 2_000_000_000L;
 
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -25,7 +25,7 @@
 /**
  * Keeps on the platform which software versions each pool has had for as long as a stream can last.
  * A VM reads them once at its start. Without this, VMs that have all restarted at the same time
- * would know the version of no stream that began before.
+ * would not know the version of any stream that began before.
  *
  * <p>Writing needs no lease: the first VMs of a pool's rendezvous order write one after the other,
  * conditionally on the object's revision, so usually one write is made for each change.
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -229,7 +229,7 @@
         fail(CLOSED_BY_ENDPOINT);
     }
 
-    /** Confined to the traffic thread. */
+    /** Records that the endpoint has closed its side. Confined to the traffic thread. */
     private final class CloseDetector extends ChannelInboundHandlerAdapter {
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
--- a/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RolloutTable.java
@@ -72,7 +72,7 @@
         return rollout == null || rollout.isCurrent(entry);
     }
 
-    /** Returns whether a pool's rollout has ended or been suspended for a version's faults. */
+    /** Returns whether a rollout has rolled a version back or suspended its trial. */
     public boolean isWithdrawn(String pool, String softwareVersion) {
         PoolRollout rollout = rollouts.get(pool);
         return rollout != null && rollout.isWithdrawn(softwareVersion);
