Log and measure how long weights had been replaced when a request began

604 names for how long the chosen weights have been replaced, 600 when the request was written, the version that the runner reported and how long it had been replaced at the first data; 506 and the new 529 the times from the publication of weights to the order and to the loaded weights of each runner. Histogram begins_on_replaced_weights_millis, counter begins_beyond_weights_bound.

No logic is changed; the ages of weights move from EndpointChoice to a class of their own. OutdatedWeightsTest still fails in its six cases; RolloutTest, StreamMoveTest and EndpointStateTest pass.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -66,6 +66,7 @@
             527,
             "software version that began a resumed stream not known; rejecting the resumption"),
     POOL_VERSIONS_WRITTEN(528, "recent software versions of a pool sent to the platform"),
+    WEIGHTS_LOADED(529, "runner reported the weights that it was ordered to load"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
     REQUEST_SENT(604, "request sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -61,9 +61,9 @@
     private final ExchangeLog log;
     private final CurrentAttempt attempt;
     private final StreamVersion streamVersion;
+    private final ResponseBegin begin;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
-    private long firstDataNanos;
 
     Exchange(
             EventLoop traffic,
@@ -88,6 +88,7 @@
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
         this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
+        this.begin = new ResponseBegin(state, metrics, admitted);
         this.relay = new ResponseRelay(caller, wire, admitted.route(), this::bindStreamVersion);
         this.resumer =
                 new StreamResumer(this, traffic, relay, attempts, selection, builder, metrics, log);
@@ -185,16 +186,23 @@
 
     @Override
     public void onSent(ConnectionUse use) {
-        log.written(use);
+        recordWritten(use);
         attempts.recordSent(attempt.currentEndpoint());
     }
 
+    /** Records that the request was written to an endpoint, also as a move of a stream. */
+    void recordWritten(ConnectionUse use) {
+        log.written(use);
+        begin.recordWritten(System.nanoTime());
+    }
+
     @Override
     public void onHead(EndpointResponse head, HttpResponse response) {
         EndpointState responding = attempt.currentEndpoint();
         responding.recordResponse(head);
         responding.recordActivity(System.nanoTime());
         attempt.prefill().recordHead(responding, head);
+        begin.recordHead(head);
         if (head.notExecuted() || head.status() == MISDIRECTED) {
             onNotExecuted(head);
             return;
@@ -289,9 +297,7 @@
     public void onData(ByteBuf data) {
         long nowNanos = System.nanoTime();
         attempt.endpoint().ifPresent(responding -> responding.recordActivity(nowNanos));
-        if (firstDataNanos == 0) {
-            firstDataNanos = nowNanos;
-        }
+        begin.recordData(attempt.prefill().runner(), nowNanos);
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
         attempt.prefill().recordData(wholePrompt, builder.isSaving(), nowNanos);
         if (!relay.forward(data)) {
@@ -372,9 +378,8 @@
     }
 
     private Optional<String> stallCause(EndpointState current) {
-        boolean dataReceived = firstDataNanos != 0;
         return silence.stallCause(
-                current, attempt.call(), attempt.sentNanos(), dataReceived, System.nanoTime());
+                current, attempt.call(), attempt.sentNanos(), begin.hasBegun(), System.nanoTime());
     }
 
     /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
@@ -493,6 +498,6 @@
                 attempt.prefill().runner().or(selection::runner),
                 relay.describeEnd(),
                 streamVersion.version(),
-                firstDataNanos);
+                begin);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -106,8 +106,7 @@
      *
      * @param responseEnd how the end of the last endpoint's response was marked
      * @param streamVersion the software version that the stream is bound to
-     * @param firstDataNanos when the first bytes of a response body arrived, by the local monotonic
-     *     clock; 0 if none did
+     * @param begin when and on which weights the response began
      */
     void ended(
             String outcome,
@@ -116,7 +115,7 @@
             Optional<RunnerChoice> runner,
             String responseEnd,
             Optional<String> streamVersion,
-            long firstDataNanos) {
+            ResponseBegin begin) {
         EventLog.info(
                 LogEvent.REQUEST_ENDED,
                 request()
@@ -131,7 +130,7 @@
                         + streamVersion.map(version -> " streamVersion=" + version).orElse("")
                         + (" configuration=" + admitted.configurationVersion())
                         + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
-                        + (" firstMillis=" + (firstDataNanos == 0 ? -1 : millisTo(firstDataNanos)))
+                        + begin.describe()
                         + (" millis=" + millisTo(System.nanoTime())));
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -95,7 +95,7 @@
     }
 
     void onSent(EndpointState target, ConnectionUse use) {
-        log.written(use);
+        exchange.recordWritten(use);
         attempts.recordSent(target);
     }
 
--- a/router/src/main/java/org/bronzelug/router/metrics/RouterMetrics.java
+++ b/router/src/main/java/org/bronzelug/router/metrics/RouterMetrics.java
@@ -24,6 +24,8 @@
     private final Counter overRate = registry.counter("requests_over_rate");
     private final Histogram routingTimes = histogram("routing_micros");
     private final Histogram requestTimes = histogram("request_millis");
+    private final Histogram replacedWeights = histogram("begins_on_replaced_weights_millis");
+    private final Counter beyondWeightsBound = registry.counter("begins_beyond_weights_bound");
 
     private Histogram histogram(String name) {
         return registry.register(name, new Histogram(new UniformReservoir(SAMPLES)));
@@ -59,6 +61,19 @@
         requestTimes.update(millis);
     }
 
+    /**
+     * Records the first data of a response that was generated on replaced weights.
+     *
+     * @param millis how long the weights had been replaced, as far as this VM knew
+     * @param beyondBound whether requests may no longer begin on them
+     */
+    public void begunOnReplacedWeights(long millis, boolean beyondBound) {
+        replacedWeights.update(millis);
+        if (beyondBound) {
+            beyondWeightsBound.inc();
+        }
+    }
+
     /** Increments a counter of the control plane. */
     public void count(String name) {
         registry.counter(name).inc();
--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -103,6 +103,7 @@
         if (version >= target.version()) {
             weightsListener.onWeights(runner, target, version);
             finished = true;
+            log(LogEvent.WEIGHTS_LOADED, "version=" + version + ages());
             return;
         }
         if (!report.busy()) {
@@ -112,7 +113,7 @@
 
     private void sendOrder(LoadOrder order, OrderService.Runners runners) {
         callInFlight = true;
-        log(LogEvent.ORDER_GIVEN, order.toString());
+        log(LogEvent.ORDER_GIVEN, order + ages());
         runners.load(runner, order)
                 .whenComplete(
                         (outcome, failure) -> {
@@ -125,6 +126,14 @@
                         });
     }
 
+    /** Returns the times since this VM chose the runner and since the weights were published. */
+    private String ages() {
+        long nowNanos = System.nanoTime();
+        long publishedMillis =
+                (nowNanos - target.namedNanos().get(target.version())) / NANOS_PER_MILLI;
+        return " orderMillis=" + ageMillis(nowNanos) + " publishedMillis=" + publishedMillis;
+    }
+
     private void log(LogEvent event, String detail) {
         EventLog.info(event, "runner=" + runner.id() + " " + detail);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.function.Predicate;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.core.placement.CacheEstimate;
@@ -69,21 +68,22 @@
     private final CacheEstimate cacheEstimate =
             new CacheEstimate(PREFIXES_PER_RUNNER, CACHE_ENTRY_LIFETIME_NANOS, System.nanoTime());
     private final PrefixReads prefixReads = new PrefixReads();
-    private Map<String, WeightsTarget> weightsTargets = Map.of();
+    private final WeightsAges weightsAges;
 
     /**
      * @param weightsNanos how long after a version is published requests may begin on older weights
      */
-    EndpointChoice(EndpointTable endpoints, String availabilityZone, long weightsNanos) {
+    EndpointChoice(
+            EndpointTable endpoints,
+            String availabilityZone,
+            WeightsAges weightsAges,
+            long weightsNanos) {
         this.endpoints = endpoints;
         this.availabilityZone = availabilityZone;
+        this.weightsAges = weightsAges;
         this.olderWeightsLimitNanos = weightsNanos - OLDER_WEIGHTS_MARGIN_NANOS;
     }
 
-    void update(Map<String, WeightsTarget> targets) {
-        weightsTargets = targets;
-    }
-
     /** Returns the endpoint for a request without a prompt; empty if none is available. */
     public Optional<EndpointState> leastLoadedEndpoint(
             String pool, Predicate<String> allowed, long nowNanos) {
@@ -228,11 +228,6 @@
         return prefixReads.readsToReport(nowNanos);
     }
 
-    /** Returns the published target versions of a model's weights. */
-    public Optional<WeightsTarget> weightsTarget(String model) {
-        return Optional.ofNullable(weightsTargets.get(model));
-    }
-
     private static List<EndpointState> preferred(List<EndpointState> usable, long nowNanos) {
         List<EndpointState> accepting =
                 usable.stream().filter(state -> !state.isExpectedToReject(nowNanos)).toList();
@@ -250,11 +245,7 @@
 
     /** Returns how long the runner's weights have been outdated; 0 if they are the newest. */
     private long weightsBehindNanos(EndpointState state, String model, long nowNanos) {
-        OptionalLong behindSince =
-                weightsTarget(model)
-                        .map(target -> target.behindSinceNanos(state.weights(model)))
-                        .orElseGet(OptionalLong::empty);
-        return behindSince.isPresent() ? nowNanos - behindSince.getAsLong() : 0;
+        return weightsAges.replacedNanos(model, state.weights(model), nowNanos).orElse(0);
     }
 
     private RunnerLoad load(EndpointState state, String model, long nowNanos) {
@@ -291,6 +282,7 @@
                 best.incarnation(),
                 chain,
                 state.weights(prompt.model()),
+                weightsAges.replacedNanos(prompt.model(), state.weights(prompt.model()), nowNanos),
                 missing,
                 sharedCached,
                 best.queuedTokens() - olderWeightsPenaltyTokens(state, prompt.model(), nowNanos),
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -33,6 +33,7 @@
     private final FleetBounds bounds;
     private final EndpointTable endpoints;
     private final TeamRates rates;
+    private final WeightsAges weightsAges;
     private final EndpointChoice choice;
     private final RolloutTable rollouts;
     private final StreamOriginDirectory origins;
@@ -51,9 +52,9 @@
         this.rates = new TeamRates(fleetStarts);
         this.origins = new StreamOriginDirectory(traffic);
         this.rollouts = new RolloutTable(bounds.exposureShare());
-        this.choice =
-                new EndpointChoice(
-                        endpoints, availabilityZone, bounds.weightsMillis() * NANOS_PER_MILLI);
+        long weightsNanos = bounds.weightsMillis() * NANOS_PER_MILLI;
+        this.weightsAges = new WeightsAges(weightsNanos);
+        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges, weightsNanos);
     }
 
     /** Applies an update from the control thread. */
@@ -66,7 +67,7 @@
                 update.endpoints().values(),
                 update.listCurrent(),
                 configuration.map(RoutingConfiguration::resumableRoutes).orElse(List.of()));
-        choice.update(update.weights());
+        weightsAges.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
         shifting.forEach(this::drainCurrentVersion);
@@ -93,6 +94,10 @@
         return choice;
     }
 
+    public WeightsAges weightsAges() {
+        return weightsAges;
+    }
+
     public RolloutTable rollouts() {
         return rollouts;
     }
