Order runners to load weights evenly over two thirds of the bound

Cause: the number of orders at once follows the load alone, and each order takes as long as the runner's streams.

Change: if orders at an even rate would be late for some runner, more are given at once. RolloutPlanTest has the case: without the change the last runner is never ordered within the limit.

--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
@@ -50,6 +51,12 @@
     /** Age of the last renewal from which the lease is renewed: half of its validity. */
     private static final long RENEW_MILLIS = OrderLease.VALID_MILLIS / 2;
 
+    /**
+     * Part of the bound on replaced weights within which all runners are ordered, in percent. The
+     * rest is for orders that fail and are given again.
+     */
+    private static final long ORDERED_WITHIN_PERCENT = 67;
+
     /** Time for which a VM waits for each VM that precedes it in the order of acquisition. */
     private static final long WAIT_PER_RANK_MILLIS = 300;
 
@@ -355,11 +362,16 @@
                     new RolloutTarget(
                             entry.id(),
                             entry.weights().get(rollout.target.model()),
+                            behindMillis(entry, rollout.target),
                             load.getOrDefault(entry.id(), 0),
                             load.containsKey(entry.id()),
                             orders.containsKey(entry.id())));
         }
-        List<RolloutTarget> next = RolloutPlan.next(targets, rollout.target.version());
+        List<RolloutTarget> next =
+                RolloutPlan.next(
+                        targets,
+                        rollout.target.version(),
+                        settings.bounds().weightsMillis() * ORDERED_WITHIN_PERCENT / 100);
         for (RolloutTarget target : next) {
             EndpointEntry runner = state.endpoints().get(target.endpoint());
             orders.put(target.endpoint(), new RunnerOrder(runner, rollout.target));
@@ -369,6 +381,12 @@
         }
     }
 
+    private static long behindMillis(EndpointEntry entry, WeightsTarget target) {
+        OptionalLong since =
+                target.behindSinceNanos(entry.weights().getOrDefault(target.model(), 0L));
+        return since.isPresent() ? (System.nanoTime() - since.getAsLong()) / NANOS_PER_MILLI : 0;
+    }
+
     /** Returns the order to send; empty if the lease has expired in the meantime. */
     private Optional<LoadOrder> loadOrder(WeightsTarget target, long expectedSequence) {
         boolean valid = holdsLease() && OrderLease.mayOrder(renewalSentNanos, System.nanoTime());
