Withdraw requests that wait where they may no longer begin

Cause: the age of the weights was checked when a runner was chosen, against the bound less an assumed wait of 1.5 s, and nothing knew the bound after that. Class: a limit in time is checked once, at a decision, and enforced nowhere on the way to the effect.

Change: the latest time at which a request may begin holds until it begins. A runner is chosen only if the prompt is expected to begin in time, by twice the estimated wait and 0.8 s at least; the age is checked again before the request is written; and the requests that still wait at a runner 0.2 s before the bound are withdrawn (their connections are closed) and sent elsewhere if their route allows it, else failed. A stream that moves stays where it is. The timer is one for each VM, set again with each update, since ages and weights change.

Ruled out: a larger margin at the choice; the wait is not known then.

--- a/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -14,15 +14,17 @@
  * #end}, and at no other one. Confined to the traffic thread.
  */
 final class CurrentAttempt {
-    private final EndpointState.DrainListener owner;
+    private final EndpointState.RequestListener owner;
     private Optional<EndpointState> endpoint = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
     private PrefillProgress prefill;
     private long sentNanos;
     private boolean accepted;
+    private boolean written;
+    private boolean begun;
 
     CurrentAttempt(
-            TrafficState state, AdmittedRequest admitted, EndpointState.DrainListener owner) {
+            TrafficState state, AdmittedRequest admitted, EndpointState.RequestListener owner) {
         this.owner = owner;
         this.prefill = new PrefillProgress(state, admitted);
     }
@@ -58,6 +60,21 @@
         accepted = true;
     }
 
+    /** Returns whether the request was written and its response has not begun. */
+    boolean isWaiting() {
+        return endpoint.isPresent() && written && !begun;
+    }
+
+    /** Records that the request was written to the endpoint's connection. */
+    void recordWritten() {
+        written = true;
+    }
+
+    /** Records that bytes of the response body have arrived. */
+    void recordData() {
+        begun = true;
+    }
+
     /**
      * Begins an attempt.
      *
@@ -68,6 +85,8 @@
         chosen.begin(owner, nowNanos);
         sentNanos = nowNanos;
         accepted = false;
+        written = false;
+        begun = false;
         prefill.begin(runner, nowNanos);
     }
 
@@ -82,6 +101,8 @@
         prefill = move.prefill();
         sentNanos = move.startNanos();
         accepted = false;
+        written = true;
+        begun = false;
     }
 
     void cancelCall() {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -37,10 +37,12 @@
  * as not executed, is sent again only if its route allows retries. A response states that the
  * request has not run only if that holds for all attempts. Confined to the traffic thread.
  */
-final class Exchange implements ResponseListener, CallerListener, EndpointState.DrainListener {
+final class Exchange implements ResponseListener, CallerListener, EndpointState.RequestListener {
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
+    private static final String WEIGHTS_EXPIRED =
+            "no request may begin on the endpoint's weights any more";
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
@@ -157,15 +159,32 @@
             abandon(DEADLINE_PASSED);
             return false;
         }
-        if (!attempt.currentEndpoint().isAvailable(nowNanos)) {
+        Optional<String> obstacle = obstacle(attempt.currentEndpoint(), nowNanos);
+        if (obstacle.isPresent()) {
             selection.refund(nowNanos);
-            leaveUnsent(attempt.end(), "endpoint accepts no more requests");
+            leaveUnsent(attempt.end(), obstacle.get());
             return false;
         }
         builder.remainingMillis(nowNanos).ifPresent(millis -> wire.setDeadline(headers, millis));
         return true;
     }
 
+    /** Returns why the request may not be sent to an endpoint that was chosen before. */
+    Optional<String> obstacle(EndpointState endpoint, long nowNanos) {
+        if (!endpoint.isAvailable(nowNanos)) {
+            return Optional.of("endpoint accepts no more requests");
+        }
+        return mayWaitAt(endpoint, nowNanos) ? Optional.empty() : Optional.of(WEIGHTS_EXPIRED);
+    }
+
+    /** Returns whether the request may begin on the weights of an endpoint. */
+    boolean mayWaitAt(EndpointState endpoint, long nowNanos) {
+        return admitted.head()
+                .prompt()
+                .map(prompt -> state.weightsAges().mayWait(endpoint, prompt.model(), nowNanos))
+                .orElse(true);
+    }
+
     @Override
     public void onUnreachable(String cause) {
         selection.refund(System.nanoTime());
@@ -187,6 +206,7 @@
     @Override
     public void onSent(ConnectionUse use) {
         recordWritten(use);
+        attempt.recordWritten();
         attempts.recordSent(attempt.currentEndpoint());
     }
 
@@ -297,6 +317,7 @@
     public void onData(ByteBuf data) {
         long nowNanos = System.nanoTime();
         attempt.endpoint().ifPresent(responding -> responding.recordActivity(nowNanos));
+        attempt.recordData();
         begin.recordData(attempt.prefill().runner(), nowNanos);
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
         attempt.prefill().recordData(wholePrompt, builder.isSaving(), nowNanos);
@@ -345,19 +366,37 @@
         }
         EndpointState broken = attempt.end();
         broken.recordFailure(System.nanoTime());
+        continueElsewhere(broken, cause);
+    }
+
+    /** Continues a request elsewhere that may have run at the endpoint that it has left. */
+    private void continueElsewhere(EndpointState left, String cause) {
         if (relay.hasBegun()) {
             resumer.resumeOrBreakOff(cause);
             return;
         }
         relay.reset();
         if (attempts.isRetryable()) {
-            log.moved(broken, attempts.sends(), cause);
+            log.moved(left, attempts.sends(), cause);
             retry(cause);
             return;
         }
         outcome.fail(BAD_GATEWAY, cause);
     }
 
+    /** Withdraws the request if it waits at an endpoint on whose weights it may not begin. */
+    @Override
+    public void onWeightsExpired() {
+        long nowNanos = System.nanoTime();
+        mover.stayIfWeightsExpired(nowNanos);
+        if (!attempt.isWaiting() || mayWaitAt(attempt.currentEndpoint(), nowNanos)) {
+            return;
+        }
+        attempt.cancelCall();
+        metrics.count("requests_withdrawn_from_replaced_weights");
+        continueElsewhere(attempt.end(), WEIGHTS_EXPIRED);
+    }
+
     /** Closes the caller's connection within its response. */
     void breakOff(String cause) {
         outcome.breakOff(cause);
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -85,9 +85,11 @@
             stay("the caller's deadline has passed");
             return false;
         }
-        if (move.filter(current -> current.target().isAvailable(nowNanos)).isEmpty()) {
+        Optional<String> obstacle =
+                move.flatMap(current -> exchange.obstacle(current.target(), nowNanos));
+        if (obstacle.isPresent()) {
             selection.refund(nowNanos);
-            stay("endpoint accepts no more requests");
+            stay(obstacle.get());
             return false;
         }
         builder.remainingMillis(nowNanos).ifPresent(millis -> wire.setDeadline(headers, millis));
@@ -134,6 +136,15 @@
         exchange.takeOver(accepted);
     }
 
+    /**
+     * Stays at the current endpoint if the stream may not begin on the weights of the other one.
+     */
+    void stayIfWeightsExpired(long nowNanos) {
+        if (move.filter(current -> !exchange.mayWaitAt(current.target(), nowNanos)).isPresent()) {
+            stay("weights of the other endpoint have expired");
+        }
+    }
+
     /** Stays at the current endpoint if its events have been held back for too long. */
     void stayIfOverdue(long nowNanos) {
         boolean overdue = move.filter(current -> current.isOverdue(nowNanos)).isPresent();
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -27,9 +27,9 @@
  * sent to each runner. Runners that are expected to reject requests, and suspect ones, are excluded
  * while there are others. Endpoints that leave or have asked for a backoff are always excluded.
  *
- * <p>Invariant: no prompt is sent to a runner whose weights have been outdated for longer than the
- * configured bound, less a margin for the time that the request waits there. Before that bound,
- * outdated weights only add a penalty to the cost of the runner. Confined to the traffic thread.
+ * <p>Invariant: no prompt is sent to a runner with outdated weights at which it is not expected to
+ * begin within the bound on them. Before that, outdated weights only add a penalty to the cost of
+ * the runner. Confined to the traffic thread.
  */
 public final class EndpointChoice {
     /** Bounds the memory that this VM uses; it says nothing about the runner's cache size. */
@@ -53,8 +53,11 @@
      */
     private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
 
-    /** A request that is queued at a runner begins up to this long after it was sent. */
-    private static final long OLDER_WEIGHTS_MARGIN_NANOS = 1_500_000_000L;
+    /** Least time that a prompt is reckoned to wait at a runner with outdated weights. */
+    private static final double MINIMUM_WAIT_NANOS = 800_000_000;
+
+    /** Runners of one pool differ in speed; a prompt may wait this many times as estimated. */
+    private static final double WAIT_ESTIMATE_MULTIPLE = 2;
 
     /** Penalty for outdated weights, as a queue delay. */
     private static final double OLDER_WEIGHTS_PENALTY_NANOS = 400_000_000;
@@ -64,24 +67,15 @@
 
     private final EndpointTable endpoints;
     private final String availabilityZone;
-    private final long olderWeightsLimitNanos;
     private final CacheEstimate cacheEstimate =
             new CacheEstimate(PREFIXES_PER_RUNNER, CACHE_ENTRY_LIFETIME_NANOS, System.nanoTime());
     private final PrefixReads prefixReads = new PrefixReads();
     private final WeightsAges weightsAges;
 
-    /**
-     * @param weightsNanos how long after a version is published requests may begin on older weights
-     */
-    EndpointChoice(
-            EndpointTable endpoints,
-            String availabilityZone,
-            WeightsAges weightsAges,
-            long weightsNanos) {
+    EndpointChoice(EndpointTable endpoints, String availabilityZone, WeightsAges weightsAges) {
         this.endpoints = endpoints;
         this.availabilityZone = availabilityZone;
         this.weightsAges = weightsAges;
-        this.olderWeightsLimitNanos = weightsNanos - OLDER_WEIGHTS_MARGIN_NANOS;
     }
 
     /** Returns the endpoint for a request without a prompt; empty if none is available. */
@@ -122,7 +116,7 @@
         List<EndpointState> usable =
                 endpoints.available(pool, nowNanos).stream()
                         .filter(state -> allowed.test(state.entry().id()))
-                        .filter(state -> isWeightsAgeAllowed(state, prompt.model(), nowNanos))
+                        .filter(state -> isBeginExpectedInTime(state, prompt, nowNanos))
                         .toList();
         usable = preferred(usable, nowNanos);
         int considered = usable.size();
@@ -239,8 +233,15 @@
         return accepting.isEmpty() ? usable : accepting;
     }
 
-    private boolean isWeightsAgeAllowed(EndpointState state, String model, long nowNanos) {
-        return weightsBehindNanos(state, model, nowNanos) < olderWeightsLimitNanos;
+    /** Returns whether the prompt will begin while requests may begin on the runner's weights. */
+    private boolean isBeginExpectedInTime(EndpointState state, PromptSpec prompt, long nowNanos) {
+        double tokens =
+                state.load().ownTokens()
+                        + state.peerUsage().queuedPrefillTokens()
+                        + prompt.inputTokens();
+        double waitNanos = WAIT_ESTIMATE_MULTIPLE * tokens * state.prefillRate().nanosPerToken();
+        return weightsAges.mayWait(
+                state, prompt.model(), Math.max(MINIMUM_WAIT_NANOS, waitNanos), nowNanos);
     }
 
     /** Returns how long the runner's weights have been outdated; 0 if they are the newest. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -58,7 +58,7 @@
     private boolean loadOrdered;
     private int consecutiveFailures;
     private long suspectUntilNanos = Long.MIN_VALUE;
-    private final Set<DrainListener> ownRequests = new HashSet<>();
+    private final Set<RequestListener> ownRequests = new HashSet<>();
     private long weightsUnknownUntilNanos = Long.MIN_VALUE;
 
     EndpointState(EndpointEntry entry, EndpointConnections connections, PrefillRate prefillRate) {
@@ -107,7 +107,12 @@
 
     /** Notifies this VM's requests in flight that the endpoint is to be drained. */
     void drain() {
-        Set.copyOf(ownRequests).forEach(DrainListener::onDrain);
+        Set.copyOf(ownRequests).forEach(RequestListener::onDrain);
+    }
+
+    /** Notifies this VM's requests in flight that none may begin on the endpoint's weights. */
+    void expireWeights() {
+        Set.copyOf(ownRequests).forEach(RequestListener::onWeightsExpired);
     }
 
     PeerEndpointUsage peerUsage() {
@@ -137,7 +142,7 @@
     }
 
     /** Records that this VM sends a request to the endpoint. */
-    public void begin(DrainListener request, long nowNanos) {
+    public void begin(RequestListener request, long nowNanos) {
         if (ownRequests.isEmpty()) {
             silence.recordActivity(nowNanos);
         }
@@ -145,11 +150,14 @@
     }
 
     /** A request in flight at an endpoint. */
-    public interface DrainListener {
+    public interface RequestListener {
         /**
          * Called when the endpoint is to load weights or be replaced once its requests have ended.
          */
         void onDrain();
+
+        /** Called when no request may begin on the endpoint's weights any more; may be repeated. */
+        void onWeightsExpired();
     }
 
     /** Records that bytes of a response have arrived. */
@@ -181,7 +189,7 @@
     }
 
     /** Records that a request of this VM has left the endpoint. */
-    public void end(DrainListener request) {
+    public void end(RequestListener request) {
         ownRequests.remove(request);
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -179,4 +179,15 @@
     public Collection<EndpointState> all() {
         return states.values();
     }
+
+    /** Returns the endpoints, and those that were removed while requests were in flight there. */
+    Collection<EndpointState> allAndRemoved() {
+        List<EndpointState> all = new ArrayList<>(states.values());
+        for (EndpointState state : removed.all()) {
+            if (state.ownRequests() > 0) {
+                all.add(state);
+            }
+        }
+        return all;
+    }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.traffic;
 
+import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.Optional;
 import org.bronzelug.core.routing.EndpointEntry;
@@ -33,6 +34,10 @@
         }
     }
 
+    Collection<EndpointState> all() {
+        return states.values();
+    }
+
     /** Removes and returns the state of the entry's start of the endpoint, if it is still held. */
     Optional<EndpointState> take(EndpointEntry entry) {
         return Optional.ofNullable(states.remove(Start.of(entry)));
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -34,6 +34,7 @@
     private final EndpointTable endpoints;
     private final TeamRates rates;
     private final WeightsAges weightsAges;
+    private final WeightsExpiry weightsExpiry;
     private final EndpointChoice choice;
     private final RolloutTable rollouts;
     private final StreamOriginDirectory origins;
@@ -54,7 +55,8 @@
         this.rollouts = new RolloutTable(bounds.exposureShare());
         long weightsNanos = bounds.weightsMillis() * NANOS_PER_MILLI;
         this.weightsAges = new WeightsAges(weightsNanos);
-        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges, weightsNanos);
+        this.weightsExpiry = new WeightsExpiry(traffic, endpoints, weightsAges);
+        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges);
     }
 
     /** Applies an update from the control thread. */
@@ -71,6 +73,7 @@
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
         shifting.forEach(this::drainCurrentVersion);
+        weightsExpiry.update();
     }
 
     /** Asks the requests at a pool's current version to move to the target version. */
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
@@ -9,6 +9,12 @@
  * begin on them. Confined to the traffic thread.
  */
 public final class WeightsAges {
+    /**
+     * How long before the bound requests that wait at an endpoint are withdrawn: the time until the
+     * endpoint has noticed it.
+     */
+    private static final long WITHDRAWAL_NANOS = 200_000_000L;
+
     private final long boundNanos;
     private Map<String, WeightsTarget> targets = Map.of();
 
@@ -47,6 +53,39 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns the time for which requests may still wait at an endpoint to begin on its weights;
+     * empty if all its weights are the newest known ones.
+     */
+    OptionalLong remainingNanos(EndpointState endpoint, long nowNanos) {
+        OptionalLong shortest = OptionalLong.empty();
+        for (String model : endpoint.entry().weights().keySet()) {
+            OptionalLong remaining = remainingNanos(endpoint, model, nowNanos);
+            if (remaining.isPresent() && remaining.getAsLong() < shortest.orElse(Long.MAX_VALUE)) {
+                shortest = remaining;
+            }
+        }
+        return shortest;
+    }
+
+    private OptionalLong remainingNanos(EndpointState endpoint, String model, long nowNanos) {
+        OptionalLong latest = latestBeginNanos(model, endpoint.weights(model));
+        return latest.isPresent()
+                ? OptionalLong.of(latest.getAsLong() - WITHDRAWAL_NANOS - nowNanos)
+                : OptionalLong.empty();
+    }
+
+    /** Returns whether a request for a model that has not begun may wait at an endpoint. */
+    public boolean mayWait(EndpointState endpoint, String model, long nowNanos) {
+        return mayWait(endpoint, model, 0, nowNanos);
+    }
+
+    /** Returns whether a request for a model may wait at an endpoint for some time from now on. */
+    boolean mayWait(EndpointState endpoint, String model, double waitNanos, long nowNanos) {
+        OptionalLong remaining = remainingNanos(endpoint, model, nowNanos);
+        return remaining.isEmpty() || remaining.getAsLong() > waitNanos;
+    }
+
     private OptionalLong replacedSinceNanos(String model, long version) {
         return target(model)
                 .map(target -> target.behindSinceNanos(version))
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -68,7 +68,7 @@
     void anEndpointThatIsSilentWithRequestsInFlightIsSuspect(
             String name, boolean sent, long activityMillis, long nowMillis, boolean suspect) {
         if (sent) {
-            state.begin(() -> {}, 0);
+            state.begin(drainable(() -> {}), 0);
         }
         if (activityMillis >= 0) {
             state.recordActivity(activityMillis * MILLI);
@@ -83,7 +83,7 @@
     @ParameterizedTest
     @CsvSource({"40000, 1900, false", "40000, 2100, true", "1000, 1000, true"})
     void aRunnerMayBeSilentWhileItPrefillsALongPrompt(int tokens, long nowMillis, boolean suspect) {
-        state.begin(() -> {}, 0);
+        state.begin(drainable(() -> {}), 0);
         state.load().recordSent(tokens);
         assertThat(state.isSuspect(nowMillis * MILLI)).isEqualTo(suspect);
     }
@@ -229,10 +229,24 @@
     @Test
     void requestsInFlightAreNotifiedOnceWhenLoadingIsOrdered() {
         List<String> notified = new ArrayList<>();
-        state.begin(() -> notified.add("r1"), 0);
+        state.begin(drainable(() -> notified.add("r1")), 0);
         assertThat(state.update(entry(1), PeerEndpointUsage.NONE, true)).isTrue();
         state.drain();
         assertThat(state.update(entry(1), PeerEndpointUsage.NONE, true)).isFalse();
         assertThat(notified).containsExactly("r1");
     }
+
+    private static EndpointState.RequestListener drainable(Runnable onDrain) {
+        return new EndpointState.RequestListener() {
+            @Override
+            public void onDrain() {
+                onDrain.run();
+            }
+
+            @Override
+            public void onWeightsExpired() {
+                throw new AssertionError("the endpoint has no weights");
+            }
+        };
+    }
 }
