Check the weights of runners also for requests without a described prompt

Callers whose requests lack Model or Token-Count got responses from weights of any age: such a request goes to the least loaded endpoint, which knew no weights, and carries no expected version.

Cause: the age was checked in the choice for prompts only, a way around the check. Change: the least loaded endpoint is chosen among those on which a request may begin on any of the weights, as its model is not known; the checks before the write and while it waits apply likewise. Endpoints without weights are not affected.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -179,10 +179,8 @@
 
     /** Returns whether the request may begin on the weights of an endpoint. */
     boolean mayWaitAt(EndpointState endpoint, long nowNanos) {
-        return admitted.head()
-                .prompt()
-                .map(prompt -> state.weightsAges().mayWait(endpoint, prompt.model(), nowNanos))
-                .orElse(true);
+        Optional<String> model = admitted.head().prompt().map(PromptSpec::model);
+        return state.weightsAges().mayWait(endpoint, model, nowNanos);
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -83,7 +83,9 @@
             String pool, Predicate<String> allowed, long nowNanos) {
         Map<String, EndpointState> usable = new HashMap<>();
         for (EndpointState state : endpoints.available(pool, nowNanos)) {
-            if (allowed.test(state.entry().id())) {
+            boolean begins =
+                    weightsAges.mayWait(state, Optional.empty(), MINIMUM_WAIT_NANOS, nowNanos);
+            if (begins && allowed.test(state.entry().id())) {
                 usable.put(state.entry().id(), state);
             }
         }
@@ -241,7 +243,10 @@
                         + prompt.inputTokens();
         double waitNanos = WAIT_ESTIMATE_MULTIPLE * tokens * state.prefillRate().nanosPerToken();
         return weightsAges.mayWait(
-                state, prompt.model(), Math.max(MINIMUM_WAIT_NANOS, waitNanos), nowNanos);
+                state,
+                Optional.of(prompt.model()),
+                Math.max(MINIMUM_WAIT_NANOS, waitNanos),
+                nowNanos);
     }
 
     /** Returns how long the runner's weights have been outdated; 0 if they are the newest. */
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
@@ -75,14 +75,21 @@
                 : OptionalLong.empty();
     }
 
-    /** Returns whether a request for a model that has not begun may wait at an endpoint. */
-    public boolean mayWait(EndpointState endpoint, String model, long nowNanos) {
+    /**
+     * Returns whether a request that has not begun may wait at an endpoint.
+     *
+     * @param model the request's model; empty if it is not known, so that any may be meant
+     */
+    public boolean mayWait(EndpointState endpoint, Optional<String> model, long nowNanos) {
         return mayWait(endpoint, model, 0, nowNanos);
     }
 
-    /** Returns whether a request for a model may wait at an endpoint for some time from now on. */
-    boolean mayWait(EndpointState endpoint, String model, double waitNanos, long nowNanos) {
-        OptionalLong remaining = remainingNanos(endpoint, model, nowNanos);
+    /** Returns whether a request may wait at an endpoint for some time from now on. */
+    boolean mayWait(
+            EndpointState endpoint, Optional<String> model, double waitNanos, long nowNanos) {
+        OptionalLong remaining =
+                model.map(name -> remainingNanos(endpoint, name, nowNanos))
+                        .orElseGet(() -> remainingNanos(endpoint, nowNanos));
         return remaining.isEmpty() || remaining.getAsLong() > waitNanos;
     }
 
