Count the age of published weights from the VM that learned of them first

A VM that is suspended, or whose watch is lost, when weights are published counts their age from the moment it learns of them; the clock that it counts by may stand still as well. For as much longer it lets requests begin on the older weights. In the record one VM's watches were unanswered for 1.2 and 13.3 s.

Class: an age is taken for the time since this process knew. Change: state updates carry the versions published in the last 30 s with their ages, and a VM takes the longest age that any VM knows, also of a version that it has not seen itself, or that was replaced before it looked.

Ruled out: the last moment at which this VM knew of no newer version as a bound; a watch may wait for 15 s without news, and requests would be rejected for it.

Open: a VM that is suspended and hears no peer.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
 import org.bronzelug.api.fleet.v1.KindRevision;
+import org.bronzelug.api.fleet.v1.PublishedWeights;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.core.membership.CallerSteering;
@@ -50,6 +51,9 @@
     /** Rounds between two lists of the registered VMs while no peer is reachable. */
     private static final int LIST_INTERVAL_ROUNDS = 10;
 
+    /** Versions of weights that are older than any bound on them are not reported to peers. */
+    private static final long REPORTED_WEIGHTS_NANOS = TimeUnit.SECONDS.toNanos(30);
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private final EventLoop control;
@@ -394,7 +398,8 @@
                         .addAllEndpoints(report.endpoints())
                         .addAllReads(report.reads())
                         .addAllLimits(report.limits())
-                        .addAllRollouts(report.rollouts());
+                        .addAllRollouts(report.rollouts())
+                        .addAllPublishedWeights(state.publishedWithin(REPORTED_WEIGHTS_NANOS));
         for (String kind : state.kinds()) {
             builder.addRevisions(
                     KindRevision.newBuilder()
@@ -443,6 +448,13 @@
             return;
         }
         peer.getWeightsList().forEach(this::recordObservedWeights);
+        for (PublishedWeights published : peer.getPublishedWeightsList()) {
+            state.recordPeerAge(
+                    peer.getVm(),
+                    published.getModel(),
+                    published.getVersion(),
+                    nowNanos - TimeUnit.MILLISECONDS.toNanos(published.getAgeMillis()));
+        }
         boolean restarted = !knownIncarnation.equals(Optional.of(peer.getIncarnation()));
         if (restarted && isServing()) {
             // Notifies the restarted VM at once that it can read the configuration from this VM.
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.bronzelug.api.fleet.v1.PublishedWeights;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.log.EventLog;
@@ -24,6 +25,11 @@
     /** The kind that holds the order lease, i.e. the right to give orders to runners. */
     public static final String LEASE_KIND = "order-leases";
 
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    /** Difference between a peer's age of a version and this VM's that is not worth a change. */
+    private static final long LEAST_CORRECTION_NANOS = 20_000_000L;
+
     private final ObjectDecoder decoder;
     private final long initialWeightsAgeNanos;
     private final Map<String, ObjectMirror> mirrors = new HashMap<>();
@@ -167,15 +173,67 @@
         if (known != null && known.version() >= published.version()) {
             return;
         }
-        long nowNanos = System.nanoTime();
-        WeightsTarget target =
+        long publishedNanos = System.nanoTime() - (known == null ? ageNanos : 0);
+        setTarget(published.model(), published.version(), publishedNanos, "platform");
+    }
+
+    /**
+     * Records for how long a peer has known a published version.
+     *
+     * <p>Without this, a VM that was suspended, or whose watch was lost, when a version was
+     * published lets requests begin on older weights for as much longer.
+     *
+     * @param publishedNanos the latest time at which it may have been published, by this VM's
+     *     monotonic clock
+     */
+    void recordPeerAge(String peer, String model, long version, long publishedNanos) {
+        Optional<WeightsTarget> known = Optional.ofNullable(weights.get(model));
+        Optional<Long> knownNanos = known.map(target -> target.namedNanos().get(version));
+        boolean earlier =
+                knownNanos
+                        .filter(nanos -> nanos - publishedNanos > LEAST_CORRECTION_NANOS)
+                        .isPresent();
+        if (knownNanos.isEmpty() || earlier) {
+            setTarget(model, version, publishedNanos, peer);
+        }
+    }
+
+    private void setTarget(String model, long version, long publishedNanos, String source) {
+        WeightsTarget known = weights.get(model);
+        weights.put(
+                model,
                 known == null
-                        ? WeightsTarget.first(
-                                published.model(), published.version(), nowNanos - ageNanos)
-                        : known.with(published.version(), nowNanos);
-        weights.put(published.model(), target);
+                        ? WeightsTarget.first(model, version, publishedNanos)
+                        : known.with(version, publishedNanos));
+        long ageMillis = (System.nanoTime() - publishedNanos) / NANOS_PER_MILLI;
         EventLog.info(
                 LogEvent.WEIGHTS_NAMED,
-                "model=" + published.model() + " version=" + published.version());
+                "model="
+                        + model
+                        + (" version=" + version)
+                        + (" ageMillis=" + ageMillis)
+                        + (" source=" + source));
+    }
+
+    /** Returns the published versions, with their ages, that are younger than a time. */
+    List<PublishedWeights> publishedWithin(long nanos) {
+        long nowNanos = System.nanoTime();
+        List<PublishedWeights> published = new ArrayList<>();
+        for (WeightsTarget target : weights.values()) {
+            target.namedNanos()
+                    .forEach(
+                            (version, publishedNanos) -> {
+                                long ageNanos = nowNanos - publishedNanos;
+                                if (ageNanos < nanos) {
+                                    published.add(
+                                            PublishedWeights.newBuilder()
+                                                    .setModel(target.model())
+                                                    .setVersion(version)
+                                                    .setAgeMillis(ageNanos / NANOS_PER_MILLI)
+                                                    .build());
+                                }
+                            });
+        }
+        return published;
     }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
@@ -13,7 +13,8 @@
  * versions behind would stay in use indefinitely.
  *
  * @param model name of the model
- * @param namedNanos when this VM first learned of each version, by its monotonic clock
+ * @param namedNanos the earliest time at which each version is known to have been published, by
+ *     this VM's monotonic clock
  */
 public record WeightsTarget(String model, Map<Long, Long> namedNanos) {
     /** Maximum number of versions that are kept; runners are never that many versions behind. */
@@ -28,10 +29,13 @@
         return new WeightsTarget(model, Map.of(version, seenNanos));
     }
 
-    /** Returns a copy of this target with a newer version added. */
+    /**
+     * Returns a copy of this target with a version added, or with the earlier of two times at which
+     * a version was known.
+     */
     public WeightsTarget with(long version, long seenNanos) {
         TreeMap<Long, Long> versions = new TreeMap<>(namedNanos);
-        versions.put(version, seenNanos);
+        versions.merge(version, seenNanos, Math::min);
         while (versions.size() > MAXIMUM_VERSIONS) {
             versions.pollFirstEntry();
         }
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.router.store.ItemChanges;
@@ -52,4 +53,36 @@
     private static StoredItem weights(long revision) {
         return new StoredItem("m", revision, new byte[0]);
     }
+
+    /**
+     * Guards against requests that begin on replaced weights for longer than allowed: a VM learns
+     * of new weights seconds after they were published, as it was suspended or its watch was lost.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "the peer has known it for longer, 9, 9, 5000, 5000",
+        "the peer learned of it later, 9, 9, -5000, 0",
+        "only the peer knows it, 0, 9, 5000, 5000",
+        "the peer knows an earlier one as well, 9, 8, 5000, 5000"
+    })
+    void theAgeOfAVersionIsTheLongestThatAnyVmKnows(
+            String name, long ownVersion, long peerVersion, long peerMillis, long expectedMillis) {
+        long publishedNanos = System.nanoTime();
+        state.mirror(WEIGHTS).replaceAll(new ItemList(List.of(weights(1)), 1));
+        state.onChange(WEIGHTS);
+        if (ownVersion > 0) {
+            ItemChanges.ItemChange change = new ItemChanges.ItemChange(weights(ownVersion), false);
+            state.mirror(WEIGHTS).apply(new ItemChanges(List.of(change), ownVersion));
+            state.onChange(WEIGHTS);
+        }
+        state.recordPeerAge(
+                "peer",
+                "m",
+                peerVersion,
+                publishedNanos - TimeUnit.MILLISECONDS.toNanos(peerMillis));
+        long since = state.weights().get("m").behindSinceNanos(1).orElseThrow();
+        long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
+        assertThat(ageMillis).isIn(Range.closed(expectedMillis, expectedMillis + 1_000));
+        assertThat(state.weights().get("m").version()).isEqualTo(Math.max(ownVersion, peerVersion));
+    }
 }
