Check the right to give orders once more when the order is written

Same cause as requests on replaced weights, found by looking for it: the lease is checked when the order is made, and the connection for it may take 1.2 s to open, while the lease's reckoning allows 0.4 s in transit. Two VMs' orders could come closer to each other than the lease time.

Change: PooledHttpClient evaluates a condition right before it writes. PooledHttpClientTest has both cases, a new and a kept connection.

--- a/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
+++ b/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
@@ -30,6 +30,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * HTTP client with a connection pool for one address: the platform, the order interface of a
@@ -62,6 +63,22 @@
             Map<String, String> headers,
             byte[] body,
             long timeoutMillis) {
+        return callIf(() -> true, method, path, headers, body, timeoutMillis);
+    }
+
+    /**
+     * Sends a request like {@link #call}, unless it may no longer be sent once a connection stands,
+     * which can take more than a second. In that case the future fails, and nothing was sent.
+     *
+     * @param maySend evaluated on the event loop right before the request is written
+     */
+    public CompletableFuture<HttpClientResponse> callIf(
+            BooleanSupplier maySend,
+            HttpMethod method,
+            String path,
+            Map<String, String> headers,
+            byte[] body,
+            long timeoutMillis) {
         CompletableFuture<HttpClientResponse> response = new CompletableFuture<>();
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
@@ -72,11 +89,12 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         }
-        loop.execute(() -> begin(request, response, timeoutMillis));
+        loop.execute(() -> begin(maySend, request, response, timeoutMillis));
         return response;
     }
 
     private void begin(
+            BooleanSupplier maySend,
             FullHttpRequest request,
             CompletableFuture<HttpClientResponse> response,
             long timeoutMillis) {
@@ -85,7 +103,7 @@
             idleConnection = idle.pollFirst();
         }
         if (idleConnection != null) {
-            idleConnection.send(request, response, timeoutMillis);
+            idleConnection.sendIf(maySend, request, response, timeoutMillis);
             return;
         }
         Connection connection = new Connection();
@@ -108,7 +126,7 @@
                                 return;
                             }
                             connection.channel = connected.channel();
-                            connection.send(request, response, timeoutMillis);
+                            connection.sendIf(maySend, request, response, timeoutMillis);
                         });
     }
 
@@ -129,6 +147,21 @@
         private Optional<CompletableFuture<HttpClientResponse>> pendingResponse = Optional.empty();
         private Optional<ScheduledFuture<?>> timeout = Optional.empty();
 
+        private void sendIf(
+                BooleanSupplier maySend,
+                FullHttpRequest request,
+                CompletableFuture<HttpClientResponse> response,
+                long timeoutMillis) {
+            if (maySend.getAsBoolean()) {
+                send(request, response, timeoutMillis);
+                return;
+            }
+            request.release();
+            idle.addFirst(this);
+            response.completeExceptionally(
+                    new IOException("not sent to " + address + ": may no longer be sent"));
+        }
+
         private void send(
                 FullHttpRequest request,
                 CompletableFuture<HttpClientResponse> response,
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
 import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.core.order.OrderLease;
@@ -109,8 +110,14 @@
         /** Returns a runner's report, which may be some hundred milliseconds old. */
         CompletableFuture<RunnerReport> report(EndpointEntry runner);
 
-        /** Orders a runner to load weights. */
-        CompletableFuture<OrderOutcome> load(EndpointEntry runner, LoadOrder order);
+        /**
+         * Orders a runner to load weights.
+         *
+         * @param mayOrder evaluated right before the order is sent; if it returns false, the order
+         *     is not sent and the future fails
+         */
+        CompletableFuture<OrderOutcome> load(
+                EndpointEntry runner, LoadOrder order, BooleanSupplier mayOrder);
     }
 
     /**
@@ -234,7 +241,7 @@
         if (!holdsLease() || nowNanos - renewalSentNanos > RENEW_MILLIS * NANOS_PER_MILLI) {
             requestLease(nowNanos);
         }
-        if (holdsLease() && OrderLease.mayOrder(renewalSentNanos, nowNanos)) {
+        if (mayOrder()) {
             rollouts.forEach(this::advance);
         }
     }
@@ -262,6 +269,10 @@
                 && lease.filter(held -> held.incarnation().equals(incarnation)).isPresent();
     }
 
+    private boolean mayOrder() {
+        return holdsLease() && OrderLease.mayOrder(renewalSentNanos, System.nanoTime());
+    }
+
     private void requestLease(long nowNanos) {
         if (leaseRequestInFlight || !state.mirror(ControlState.LEASE_KIND).isKnown()) {
             return;
@@ -377,7 +388,7 @@
             orders.put(target.endpoint(), new RunnerOrder(runner, rollout.target));
         }
         for (RunnerOrder order : orders.values()) {
-            order.advance(runners, this::loadOrder, this::recordTargetWeights);
+            order.advance(runners, this::loadOrder, this::mayOrder, this::recordTargetWeights);
         }
     }
 
@@ -389,8 +400,7 @@
 
     /** Returns the order to send; empty if the lease has expired in the meantime. */
     private Optional<LoadOrder> loadOrder(WeightsTarget target, long expectedSequence) {
-        boolean valid = holdsLease() && OrderLease.mayOrder(renewalSentNanos, System.nanoTime());
-        return valid
+        return mayOrder()
                 ? Optional.of(
                         new LoadOrder(
                                 target.model(),
--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
@@ -73,6 +74,7 @@
     void advance(
             OrderService.Runners runners,
             BiFunction<WeightsTarget, Long, Optional<LoadOrder>> orderFor,
+            BooleanSupplier mayOrder,
             WeightsListener weightsListener) {
         long nowNanos = System.nanoTime();
         boolean reportedRecently =
@@ -91,7 +93,7 @@
                                 log(LogEvent.ORDER_FAILED, failure.getMessage());
                                 return;
                             }
-                            onReport(report, runners, orderFor, weightsListener);
+                            onReport(report, runners, orderFor, mayOrder, weightsListener);
                         });
     }
 
@@ -99,6 +101,7 @@
             RunnerReport report,
             OrderService.Runners runners,
             BiFunction<WeightsTarget, Long, Optional<LoadOrder>> orderFor,
+            BooleanSupplier mayOrder,
             WeightsListener weightsListener) {
         log(LogEvent.ORDER_WEIGHED, "target=" + target + " report=" + report);
         boolean restarted =
@@ -117,14 +120,16 @@
         }
         boolean queueMayEnd = report.waiting() > 0 && ageMillis(System.nanoTime()) < QUEUE_MILLIS;
         if (!report.busy() && !queueMayEnd) {
-            orderFor.apply(target, report.sequence()).ifPresent(order -> sendOrder(order, runners));
+            orderFor.apply(target, report.sequence())
+                    .ifPresent(order -> sendOrder(order, runners, mayOrder));
         }
     }
 
-    private void sendOrder(LoadOrder order, OrderService.Runners runners) {
+    private void sendOrder(
+            LoadOrder order, OrderService.Runners runners, BooleanSupplier mayOrder) {
         callInFlight = true;
         log(LogEvent.ORDER_GIVEN, order + ages());
-        runners.load(runner, order)
+        runners.load(runner, order, mayOrder)
                 .whenComplete(
                         (outcome, failure) -> {
                             callInFlight = false;
--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -11,6 +11,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.bronzelug.core.rollout.RolloutOrder;
 import org.bronzelug.core.rollout.RolloutStage;
 import org.bronzelug.core.routing.EndpointEntry;
@@ -130,7 +131,8 @@
         }
 
         @Override
-        public CompletableFuture<OrderOutcome> load(EndpointEntry runner, LoadOrder order) {
+        public CompletableFuture<OrderOutcome> load(
+                EndpointEntry runner, LoadOrder order, BooleanSupplier mayOrder) {
             ordered.add(runner.id());
             return CompletableFuture.completedFuture(OrderOutcome.ACCEPTED);
         }
--- a/router/src/test/java/org/bronzelug/router/http/PooledHttpClientTest.java
+++ b/router/src/test/java/org/bronzelug/router/http/PooledHttpClientTest.java
@@ -58,6 +58,33 @@
         }
     }
 
+    /**
+     * Guards against an order that a VM sends after its right to give orders has expired, while the
+     * connection for it was opened.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void aRequestThatMayNoLongerBeSentIsNotSent(boolean connected) throws Exception {
+        try (SilencedServer server = new SilencedServer(1)) {
+            PooledHttpClient client = new PooledHttpClient(group.next(), server.address());
+            if (connected) {
+                assertThat(call(client).get(10, TimeUnit.SECONDS).status()).isEqualTo(200);
+            }
+            int requestsBefore = server.requestCount();
+            CompletableFuture<HttpClientResponse> response =
+                    client.callIf(
+                            () -> false,
+                            HttpMethod.POST,
+                            "/",
+                            Map.of(),
+                            new byte[0],
+                            TIMEOUT_MILLIS);
+            assertThrows(ExecutionException.class, () -> response.get(10, TimeUnit.SECONDS));
+            TimeUnit.MILLISECONDS.sleep(TIMEOUT_MILLIS);
+            assertThat(server.requestCount()).isEqualTo(requestsBefore);
+        }
+    }
+
     private static CompletableFuture<HttpClientResponse> call(PooledHttpClient client) {
         return client.call(HttpMethod.GET, "/", Map.of(), new byte[0], TIMEOUT_MILLIS);
     }
@@ -77,6 +104,10 @@
             Thread.ofVirtual().start(this::accept);
         }
 
+        private synchronized int requestCount() {
+            return requestCount;
+        }
+
         private InetSocketAddress address() {
             return new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
         }
