Order runners at once that get no requests any more; drop the even spread

Since requests are withdrawn, no spread is needed to keep the bound.

What remains of it: a runner whose weights were replaced so long ago that it gets no requests is ordered whatever the load. That costs no capacity, lets it reject what waits there as not run, before it would be withdrawn, and ends rollouts that would otherwise wait for each other's streams.

--- a/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
+++ b/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
@@ -13,10 +13,8 @@
  * of the runners would wait for their last streams while the other half, with all requests, would
  * become so slow that their streams never end.
  *
- * <p>All runners must have been ordered within a time limit, since a runner without an order begins
- * the requests that wait at it on replaced weights. So the orders are spread over that time at
- * least evenly: if orders at that rate would be late for some runner, more are given at once,
- * whatever the load.
+ * <p>A runner whose weights were replaced too long ago gets no requests. It is ordered whatever the
+ * load, since that costs no capacity, and makes it reject the requests that still wait there.
  *
  * <p>Runners with the oldest weights come first: if versions are published faster than they can be
  * loaded, any other order would leave some runner outdated for good. Among runners with equally old
@@ -39,10 +37,11 @@
     /**
      * Returns the runners to order now.
      *
-     * @param limitMillis how long after weights are replaced a runner must have been ordered
+     * @param usableMillis for how long a runner gets requests after its weights are replaced
      */
     public static List<RolloutTarget> next(
-            Collection<RolloutTarget> targets, long newest, long limitMillis) {
+            Collection<RolloutTarget> targets, long newest, long usableMillis) {
+        long inProgress = targets.stream().filter(RolloutTarget::orderInProgress).count();
         List<RolloutTarget> behind =
                 targets.stream()
                         .filter(target -> !target.orderInProgress() && target.version() < newest)
@@ -51,27 +50,10 @@
                                         .thenComparingInt(RolloutTarget::requests)
                                         .thenComparing(RolloutTarget::endpoint))
                         .toList();
-        long inProgress = targets.stream().filter(RolloutTarget::orderInProgress).count();
+        long unusable =
+                behind.stream().filter(target -> target.behindMillis() >= usableMillis).count();
         long permitted = maximumInProgress(targets) - inProgress;
-        long count = Math.max(permitted, dueOrders(behind, targets.size(), limitMillis));
-        return behind.stream().limit(Math.max(0, count)).toList();
-    }
-
-    /**
-     * Returns how many of the first runners must be ordered now, so that all are ordered in time if
-     * the others follow evenly.
-     *
-     * @param behind runners without an order, those with the oldest weights first
-     * @param runners number of all runners
-     */
-    private static long dueOrders(List<RolloutTarget> behind, int runners, long limitMillis) {
-        long due = 0;
-        for (int index = 0; index < behind.size(); index++) {
-            long remainingMillis = Math.max(0, limitMillis - behind.get(index).behindMillis());
-            long ordersInTime = remainingMillis * runners / limitMillis;
-            due = Math.max(due, index + 1 - ordersInTime);
-        }
-        return due;
+        return behind.stream().limit(Math.max(unusable, Math.max(0, permitted))).toList();
     }
 
     /** Returns how many runners may have an order in progress at once; at least one. */
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -29,6 +29,7 @@
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoredItem;
+import org.bronzelug.router.traffic.WeightsAges;
 import org.bronzelug.router.traffic.WeightsTarget;
 
 /**
@@ -52,12 +53,6 @@
     /** Age of the last renewal from which the lease is renewed: half of its validity. */
     private static final long RENEW_MILLIS = OrderLease.VALID_MILLIS / 2;
 
-    /**
-     * Part of the bound on replaced weights within which all runners are ordered, in percent. The
-     * rest is for orders that fail and are given again.
-     */
-    private static final long ORDERED_WITHIN_PERCENT = 67;
-
     /** Time for which a VM waits for each VM that precedes it in the order of acquisition. */
     private static final long WAIT_PER_RANK_MILLIS = 300;
 
@@ -382,7 +377,7 @@
                 RolloutPlan.next(
                         targets,
                         rollout.target.version(),
-                        settings.bounds().weightsMillis() * ORDERED_WITHIN_PERCENT / 100);
+                        WeightsAges.usableMillis(settings.bounds().weightsMillis()));
         for (RolloutTarget target : next) {
             EndpointEntry runner = state.endpoints().get(target.endpoint());
             orders.put(target.endpoint(), new RunnerOrder(runner, rollout.target));
--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -13,9 +13,6 @@
  * The rollout of one version of weights to one runner: gets the runner's report, sends the order if
  * the runner is behind and idle, and gets the report again until it shows the weights.
  *
- * <p>The order is held back for a bounded time while requests wait at the runner. Without this,
- * they are all rejected at once, and use up the retries of the fleet or go back to their callers.
- *
  * <p>An order whose response was lost may still be carried out seconds later. Each order therefore
  * contains the number of orders that the runner had accepted according to its last report, and the
  * runner rejects an order with another number.
@@ -34,12 +31,6 @@
      */
     private static final long REPORT_INTERVAL_MILLIS = 250;
 
-    /**
-     * How long the order is held back while requests wait at the runner, which would reject them.
-     * Meanwhile the VMs send it no more.
-     */
-    private static final long QUEUE_MILLIS = 1_000;
-
     private final EndpointEntry runner;
     private final WeightsTarget target;
     private final long startNanos = System.nanoTime();
@@ -118,8 +109,7 @@
             log(LogEvent.WEIGHTS_LOADED, "version=" + version + ages());
             return;
         }
-        boolean queueMayEnd = report.waiting() > 0 && ageMillis(System.nanoTime()) < QUEUE_MILLIS;
-        if (!report.busy() && !queueMayEnd) {
+        if (!report.busy()) {
             orderFor.apply(target, report.sequence())
                     .ifPresent(order -> sendOrder(order, runners, mayOrder));
         }
--- a/router/src/main/java/org/bronzelug/router/order/RunnerReport.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerReport.java
@@ -8,16 +8,11 @@
  *
  * @param bornMillis the runner's start time, if it reports one
  * @param busy whether the runner carries out an order
- * @param waiting number of requests that wait at the runner to begin
  * @param sequence number of orders that the runner has accepted since its start
  * @param weights loaded version by model
  */
 public record RunnerReport(
-        OptionalLong bornMillis,
-        boolean busy,
-        int waiting,
-        long sequence,
-        Map<String, Long> weights) {
+        OptionalLong bornMillis, boolean busy, long sequence, Map<String, Long> weights) {
     public RunnerReport {
         weights = Map.copyOf(weights);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -53,9 +53,6 @@
      */
     private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
 
-    /** Least time that a prompt is reckoned to wait at a runner with outdated weights. */
-    private static final double MINIMUM_WAIT_NANOS = 800_000_000;
-
     /** Runners of one pool differ in speed; a prompt may wait this many times as estimated. */
     private static final double WAIT_ESTIMATE_MULTIPLE = 2;
 
@@ -84,7 +81,8 @@
         Map<String, EndpointState> usable = new HashMap<>();
         for (EndpointState state : endpoints.available(pool, nowNanos)) {
             boolean begins =
-                    weightsAges.mayWait(state, Optional.empty(), MINIMUM_WAIT_NANOS, nowNanos);
+                    weightsAges.mayWait(
+                            state, Optional.empty(), WeightsAges.MINIMUM_WAIT_NANOS, nowNanos);
             if (begins && allowed.test(state.entry().id())) {
                 usable.put(state.entry().id(), state);
             }
@@ -245,7 +243,7 @@
         return weightsAges.mayWait(
                 state,
                 Optional.of(prompt.model()),
-                Math.max(MINIMUM_WAIT_NANOS, waitNanos),
+                Math.max(WeightsAges.MINIMUM_WAIT_NANOS, waitNanos),
                 nowNanos);
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
@@ -15,6 +15,11 @@
      */
     private static final long WITHDRAWAL_NANOS = 200_000_000L;
 
+    /** Least time that a request is reckoned to wait at an endpoint until it begins. */
+    static final long MINIMUM_WAIT_NANOS = 800_000_000L;
+
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
     private final long boundNanos;
     private Map<String, WeightsTarget> targets = Map.of();
 
@@ -25,6 +30,15 @@
         this.boundNanos = boundNanos;
     }
 
+    /**
+     * Returns for how long an endpoint gets requests after its weights are replaced.
+     *
+     * @param boundMillis how long requests may begin on the weights
+     */
+    public static long usableMillis(long boundMillis) {
+        return Math.max(0, boundMillis - (WITHDRAWAL_NANOS + MINIMUM_WAIT_NANOS) / NANOS_PER_MILLI);
+    }
+
     void update(Map<String, WeightsTarget> newTargets) {
         targets = newTargets;
     }
