Split the checks before a send, and giving up, off Exchange

No behaviour changes: the checks are EndpointCheck, the ways to give a request up Abandonment. OutdatedWeightsTest and the tests of moves, backoff, leaving and failed responses pass.

--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
@@ -0,0 +1,35 @@
+package org.bronzelug.router.exchange;
+
+import java.util.Optional;
+import org.bronzelug.router.traffic.EndpointState;
+import org.bronzelug.router.traffic.TrafficState;
+
+/**
+ * Checks whether a request may still be sent to, or wait at, the endpoint that was chosen for it:
+ * much can change while a connection is opened. Confined to the traffic thread.
+ */
+final class EndpointCheck {
+    static final String WEIGHTS_EXPIRED = "no request may begin on the endpoint's weights any more";
+
+    private final TrafficState state;
+    private final AdmittedRequest admitted;
+
+    EndpointCheck(TrafficState state, AdmittedRequest admitted) {
+        this.state = state;
+        this.admitted = admitted;
+    }
+
+    /** Returns why the request may not be sent to the endpoint; empty if it may. */
+    Optional<String> obstacle(EndpointState endpoint, long nowNanos) {
+        if (!endpoint.isAvailable(nowNanos)) {
+            return Optional.of("endpoint accepts no more requests");
+        }
+        return mayWaitAt(endpoint, nowNanos) ? Optional.empty() : Optional.of(WEIGHTS_EXPIRED);
+    }
+
+    /** Returns whether the request may begin on the weights of the endpoint. */
+    boolean mayWaitAt(EndpointState endpoint, long nowNanos) {
+        Optional<String> model = admitted.head().prompt().map(PromptSpec::model);
+        return state.weightsAges().mayWait(endpoint, model, nowNanos);
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -41,10 +41,7 @@
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final int MISDIRECTED = 421;
-    private static final String WEIGHTS_EXPIRED =
-            "no request may begin on the endpoint's weights any more";
     private static final String DEADLINE_PASSED = "the caller's deadline has passed";
-    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final EventLoop traffic;
     private final TrafficState state;
@@ -64,6 +61,8 @@
     private final CurrentAttempt attempt;
     private final StreamVersion streamVersion;
     private final ResponseBegin begin;
+    private final EndpointCheck check;
+    private final Abandonment abandonment;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
 
@@ -94,10 +93,14 @@
         this.relay = new ResponseRelay(caller, wire, admitted.route(), this::bindStreamVersion);
         this.resumer =
                 new StreamResumer(this, traffic, relay, attempts, selection, builder, metrics, log);
+        this.check = new EndpointCheck(state, admitted);
+        this.abandonment =
+                new Abandonment(
+                        state, metrics, admitted, selection, attempts, relay, resumer, outcome);
         this.mover =
                 new StreamMover(
                         this, state, wire, request, admitted, selection, attempts, builder, relay,
-                        log);
+                        check, log);
     }
 
     void start() {
@@ -114,18 +117,16 @@
     private void dispatch() {
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
-            abandon(DEADLINE_PASSED);
+            abandonment.because(DEADLINE_PASSED);
             return;
         }
         Optional<EndpointState> chosen = selection.choose(nowNanos);
         if (chosen.isEmpty()) {
-            abandonWithoutEndpoint(nowNanos);
+            abandonment.withoutEndpoint(nowNanos);
             return;
         }
         if (selection.retryAfterMillis().isPresent()) {
-            long queued = Math.round(selection.runner().orElseThrow().queuedTokens());
-            rejectNotRun(
-                    "runners are full, queued=" + queued, selection.retryAfterMillis().getAsLong());
+            abandonment.toOverload();
             return;
         }
         send(chosen.get(), nowNanos);
@@ -144,22 +145,16 @@
         attempt.setCall(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
     }
 
-    private void abandonWithoutEndpoint(long nowNanos) {
-        Unavailability cause = selection.unavailability(nowNanos);
-        cause.counter().ifPresent(metrics::count);
-        abandon(cause.reason(), cause.retryAfterMillis());
-    }
-
     @Override
     public boolean beforeSend(HttpHeaders headers) {
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
             selection.refund(nowNanos);
             attempt.end();
-            abandon(DEADLINE_PASSED);
+            abandonment.because(DEADLINE_PASSED);
             return false;
         }
-        Optional<String> obstacle = obstacle(attempt.currentEndpoint(), nowNanos);
+        Optional<String> obstacle = check.obstacle(attempt.currentEndpoint(), nowNanos);
         if (obstacle.isPresent()) {
             selection.refund(nowNanos);
             leaveUnsent(attempt.end(), obstacle.get());
@@ -169,20 +164,6 @@
         return true;
     }
 
-    /** Returns why the request may not be sent to an endpoint that was chosen before. */
-    Optional<String> obstacle(EndpointState endpoint, long nowNanos) {
-        if (!endpoint.isAvailable(nowNanos)) {
-            return Optional.of("endpoint accepts no more requests");
-        }
-        return mayWaitAt(endpoint, nowNanos) ? Optional.empty() : Optional.of(WEIGHTS_EXPIRED);
-    }
-
-    /** Returns whether the request may begin on the weights of an endpoint. */
-    boolean mayWaitAt(EndpointState endpoint, long nowNanos) {
-        Optional<String> model = admitted.head().prompt().map(PromptSpec::model);
-        return state.weightsAges().mayWait(endpoint, model, nowNanos);
-    }
-
     @Override
     public void onUnreachable(String cause) {
         selection.refund(System.nanoTime());
@@ -283,7 +264,7 @@
         if (!relay.hasBegun() && attempts.maySendAgain()) {
             retry(reason);
         } else {
-            abandon(reason);
+            abandonment.because(reason);
         }
     }
 
@@ -296,18 +277,18 @@
     void retry(String reason) {
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
-            abandon(DEADLINE_PASSED);
+            abandonment.because(DEADLINE_PASSED);
             return;
         }
         Optional<EndpointState> next =
                 relay.hasBegun() ? resumer.choose(nowNanos) : selection.choose(nowNanos);
         if (next.isEmpty()) {
-            abandonWithoutEndpoint(nowNanos);
+            abandonment.withoutEndpoint(nowNanos);
         } else if (attempts.takeRetry(RetryKind.REQUIRED)) {
             send(next.get(), nowNanos);
         } else {
             selection.refund(nowNanos);
-            abandon(reason + "; no retry is left");
+            abandonment.because(reason + "; no retry is left");
         }
     }
 
@@ -387,12 +368,12 @@
     public void onWeightsExpired() {
         long nowNanos = System.nanoTime();
         mover.stayIfWeightsExpired(nowNanos);
-        if (!attempt.isWaiting() || mayWaitAt(attempt.currentEndpoint(), nowNanos)) {
+        if (!attempt.isWaiting() || check.mayWaitAt(attempt.currentEndpoint(), nowNanos)) {
             return;
         }
         attempt.cancelCall();
         metrics.count("requests_withdrawn_from_replaced_weights");
-        continueElsewhere(attempt.end(), WEIGHTS_EXPIRED);
+        continueElsewhere(attempt.end(), EndpointCheck.WEIGHTS_EXPIRED);
     }
 
     /** Closes the caller's connection within its response. */
@@ -482,31 +463,8 @@
         } else if (attempts.mayHaveRun()) {
             outcome.fail(GATEWAY_TIMEOUT, "no answer in time");
         } else {
-            abandon("no endpoint in time");
-        }
-    }
-
-    private void abandon(String reason) {
-        abandon(reason, selection.retryMillis(System.nanoTime()));
-    }
-
-    /** Rejects the request as not run if that is certain, else fails it or resumes it later. */
-    private void abandon(String reason, long retryAfterMillis) {
-        if (relay.hasBegun()) {
-            resumer.resumeLater(reason);
-            return;
+            abandonment.because("no endpoint in time");
         }
-        if (attempts.mayHaveRun()) {
-            outcome.fail(BAD_GATEWAY, reason);
-            return;
-        }
-        rejectNotRun(reason, retryAfterMillis);
-    }
-
-    /** Rejects a request that has not run at any endpoint, and refunds its tokens. */
-    private void rejectNotRun(String reason, long retryAfterMillis) {
-        admitted.team().ifPresent(team -> state.rates().refund(team, admitted.tokens()));
-        outcome.rejectNotRun(reason, retryAfterMillis);
     }
 
     @Override
@@ -527,7 +485,8 @@
         silence.stop();
         request.release();
         relay.release();
-        metrics.finished((System.nanoTime() - admitted.arrivedNanos()) / NANOS_PER_MILLI);
+        long elapsedNanos = System.nanoTime() - admitted.arrivedNanos();
+        metrics.finished(TimeUnit.NANOSECONDS.toMillis(elapsedNanos));
         log.ended(
                 outcomeName,
                 reason,
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -32,6 +32,7 @@
     private final Attempts attempts;
     private final EndpointRequestBuilder builder;
     private final ResponseRelay relay;
+    private final EndpointCheck check;
     private final ExchangeLog log;
     private Optional<StreamMove> move = Optional.empty();
 
@@ -45,6 +46,7 @@
             Attempts attempts,
             EndpointRequestBuilder builder,
             ResponseRelay relay,
+            EndpointCheck check,
             ExchangeLog log) {
         this.exchange = exchange;
         this.state = state;
@@ -55,6 +57,7 @@
         this.attempts = attempts;
         this.builder = builder;
         this.relay = relay;
+        this.check = check;
         this.log = log;
     }
 
@@ -86,7 +89,7 @@
             return false;
         }
         Optional<String> obstacle =
-                move.flatMap(current -> exchange.obstacle(current.target(), nowNanos));
+                move.flatMap(current -> check.obstacle(current.target(), nowNanos));
         if (obstacle.isPresent()) {
             selection.refund(nowNanos);
             stay(obstacle.get());
@@ -140,7 +143,7 @@
      * Stays at the current endpoint if the stream may not begin on the weights of the other one.
      */
     void stayIfWeightsExpired(long nowNanos) {
-        if (move.filter(current -> !exchange.mayWaitAt(current.target(), nowNanos)).isPresent()) {
+        if (move.filter(current -> !check.mayWaitAt(current.target(), nowNanos)).isPresent()) {
             stay("weights of the other endpoint have expired");
         }
     }
