--- a/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
+++ b/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
@@ -13,8 +13,9 @@
  * of the runners would wait for their last streams while the other half, with all requests, would
  * become so slow that their streams never end.
  *
- * <p>A runner whose weights were replaced too long ago gets no requests. It is ordered whatever the
- * load, since that costs no capacity, and makes it reject the requests that still wait there.
+ * <p>A runner whose weights were replaced too long ago gets no requests, so ordering it costs no
+ * capacity, and makes it reject the requests that still wait there. Such runners are ordered as
+ * under medium load; not all at once, since loads slow each other down.
  *
  * <p>Runners with the oldest weights come first: if versions are published faster than they can be
  * loaded, any other order would leave some runner outdated for good. Among runners with equally old
@@ -53,7 +54,9 @@
         long unusable =
                 behind.stream().filter(target -> target.behindMillis() >= usableMillis).count();
         long permitted = maximumInProgress(targets) - inProgress;
-        return behind.stream().limit(Math.max(unusable, Math.max(0, permitted))).toList();
+        long permittedUnusable =
+                Math.min(unusable, fraction(targets, MEDIUM_LOAD_DIVISOR) - inProgress);
+        return behind.stream().limit(Math.max(0, Math.max(permitted, permittedUnusable))).toList();
     }
 
     /** Returns how many runners may have an order in progress at once; at least one. */
@@ -67,6 +70,12 @@
         } else if (perRunner <= MEDIUM_LOAD_REQUESTS) {
             divisor = MEDIUM_LOAD_DIVISOR;
         }
+        return fraction(targets, divisor);
+    }
+
+    /** Returns a fraction of the runners that respond; at least one. */
+    private static long fraction(Collection<RolloutTarget> targets, int divisor) {
+        long responding = targets.stream().filter(RolloutTarget::responds).count();
         return Math.max(1, responding / divisor);
     }
 }
