Let fewer VMs risk a rejection where their draws would add up by chance

Cause: each VM draws by itself whether it may be rejected in a second. With 4 tolerated the draws of all VMs sum to 2 on average, and to 5 or more in one second in twenty: the half that is shared leaves room for windows that are not aligned, none for chance. Class: a bound that holds on average is taken for one that holds.

Change: the shared number is reduced until three standard deviations of the sum fit below the endpoint's number; with 4 tolerated about 1 a second instead of 2, with 30 and more, or few VMs, as before. Ruled out: slots of time for each VM, as their clocks are not aligned.

BrittleEndpointTest passes.

--- a/core/src/main/java/org/bronzelug/core/limit/RejectionAllowance.java
+++ b/core/src/main/java/org/bronzelug/core/limit/RejectionAllowance.java
@@ -10,8 +10,10 @@
  *
  * <p>The VMs share half of that number without a message: in each window of a second each VM draws
  * whether, and how often, it may be rejected. Half, since the windows of the VMs are not aligned
- * with those of the endpoint. A request that may be rejected takes one part of the allowance, and
- * returns it if no rejection has arrived for {@link #ACCEPTED_NANOS}.
+ * with those of the endpoint. They share less if the sum of their draws would often exceed the
+ * number by chance, as it does for small numbers and many VMs. A request that may be rejected takes
+ * one part of the allowance, and returns it if no rejection has arrived for {@link
+ * #ACCEPTED_NANOS}.
  *
  * <p>Invariant: requests that wait for their acceptance, and rejections within the window, together
  * do not exceed the allowance, except for rejections of requests that were expected to be accepted.
@@ -26,6 +28,12 @@
     /** Fraction of the endpoint's number that the VMs may use within their windows. */
     private static final double USABLE_FRACTION = 0.5;
 
+    /** Standard deviations of the sum of all draws that fit below the endpoint's number. */
+    private static final double DEVIATIONS = 3;
+
+    /** Factor by which the shared number is reduced until they fit. */
+    private static final double REDUCTION = 0.95;
+
     private final RandomGenerator random;
     private final Deque<Long> pending = new ArrayDeque<>();
     private long windowStartNanos;
@@ -63,12 +71,28 @@
         windowOpen = true;
         windowStartNanos = nowNanos;
         rejections = 0;
-        double part = rejectionsPerSecond * USABLE_FRACTION / Math.max(1, vms);
+        double part = sharedRejections(rejectionsPerSecond, vms) / Math.max(1, vms);
         double whole = Math.floor(part);
         int drawn = random.nextDouble() < part - whole ? 1 : 0;
         allowance = (int) Math.min(Integer.MAX_VALUE - 1, whole) + drawn;
     }
 
+    /** Returns the rejections that all VMs together draw in a second on average. */
+    private static double sharedRejections(double rejectionsPerSecond, int vms) {
+        double shared = rejectionsPerSecond * USABLE_FRACTION;
+        while (shared + DEVIATIONS * deviation(shared, vms) > rejectionsPerSecond) {
+            shared *= REDUCTION;
+        }
+        return shared;
+    }
+
+    /** Returns the standard deviation of the sum of all VMs' draws. */
+    private static double deviation(double shared, int vms) {
+        double part = shared / Math.max(1, vms);
+        double chance = part - Math.floor(part);
+        return Math.sqrt(vms * chance * (1 - chance));
+    }
+
     /** Records that the endpoint has rejected a request of this VM. */
     public void recordRejection(long nowNanos) {
         pending.pollFirst();
