Report only ages of weights that were seen, not those that a VM assumes

A VM that starts does not know when the newest weights were published and assumes that it was seconds ago. Since ages are reported to peers, they would take the assumption for an age that was seen: after a restart beside a publication the whole fleet would count the new weights as seconds older than they are and reject requests that the old ones may still serve.

Found by reading the diff. Such an age is not reported now, and a peer's age takes its place. ControlStateTest: the new case fails without the change, as the assumed age is reported.

--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -26,6 +26,7 @@
     public static final String LEASE_KIND = "order-leases";
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long NO_VERSION = -1;
 
     /** Difference between a peer's age of a version and this VM's that is not worth a change. */
     private static final long LEAST_CORRECTION_NANOS = 20_000_000L;
@@ -35,6 +36,8 @@
     private final Map<String, ObjectMirror> mirrors = new HashMap<>();
     private final EndpointList endpoints = new EndpointList();
     private final Map<String, WeightsTarget> weights = new HashMap<>();
+    // The version of each model that was published before this VM started: its age is assumed.
+    private final Map<String, Long> assumedVersions = new HashMap<>();
     private Optional<RoutingConfiguration> configuration = Optional.empty();
 
     /**
@@ -174,6 +177,9 @@
             return;
         }
         long publishedNanos = System.nanoTime() - (known == null ? ageNanos : 0);
+        if (known == null && ageNanos > 0) {
+            assumedVersions.put(published.model(), published.version());
+        }
         setTarget(published.model(), published.version(), publishedNanos, "platform");
     }
 
@@ -187,6 +193,10 @@
      *     monotonic clock
      */
     void recordPeerAge(String peer, String model, long version, long publishedNanos) {
+        if (isAssumed(model, version)) {
+            assumedVersions.remove(model);
+            weights.computeIfPresent(model, (name, target) -> target.without(version));
+        }
         Optional<WeightsTarget> known = Optional.ofNullable(weights.get(model));
         Optional<Long> knownNanos = known.map(target -> target.namedNanos().get(version));
         boolean earlier =
@@ -198,6 +208,10 @@
         }
     }
 
+    private boolean isAssumed(String model, long version) {
+        return assumedVersions.getOrDefault(model, NO_VERSION) == version;
+    }
+
     private void setTarget(String model, long version, long publishedNanos, String source) {
         WeightsTarget known = weights.get(model);
         weights.put(
@@ -215,7 +229,10 @@
                         + (" source=" + source));
     }
 
-    /** Returns the published versions, with their ages, that are younger than a time. */
+    /**
+     * Returns the published versions, with their ages, that are younger than a time; none whose age
+     * this VM only assumes.
+     */
     List<PublishedWeights> publishedWithin(long nanos) {
         long nowNanos = System.nanoTime();
         List<PublishedWeights> published = new ArrayList<>();
@@ -224,7 +241,7 @@
                     .forEach(
                             (version, publishedNanos) -> {
                                 long ageNanos = nowNanos - publishedNanos;
-                                if (ageNanos < nanos) {
+                                if (ageNanos < nanos && !isAssumed(target.model(), version)) {
                                     published.add(
                                             PublishedWeights.newBuilder()
                                                     .setModel(target.model())
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
@@ -42,6 +42,13 @@
         return new WeightsTarget(model, versions);
     }
 
+    /** Returns a copy of this target without a version. */
+    public WeightsTarget without(long version) {
+        TreeMap<Long, Long> versions = new TreeMap<>(namedNanos);
+        versions.remove(version);
+        return new WeightsTarget(model, versions);
+    }
+
     /** Returns the newest version; 0 if there is none. */
     public long version() {
         return namedNanos.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -8,6 +8,7 @@
 import org.bronzelug.router.store.ItemChanges;
 import org.bronzelug.router.store.ItemList;
 import org.bronzelug.router.store.StoredItem;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -85,4 +86,20 @@
         assertThat(ageMillis).isIn(Range.closed(expectedMillis, expectedMillis + 1_000));
         assertThat(state.weights().get("m").version()).isEqualTo(Math.max(ownVersion, peerVersion));
     }
+
+    /**
+     * Guards against rejected requests of the whole fleet after a VM restarts beside a publication:
+     * it tells the others the age that it assumes, and they take it for one that was seen.
+     */
+    @Test
+    void anAssumedAgeIsNotReportedAndGivesWayToAPeersAge() {
+        state.mirror(WEIGHTS).replaceAll(new ItemList(List.of(weights(7)), 8));
+        state.onChange(WEIGHTS);
+        assertThat(state.publishedWithin(Long.MAX_VALUE)).isEmpty();
+        long publishedNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(1);
+        state.recordPeerAge("peer", "m", 7, publishedNanos);
+        assertThat(state.weights().get("m").behindSinceNanos(6).orElseThrow())
+                .isEqualTo(publishedNanos);
+        assertThat(state.publishedWithin(Long.MAX_VALUE)).hasSize(1);
+    }
 }
