Wait for the expiry of weights also where no request is in flight yet

A request that is sent after the last update from the control thread was withdrawn only if another update came before the weights expired. Found by reading; a control thread that stands still for a second would show it. No test of its own; OutdatedWeightsTest covers the timer.

--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsExpiry.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsExpiry.java
@@ -32,13 +32,10 @@
         long earliestNanos = Long.MAX_VALUE;
         for (EndpointState endpoint : endpoints.allAndRemoved()) {
             OptionalLong remaining = ages.remainingNanos(endpoint, nowNanos);
-            if (remaining.isEmpty() || endpoint.ownRequests() == 0) {
-                continue;
-            }
-            if (remaining.getAsLong() <= 0) {
+            if (remaining.isPresent() && remaining.getAsLong() <= 0) {
                 endpoint.expireWeights();
             } else {
-                earliestNanos = Math.min(earliestNanos, remaining.getAsLong());
+                earliestNanos = Math.min(earliestNanos, remaining.orElse(Long.MAX_VALUE));
             }
         }
         if (earliestNanos < Long.MAX_VALUE) {
