Wait for the expiry of each model's weights at a runner

Found by reading the change: WeightsExpiry took the shortest remaining time over a runner's models. Once the weights of one model had expired, no timer was set for the others, and their requests were withdrawn only with the next update from the control thread, up to 0.6 s later in a large fleet, where 0.2 s are left until the bound.

--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.LongStream;
 
 /**
  * How long the weights of models have been replaced by newer ones, and until when requests may
@@ -68,18 +69,13 @@
     }
 
     /**
-     * Returns the time for which requests may still wait at an endpoint to begin on its weights;
-     * empty if all its weights are the newest known ones.
+     * Returns the times for which requests may still wait at an endpoint to begin on its weights,
+     * one for each model whose weights there have been replaced.
      */
-    OptionalLong remainingNanos(EndpointState endpoint, long nowNanos) {
-        OptionalLong shortest = OptionalLong.empty();
-        for (String model : endpoint.entry().weights().keySet()) {
-            OptionalLong remaining = remainingNanos(endpoint, model, nowNanos);
-            if (remaining.isPresent() && remaining.getAsLong() < shortest.orElse(Long.MAX_VALUE)) {
-                shortest = remaining;
-            }
-        }
-        return shortest;
+    LongStream remainingNanos(EndpointState endpoint, long nowNanos) {
+        return endpoint.entry().weights().keySet().stream()
+                .map(model -> remainingNanos(endpoint, model, nowNanos))
+                .flatMapToLong(OptionalLong::stream);
     }
 
     private OptionalLong remainingNanos(EndpointState endpoint, String model, long nowNanos) {
@@ -103,7 +99,7 @@
             EndpointState endpoint, Optional<String> model, double waitNanos, long nowNanos) {
         OptionalLong remaining =
                 model.map(name -> remainingNanos(endpoint, name, nowNanos))
-                        .orElseGet(() -> remainingNanos(endpoint, nowNanos));
+                        .orElseGet(() -> remainingNanos(endpoint, nowNanos).min());
         return remaining.isEmpty() || remaining.getAsLong() > waitNanos;
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsExpiry.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsExpiry.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -31,12 +30,15 @@
         long nowNanos = System.nanoTime();
         long earliestNanos = Long.MAX_VALUE;
         for (EndpointState endpoint : endpoints.allAndRemoved()) {
-            OptionalLong remaining = ages.remainingNanos(endpoint, nowNanos);
-            if (remaining.isPresent() && remaining.getAsLong() <= 0) {
+            if (ages.remainingNanos(endpoint, nowNanos).anyMatch(nanos -> nanos <= 0)) {
                 endpoint.expireWeights();
-            } else {
-                earliestNanos = Math.min(earliestNanos, remaining.orElse(Long.MAX_VALUE));
             }
+            long endpointNanos =
+                    ages.remainingNanos(endpoint, nowNanos)
+                            .filter(nanos -> nanos > 0)
+                            .min()
+                            .orElse(Long.MAX_VALUE);
+            earliestNanos = Math.min(earliestNanos, endpointNanos);
         }
         if (earliestNanos < Long.MAX_VALUE) {
             next = Optional.of(traffic.schedule(this::update, earliestNanos, TimeUnit.NANOSECONDS));
