Derive the time for which ages of weights are reported from their bound

Versions were reported to peers for 30 s, whatever the bound on replaced weights. With a bound of 15 s, as in one installation, that is twice the bound, with a longer one too little. The ages and the state of a runner's weights are computed from a time that is passed in. ControlStateTest keeps its assertions; its calls pass the time.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -51,8 +51,11 @@
     /** Rounds between two lists of the registered VMs while no peer is reachable. */
     private static final int LIST_INTERVAL_ROUNDS = 10;
 
-    /** Versions of weights that are older than any bound on them are not reported to peers. */
-    private static final long REPORTED_WEIGHTS_NANOS = TimeUnit.SECONDS.toNanos(30);
+    /**
+     * Versions of weights are reported to peers for this many times the bound on replaced weights.
+     * A runner that has not loaded a version by then was out of reach.
+     */
+    private static final long REPORTED_WEIGHTS_BOUNDS = 4;
 
     private static final double NANOS_PER_MILLI = 1e6;
 
@@ -399,7 +402,8 @@
                         .addAllReads(report.reads())
                         .addAllLimits(report.limits())
                         .addAllRollouts(report.rollouts())
-                        .addAllPublishedWeights(state.publishedWithin(REPORTED_WEIGHTS_NANOS));
+                        .addAllPublishedWeights(
+                                state.publishedWithin(reportedWeightsNanos(), System.nanoTime()));
         for (String kind : state.kinds()) {
             builder.addRevisions(
                     KindRevision.newBuilder()
@@ -429,6 +433,11 @@
         return Optional.of(reachable.get(index).state().getPeersAddress());
     }
 
+    private long reportedWeightsNanos() {
+        long millis = REPORTED_WEIGHTS_BOUNDS * settings.bounds().weightsMillis();
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     private void addWeights(VmState.Builder builder, String id, Map<String, Long> versions) {
         long startMillis = state.endpoints().get(id).bornMillis();
         versions.forEach(
@@ -453,7 +462,8 @@
                     peer.getVm(),
                     published.getModel(),
                     published.getVersion(),
-                    nowNanos - TimeUnit.MILLISECONDS.toNanos(published.getAgeMillis()));
+                    TimeUnit.MILLISECONDS.toNanos(published.getAgeMillis()),
+                    nowNanos);
         }
         boolean restarted = !knownIncarnation.equals(Optional.of(peer.getIncarnation()));
         if (restarted && isServing()) {
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -176,11 +176,12 @@
         if (known != null && known.version() >= published.version()) {
             return;
         }
-        long publishedNanos = System.nanoTime() - (known == null ? ageNanos : 0);
+        long nowNanos = System.nanoTime();
+        long publishedNanos = nowNanos - (known == null ? ageNanos : 0);
         if (known == null && ageNanos > 0) {
             assumedVersions.put(published.model(), published.version());
         }
-        setTarget(published.model(), published.version(), publishedNanos, "platform");
+        setTarget(published.model(), published.version(), publishedNanos, nowNanos, "platform");
     }
 
     /**
@@ -189,10 +190,11 @@
      * <p>Without this, a VM that was suspended, or whose watch was lost, when a version was
      * published lets requests begin on older weights for as much longer.
      *
-     * @param publishedNanos the latest time at which it may have been published, by this VM's
-     *     monotonic clock
+     * @param ageNanos for how long the peer has known it
+     * @param nowNanos the time now, by this VM's monotonic clock
      */
-    void recordPeerAge(String peer, String model, long version, long publishedNanos) {
+    void recordPeerAge(String peer, String model, long version, long ageNanos, long nowNanos) {
+        long publishedNanos = nowNanos - ageNanos;
         if (isAssumed(model, version)) {
             assumedVersions.remove(model);
             weights.computeIfPresent(model, (name, target) -> target.without(version));
@@ -204,7 +206,7 @@
                         .filter(nanos -> nanos - publishedNanos > LEAST_CORRECTION_NANOS)
                         .isPresent();
         if (knownNanos.isEmpty() || earlier) {
-            setTarget(model, version, publishedNanos, peer);
+            setTarget(model, version, publishedNanos, nowNanos, peer);
         }
     }
 
@@ -212,14 +214,15 @@
         return assumedVersions.getOrDefault(model, NO_VERSION) == version;
     }
 
-    private void setTarget(String model, long version, long publishedNanos, String source) {
+    private void setTarget(
+            String model, long version, long publishedNanos, long nowNanos, String source) {
         WeightsTarget known = weights.get(model);
         weights.put(
                 model,
                 known == null
                         ? WeightsTarget.first(model, version, publishedNanos)
                         : known.with(version, publishedNanos));
-        long ageMillis = (System.nanoTime() - publishedNanos) / NANOS_PER_MILLI;
+        long ageMillis = (nowNanos - publishedNanos) / NANOS_PER_MILLI;
         EventLog.info(
                 LogEvent.WEIGHTS_NAMED,
                 "model="
@@ -233,8 +236,7 @@
      * Returns the published versions, with their ages, that are younger than a time; none whose age
      * this VM only assumes.
      */
-    List<PublishedWeights> publishedWithin(long nanos) {
-        long nowNanos = System.nanoTime();
+    List<PublishedWeights> publishedWithin(long nanos, long nowNanos) {
         List<PublishedWeights> published = new ArrayList<>();
         for (WeightsTarget target : weights.values()) {
             target.namedNanos()
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -237,7 +237,7 @@
             requestLease(nowNanos);
         }
         if (mayOrder()) {
-            rollouts.forEach(this::advance);
+            rollouts.forEach(rollout -> advance(rollout, nowNanos));
         }
     }
 
@@ -361,14 +361,14 @@
         return rollouts;
     }
 
-    private void advance(Rollout rollout) {
+    private void advance(Rollout rollout, long nowNanos) {
         List<RolloutTarget> targets = new ArrayList<>();
         for (EndpointEntry entry : rollout.runners) {
             targets.add(
                     new RolloutTarget(
                             entry.id(),
                             entry.weights().get(rollout.target.model()),
-                            behindMillis(entry, rollout.target),
+                            behindMillis(entry, rollout.target, nowNanos),
                             load.getOrDefault(entry.id(), 0),
                             load.containsKey(entry.id()),
                             orders.containsKey(entry.id())));
@@ -387,10 +387,10 @@
         }
     }
 
-    private static long behindMillis(EndpointEntry entry, WeightsTarget target) {
+    private static long behindMillis(EndpointEntry entry, WeightsTarget target, long nowNanos) {
         OptionalLong since =
                 target.behindSinceNanos(entry.weights().getOrDefault(target.model(), 0L));
-        return since.isPresent() ? (System.nanoTime() - since.getAsLong()) / NANOS_PER_MILLI : 0;
+        return since.isPresent() ? (nowNanos - since.getAsLong()) / NANOS_PER_MILLI : 0;
     }
 
     /** Returns the order to send; empty if the lease has expired in the meantime. */
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -80,7 +80,8 @@
                 "peer",
                 "m",
                 peerVersion,
-                publishedNanos - TimeUnit.MILLISECONDS.toNanos(peerMillis));
+                TimeUnit.MILLISECONDS.toNanos(peerMillis),
+                publishedNanos);
         long since = state.weights().get("m").behindSinceNanos(1).orElseThrow();
         long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
         assertThat(ageMillis).isIn(Range.closed(expectedMillis, expectedMillis + 1_000));
@@ -95,11 +96,12 @@
     void anAssumedAgeIsNotReportedAndGivesWayToAPeersAge() {
         state.mirror(WEIGHTS).replaceAll(new ItemList(List.of(weights(7)), 8));
         state.onChange(WEIGHTS);
-        assertThat(state.publishedWithin(Long.MAX_VALUE)).isEmpty();
-        long publishedNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(1);
-        state.recordPeerAge("peer", "m", 7, publishedNanos);
+        assertThat(state.publishedWithin(Long.MAX_VALUE, System.nanoTime())).isEmpty();
+        long nowNanos = System.nanoTime();
+        long ageNanos = TimeUnit.SECONDS.toNanos(1);
+        state.recordPeerAge("peer", "m", 7, ageNanos, nowNanos);
         assertThat(state.weights().get("m").behindSinceNanos(6).orElseThrow())
-                .isEqualTo(publishedNanos);
-        assertThat(state.publishedWithin(Long.MAX_VALUE)).hasSize(1);
+                .isEqualTo(nowNanos - ageNanos);
+        assertThat(state.publishedWithin(Long.MAX_VALUE, nowNanos)).hasSize(1);
     }
 }
