One word for replaced weights; plainer names and comments of the change

Weights that have a newer version were outdated, older, behind or replaced; they are replaced now, and a runner is behind. ResponseBegin is ResponseStart, the ways to give a request up are verbs. Tests change identifiers only.

--- a/core/src/main/java/org/bronzelug/core/limit/RejectionAllowance.java
+++ b/core/src/main/java/org/bronzelug/core/limit/RejectionAllowance.java
@@ -28,10 +28,10 @@
     /** Fraction of the endpoint's number that the VMs may use within their windows. */
     private static final double USABLE_FRACTION = 0.5;
 
-    /** Standard deviations of the sum of all draws that fit below the endpoint's number. */
+    /** Least distance of the mean of all draws from the endpoint's number, in deviations. */
     private static final double DEVIATIONS = 3;
 
-    /** Factor by which the shared number is reduced until they fit. */
+    /** Factor of each step that reduces the shared number. */
     private static final double REDUCTION = 0.95;
 
     private final RandomGenerator random;
--- a/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
+++ b/core/src/main/java/org/bronzelug/core/order/RolloutPlan.java
@@ -52,7 +52,7 @@
                                         .thenComparing(RolloutTarget::endpoint))
                         .toList();
         long unusable =
-                behind.stream().filter(target -> target.behindMillis() >= usableMillis).count();
+                behind.stream().filter(target -> target.replacedMillis() >= usableMillis).count();
         long permitted = maximumInProgress(targets) - inProgress;
         long permittedUnusable =
                 Math.min(unusable, fraction(targets, MEDIUM_LOAD_DIVISOR) - inProgress);
--- a/core/src/main/java/org/bronzelug/core/order/RolloutTarget.java
+++ b/core/src/main/java/org/bronzelug/core/order/RolloutTarget.java
@@ -5,7 +5,7 @@
  *
  * @param endpoint id of the runner
  * @param version of the weights that the runner has loaded
- * @param behindMillis for how long that version has been replaced by a newer one; 0 if it is the
+ * @param replacedMillis for how long that version has been replaced by a newer one; 0 if it is the
  *     newest
  * @param requests in flight on the runner, from all VMs
  * @param responds whether the runner responds; one that does not serves no requests
@@ -14,7 +14,7 @@
 public record RolloutTarget(
         String endpoint,
         long version,
-        long behindMillis,
+        long replacedMillis,
         int requests,
         boolean responds,
         boolean orderInProgress) {}
--- a/core/src/test/java/org/bronzelug/core/order/RolloutPlanTest.java
+++ b/core/src/test/java/org/bronzelug/core/order/RolloutPlanTest.java
@@ -75,11 +75,11 @@
     @ParameterizedTest
     @CsvSource({"5999, 0, 1", "6000, 0, 2", "6000, 1, 1", "9000, 2, 0"})
     void runnersThatGetNoRequestsAreOrderedAsUnderMediumLoad(
-            long behindMillis, int inProgress, int expected) {
+            long replacedMillis, int inProgress, int expected) {
         List<RolloutTarget> targets = new ArrayList<>();
         for (int runner = 0; runner < RUNNERS; runner++) {
             boolean ordered = runner < inProgress;
-            targets.add(new RolloutTarget("r" + runner, 1, behindMillis, 20, true, ordered));
+            targets.add(new RolloutTarget("r" + runner, 1, replacedMillis, 20, true, ordered));
         }
         assertThat(RolloutPlan.next(targets, 2, USABLE_MILLIS)).hasSize(expected);
     }
@@ -89,9 +89,10 @@
         List<RolloutTarget> targets = new ArrayList<>();
         for (int runner = 0; runner < RUNNERS; runner++) {
             boolean older = runner >= RUNNERS - 2;
-            long behindMillis = older ? USABLE_MILLIS : 1_000;
+            long replacedMillis = older ? USABLE_MILLIS : 1_000;
             targets.add(
-                    new RolloutTarget("r" + runner, older ? 1 : 2, behindMillis, 20, true, false));
+                    new RolloutTarget(
+                            "r" + runner, older ? 1 : 2, replacedMillis, 20, true, false));
         }
         assertThat(
                         RolloutPlan.next(targets, 3, USABLE_MILLIS).stream()
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -200,7 +200,7 @@
             weights.computeIfPresent(model, (name, target) -> target.without(version));
         }
         Optional<WeightsTarget> known = Optional.ofNullable(weights.get(model));
-        Optional<Long> knownNanos = known.map(target -> target.namedNanos().get(version));
+        Optional<Long> knownNanos = known.map(target -> target.publishedNanos().get(version));
         boolean earlier =
                 knownNanos
                         .filter(nanos -> nanos - publishedNanos > LEAST_CORRECTION_NANOS)
@@ -239,7 +239,7 @@
     List<PublishedWeights> publishedWithin(long nanos, long nowNanos) {
         List<PublishedWeights> published = new ArrayList<>();
         for (WeightsTarget target : weights.values()) {
-            target.namedNanos()
+            target.publishedNanos()
                     .forEach(
                             (version, publishedNanos) -> {
                                 long ageNanos = nowNanos - publishedNanos;
--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -40,24 +40,25 @@
     }
 
     /** Gives the request up because the last choice found no endpoint. */
-    void withoutEndpoint(long nowNanos) {
+    void giveUpWithoutEndpoint(long nowNanos) {
         Unavailability cause = selection.unavailability(nowNanos);
         cause.counter().ifPresent(metrics::count);
-        because(cause.reason(), cause.retryAfterMillis());
+        giveUp(cause.reason(), cause.retryAfterMillis());
     }
 
     /** Gives the request up because the last choice rejected its prompt for overload. */
-    void toOverload() {
+    void giveUpForOverload() {
         long queued = Math.round(selection.runner().orElseThrow().queuedTokens());
         rejectNotRun(
                 "runners are full, queued=" + queued, selection.retryAfterMillis().orElseThrow());
     }
 
-    void because(String reason) {
-        because(reason, selection.retryMillis(System.nanoTime()));
+    /** Gives the request up. */
+    void giveUp(String reason) {
+        giveUp(reason, selection.retryMillis(System.nanoTime()));
     }
 
-    private void because(String reason, long retryAfterMillis) {
+    private void giveUp(String reason, long retryAfterMillis) {
         if (relay.hasBegun()) {
             resumer.resumeLater(reason);
         } else if (attempts.mayHaveRun()) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -60,7 +60,7 @@
     private final ExchangeLog log;
     private final CurrentAttempt attempt;
     private final StreamVersion streamVersion;
-    private final ResponseBegin begin;
+    private final ResponseStart responseStart;
     private final EndpointCheck check;
     private final Abandonment abandonment;
 
@@ -89,7 +89,7 @@
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
         this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
         this.log = new ExchangeLog(admitted);
-        this.begin = new ResponseBegin(state, metrics, admitted);
+        this.responseStart = new ResponseStart(state, metrics, admitted);
         this.relay = new ResponseRelay(caller, wire, admitted.route(), this::bindStreamVersion);
         this.resumer =
                 new StreamResumer(this, traffic, relay, attempts, selection, builder, metrics, log);
@@ -117,16 +117,16 @@
     private void dispatch() {
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
-            abandonment.because(DEADLINE_PASSED);
+            abandonment.giveUp(DEADLINE_PASSED);
             return;
         }
         Optional<EndpointState> chosen = selection.choose(nowNanos);
         if (chosen.isEmpty()) {
-            abandonment.withoutEndpoint(nowNanos);
+            abandonment.giveUpWithoutEndpoint(nowNanos);
             return;
         }
         if (selection.retryAfterMillis().isPresent()) {
-            abandonment.toOverload();
+            abandonment.giveUpForOverload();
             return;
         }
         send(chosen.get(), nowNanos);
@@ -151,7 +151,7 @@
         if (builder.isExpired(nowNanos)) {
             selection.refund(nowNanos);
             attempt.end();
-            abandonment.because(DEADLINE_PASSED);
+            abandonment.giveUp(DEADLINE_PASSED);
             return false;
         }
         Optional<String> obstacle = check.obstacle(attempt.currentEndpoint(), nowNanos);
@@ -192,7 +192,7 @@
     /** Records that the request was written to an endpoint, also as a move of a stream. */
     void recordWritten(ConnectionUse use) {
         log.written(use);
-        begin.recordWritten(System.nanoTime());
+        responseStart.recordWritten(System.nanoTime());
     }
 
     @Override
@@ -201,7 +201,7 @@
         responding.recordResponse(head);
         responding.recordActivity(System.nanoTime());
         attempt.prefill().recordHead(responding, head);
-        begin.recordHead(head);
+        responseStart.recordHead(head);
         if (head.notExecuted() || head.status() == MISDIRECTED) {
             onNotExecuted(head);
             return;
@@ -264,7 +264,7 @@
         if (!relay.hasBegun() && attempts.maySendAgain()) {
             retry(reason);
         } else {
-            abandonment.because(reason);
+            abandonment.giveUp(reason);
         }
     }
 
@@ -277,18 +277,18 @@
     void retry(String reason) {
         long nowNanos = System.nanoTime();
         if (builder.isExpired(nowNanos)) {
-            abandonment.because(DEADLINE_PASSED);
+            abandonment.giveUp(DEADLINE_PASSED);
             return;
         }
         Optional<EndpointState> next =
                 relay.hasBegun() ? resumer.choose(nowNanos) : selection.choose(nowNanos);
         if (next.isEmpty()) {
-            abandonment.withoutEndpoint(nowNanos);
+            abandonment.giveUpWithoutEndpoint(nowNanos);
         } else if (attempts.takeRetry(RetryKind.REQUIRED)) {
             send(next.get(), nowNanos);
         } else {
             selection.refund(nowNanos);
-            abandonment.because(reason + "; no retry is left");
+            abandonment.giveUp(reason + "; no retry is left");
         }
     }
 
@@ -297,7 +297,7 @@
         long nowNanos = System.nanoTime();
         attempt.endpoint().ifPresent(responding -> responding.recordActivity(nowNanos));
         attempt.recordData();
-        begin.recordData(attempt.prefill().runner(), nowNanos);
+        responseStart.recordData(attempt.prefill().runner(), nowNanos);
         boolean wholePrompt = builder.isSaving() && relay.lastEventId().isEmpty();
         attempt.prefill().recordData(wholePrompt, builder.isSaving(), nowNanos);
         if (!relay.forward(data)) {
@@ -396,8 +396,9 @@
     }
 
     private Optional<String> stallCause(EndpointState current) {
+        boolean begun = responseStart.hasBegun();
         return silence.stallCause(
-                current, attempt.call(), attempt.sentNanos(), begin.hasBegun(), System.nanoTime());
+                current, attempt.call(), attempt.sentNanos(), begun, System.nanoTime());
     }
 
     /** Moves a resumable stream to another runner, since its own waits for its requests to end. */
@@ -463,7 +464,7 @@
         } else if (attempts.mayHaveRun()) {
             outcome.fail(GATEWAY_TIMEOUT, "no answer in time");
         } else {
-            abandonment.because("no endpoint in time");
+            abandonment.giveUp("no endpoint in time");
         }
     }
 
@@ -494,6 +495,6 @@
                 attempt.prefill().runner().or(selection::runner),
                 relay.describeEnd(),
                 streamVersion.version(),
-                begin);
+                responseStart);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -106,7 +106,7 @@
      *
      * @param responseEnd how the end of the last endpoint's response was marked
      * @param streamVersion the software version that the stream is bound to
-     * @param begin when and on which weights the response began
+     * @param start when and on which weights the response began
      */
     void ended(
             String outcome,
@@ -115,7 +115,7 @@
             Optional<RunnerChoice> runner,
             String responseEnd,
             Optional<String> streamVersion,
-            ResponseBegin begin) {
+            ResponseStart start) {
         EventLog.info(
                 LogEvent.REQUEST_ENDED,
                 request()
@@ -130,7 +130,7 @@
                         + streamVersion.map(version -> " streamVersion=" + version).orElse("")
                         + (" configuration=" + admitted.configurationVersion())
                         + (" weights=" + runner.map(RunnerChoice::weightsVersion).orElse(0L))
-                        + begin.describe()
+                        + start.describe()
                         + (" millis=" + millisTo(System.nanoTime())));
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseBegin.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
@@ -11,7 +11,7 @@
  * When a request was last written to an endpoint, and when and on which weights its response began.
  * A response counts as begun with the first bytes of its body. Confined to the traffic thread.
  */
-final class ResponseBegin {
+final class ResponseStart {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final TrafficState state;
@@ -22,7 +22,7 @@
     private OptionalLong reportedVersion = OptionalLong.empty();
     private OptionalLong replacedNanos = OptionalLong.empty();
 
-    ResponseBegin(TrafficState state, RouterMetrics metrics, AdmittedRequest admitted) {
+    ResponseStart(TrafficState state, RouterMetrics metrics, AdmittedRequest admitted) {
         this.state = state;
         this.metrics = metrics;
         this.admitted = admitted;
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -368,7 +368,7 @@
                     new RolloutTarget(
                             entry.id(),
                             entry.weights().get(rollout.target.model()),
-                            behindMillis(entry, rollout.target, nowNanos),
+                            replacedMillis(entry, rollout.target, nowNanos),
                             load.getOrDefault(entry.id(), 0),
                             load.containsKey(entry.id()),
                             orders.containsKey(entry.id())));
@@ -387,9 +387,9 @@
         }
     }
 
-    private static long behindMillis(EndpointEntry entry, WeightsTarget target, long nowNanos) {
+    private static long replacedMillis(EndpointEntry entry, WeightsTarget target, long nowNanos) {
         OptionalLong since =
-                target.behindSinceNanos(entry.weights().getOrDefault(target.model(), 0L));
+                target.replacedSinceNanos(entry.weights().getOrDefault(target.model(), 0L));
         return since.isPresent() ? (nowNanos - since.getAsLong()) / NANOS_PER_MILLI : 0;
     }
 
--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -135,7 +135,7 @@
     private String ages() {
         long nowNanos = System.nanoTime();
         long publishedMillis =
-                (nowNanos - target.namedNanos().get(target.version())) / NANOS_PER_MILLI;
+                (nowNanos - target.publishedNanos().get(target.version())) / NANOS_PER_MILLI;
         return " orderMillis=" + ageMillis(nowNanos) + " publishedMillis=" + publishedMillis;
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -27,8 +27,8 @@
  * sent to each runner. Runners that are expected to reject requests, and suspect ones, are excluded
  * while there are others. Endpoints that leave or have asked for a backoff are always excluded.
  *
- * <p>Invariant: no prompt is sent to a runner with outdated weights at which it is not expected to
- * begin within the bound on them. Before that, outdated weights only add a penalty to the cost of
+ * <p>Invariant: no prompt is sent to a runner with replaced weights unless it is expected to begin
+ * there within the bound on them. Until then, replaced weights only add a penalty to the cost of
  * the runner. Confined to the traffic thread.
  */
 public final class EndpointChoice {
@@ -48,16 +48,16 @@
     private static final double NANOS_PER_WAITING_REQUEST = 500_000_000;
 
     /**
-     * How long outdated weights get no penalty. Responses on weights that have been outdated for
+     * How long replaced weights get no penalty. Responses on weights that have been replaced for
      * 1.5 s or more are worth less, and a request takes a moment to begin.
      */
-    private static final long OLDER_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
+    private static final long REPLACED_WEIGHTS_GRACE_NANOS = 1_300_000_000L;
 
-    /** Runners of one pool differ in speed; a prompt may wait this many times as estimated. */
+    /** A prompt may wait this many times as long as estimated: runners differ in speed. */
     private static final double WAIT_ESTIMATE_MULTIPLE = 2;
 
-    /** Penalty for outdated weights, as a queue delay. */
-    private static final double OLDER_WEIGHTS_PENALTY_NANOS = 400_000_000;
+    /** Penalty for replaced weights, as a queue delay. */
+    private static final double REPLACED_WEIGHTS_PENALTY_NANOS = 400_000_000;
 
     /** A queue of fewer tokens does not delay a prompt noticeably. */
     private static final double IDLE_TOKENS = 500;
@@ -247,11 +247,6 @@
                 nowNanos);
     }
 
-    /** Returns how long the runner's weights have been outdated; 0 if they are the newest. */
-    private long weightsBehindNanos(EndpointState state, String model, long nowNanos) {
-        return weightsAges.replacedNanos(model, state.weights(model), nowNanos).orElse(0);
-    }
-
     private RunnerLoad load(EndpointState state, String model, long nowNanos) {
         PeerEndpointUsage peers = state.peerUsage();
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
@@ -260,15 +255,16 @@
                 own.incarnation(),
                 own.queuedPrefillTokens()
                         + peers.queuedPrefillTokens()
-                        + olderWeightsPenaltyTokens(state, model, nowNanos),
+                        + replacedWeightsPenaltyTokens(state, model, nowNanos),
                 own.runningStreams() + peers.requests());
     }
 
-    /** Returns the penalty for outdated weights, as tokens added to the runner's queue. */
-    private int olderWeightsPenaltyTokens(EndpointState state, String model, long nowNanos) {
-        boolean outdated = weightsBehindNanos(state, model, nowNanos) > OLDER_WEIGHTS_GRACE_NANOS;
-        return outdated
-                ? (int) (OLDER_WEIGHTS_PENALTY_NANOS / state.prefillRate().nanosPerToken())
+    /** Returns the penalty for replaced weights, as tokens added to the runner's queue. */
+    private int replacedWeightsPenaltyTokens(EndpointState state, String model, long nowNanos) {
+        long replacedNanos =
+                weightsAges.replacedNanos(model, state.weights(model), nowNanos).orElse(0);
+        return replacedNanos > REPLACED_WEIGHTS_GRACE_NANOS
+                ? (int) (REPLACED_WEIGHTS_PENALTY_NANOS / state.prefillRate().nanosPerToken())
                 : 0;
     }
 
@@ -289,7 +285,7 @@
                 weightsAges.replacedNanos(prompt.model(), state.weights(prompt.model()), nowNanos),
                 missing,
                 sharedCached,
-                best.queuedTokens() - olderWeightsPenaltyTokens(state, prompt.model(), nowNanos),
+                best.queuedTokens() - replacedWeightsPenaltyTokens(state, prompt.model(), nowNanos),
                 best,
                 considered);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsAges.java
@@ -105,7 +105,7 @@
 
     private OptionalLong replacedSinceNanos(String model, long version) {
         return target(model)
-                .map(target -> target.behindSinceNanos(version))
+                .map(target -> target.replacedSinceNanos(version))
                 .orElseGet(OptionalLong::empty);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/WeightsTarget.java
@@ -13,15 +13,15 @@
  * versions behind would stay in use indefinitely.
  *
  * @param model name of the model
- * @param namedNanos the earliest time at which each version is known to have been published, by
- *     this VM's monotonic clock
+ * @param publishedNanos when the first VM learned of each version, as far as this VM knows, by its
+ *     monotonic clock
  */
-public record WeightsTarget(String model, Map<Long, Long> namedNanos) {
+public record WeightsTarget(String model, Map<Long, Long> publishedNanos) {
     /** Maximum number of versions that are kept; runners are never that many versions behind. */
     private static final int MAXIMUM_VERSIONS = 32;
 
     public WeightsTarget {
-        namedNanos = Map.copyOf(namedNanos);
+        publishedNanos = Map.copyOf(publishedNanos);
     }
 
     /** Returns a target with the first version that this VM learns of. */
@@ -30,11 +30,11 @@
     }
 
     /**
-     * Returns a copy of this target with a version added, or with the earlier of two times at which
-     * a version was known.
+     * Returns a copy of this target with a version added. If the version is known already, the
+     * earlier of its two times is kept.
      */
     public WeightsTarget with(long version, long seenNanos) {
-        TreeMap<Long, Long> versions = new TreeMap<>(namedNanos);
+        TreeMap<Long, Long> versions = new TreeMap<>(publishedNanos);
         versions.merge(version, seenNanos, Math::min);
         while (versions.size() > MAXIMUM_VERSIONS) {
             versions.pollFirstEntry();
@@ -44,19 +44,19 @@
 
     /** Returns a copy of this target without a version. */
     public WeightsTarget without(long version) {
-        TreeMap<Long, Long> versions = new TreeMap<>(namedNanos);
+        TreeMap<Long, Long> versions = new TreeMap<>(publishedNanos);
         versions.remove(version);
         return new WeightsTarget(model, versions);
     }
 
     /** Returns the newest version; 0 if there is none. */
     public long version() {
-        return namedNanos.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
+        return publishedNanos.keySet().stream().mapToLong(Long::longValue).max().orElse(0);
     }
 
-    /** Returns the time since which a runner with this version is behind; empty if it is not. */
-    public OptionalLong behindSinceNanos(long version) {
-        return namedNanos.entrySet().stream()
+    /** Returns the time since which a version has been replaced; empty if it is the newest. */
+    public OptionalLong replacedSinceNanos(long version) {
+        return publishedNanos.entrySet().stream()
                 .filter(entry -> entry.getKey() > version)
                 .mapToLong(Map.Entry::getValue)
                 .min();
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -46,7 +46,7 @@
             state.onChange(WEIGHTS);
         }
         long newest = Math.max(listedRevision, changedRevision);
-        long since = state.weights().get("m").behindSinceNanos(newest - 1).orElseThrow();
+        long since = state.weights().get("m").replacedSinceNanos(newest - 1).orElseThrow();
         boolean hasInitialAge = System.nanoTime() - since >= INITIAL_AGE_NANOS;
         assertThat(hasInitialAge).isEqualTo(expected);
     }
@@ -82,7 +82,7 @@
                 peerVersion,
                 TimeUnit.MILLISECONDS.toNanos(peerMillis),
                 publishedNanos);
-        long since = state.weights().get("m").behindSinceNanos(1).orElseThrow();
+        long since = state.weights().get("m").replacedSinceNanos(1).orElseThrow();
         long ageMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - since);
         assertThat(ageMillis).isIn(Range.closed(expectedMillis, expectedMillis + 1_000));
         assertThat(state.weights().get("m").version()).isEqualTo(Math.max(ownVersion, peerVersion));
@@ -100,7 +100,7 @@
         long nowNanos = System.nanoTime();
         long ageNanos = TimeUnit.SECONDS.toNanos(1);
         state.recordPeerAge("peer", "m", 7, ageNanos, nowNanos);
-        assertThat(state.weights().get("m").behindSinceNanos(6).orElseThrow())
+        assertThat(state.weights().get("m").replacedSinceNanos(6).orElseThrow())
                 .isEqualTo(nowNanos - ageNanos);
         assertThat(state.publishedWithin(Long.MAX_VALUE, nowNanos)).hasSize(1);
     }
--- a/router/src/test/java/org/bronzelug/router/traffic/WeightsTargetTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/WeightsTargetTest.java
@@ -17,7 +17,7 @@
     void aRunnerIsBehindSinceThePublicationOfTheFirstVersionThatItLacks(
             long version, long expected) {
         WeightsTarget target = WeightsTarget.first("m", 1, 100).with(2, 200).with(3, 500);
-        assertThat(target.behindSinceNanos(version).orElse(-1)).isEqualTo(expected);
+        assertThat(target.replacedSinceNanos(version).orElse(-1)).isEqualTo(expected);
         assertThat(target.version()).isEqualTo(3);
     }
 
@@ -27,7 +27,7 @@
         for (long version = 2; version < 100; version++) {
             target = target.with(version, version);
         }
-        assertThat(target.namedNanos().size()).isAtMost(32);
+        assertThat(target.publishedNanos().size()).isAtMost(32);
         assertThat(target.version()).isEqualTo(99);
     }
 }
