--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -201,7 +201,7 @@
         responding.recordResponse(head);
         responding.recordActivity(System.nanoTime());
         attempt.prefill().recordHead(responding, head);
-        responseStart.recordHead(head);
+        responseStart.recordHead(head, System.nanoTime());
         if (head.notExecuted() || head.status() == MISDIRECTED) {
             onNotExecuted(head);
             return;
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.bronzelug.core.limit.EndpointLimit;
+import org.bronzelug.core.placement.PromptPart;
 import org.bronzelug.core.routing.Team;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
@@ -15,6 +17,11 @@
 final class ExchangeLog {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    /** Bounds a line: callers choose how many parts there are, and their ids. */
+    private static final int LOGGED_PARTS = 8;
+
+    private static final int LOGGED_PART_CHARACTERS = 24;
+
     private final AdmittedRequest admitted;
     private ConnectionUse connection = ConnectionUse.NONE;
 
@@ -37,6 +44,7 @@
                         + (" endpoint=" + endpoint.entry().id())
                         + (" softwareVersion=" + endpoint.entry().softwareVersion())
                         + resumption()
+                        + sharedParts()
                         + (" requests=" + endpoint.ownRequests())
                         + ("+" + endpoint.peerRequests())
                         + runner.map(RunnerChoice::describe).orElse("")
@@ -134,6 +142,25 @@
                         + (" millis=" + millisTo(System.nanoTime())));
     }
 
+    /** Names the first parts of the prompt, without the last one, which no other caller shares. */
+    private String sharedParts() {
+        return admitted.head().prompt().map(PromptSpec::sharedParts).stream()
+                .filter(parts -> !parts.isEmpty())
+                .map(
+                        parts ->
+                                parts.stream()
+                                        .limit(LOGGED_PARTS)
+                                        .map(PromptPart::id)
+                                        .map(ExchangeLog::shortened)
+                                        .collect(Collectors.joining(",", " parts=", "")))
+                .findFirst()
+                .orElse("");
+    }
+
+    private static String shortened(String id) {
+        return id.substring(0, Math.min(id.length(), LOGGED_PART_CHARACTERS));
+    }
+
     /** Names the stream that the caller resumes, if it resumes one. */
     private String resumption() {
         return admitted.head()
--- a/router/src/main/java/org/bronzelug/router/exchange/PromptSpec.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PromptSpec.java
@@ -17,6 +17,11 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns the parts that other requests may share: all but the last one. */
+    public List<PromptPart> sharedParts() {
+        return parts.isEmpty() ? parts : parts.subList(0, parts.size() - 1);
+    }
+
     /** Returns the number of tokens that are charged to the team's rate. */
     public int totalTokens() {
         return inputTokens + outputTokens;
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
@@ -18,6 +18,7 @@
     private final RouterMetrics metrics;
     private final AdmittedRequest admitted;
     private OptionalLong writtenNanos = OptionalLong.empty();
+    private OptionalLong headNanos = OptionalLong.empty();
     private OptionalLong firstDataNanos = OptionalLong.empty();
     private OptionalLong reportedVersion = OptionalLong.empty();
     private OptionalLong replacedNanos = OptionalLong.empty();
@@ -32,8 +33,9 @@
         writtenNanos = OptionalLong.of(nowNanos);
     }
 
-    /** Records the version of the weights that the head of a response reports. */
-    void recordHead(EndpointResponse head) {
+    /** Records the last head of a response, and the version of the weights that it reports. */
+    void recordHead(EndpointResponse head, long nowNanos) {
+        headNanos = OptionalLong.of(nowNanos);
         reportedVersion = head.weightsVersion();
     }
 
@@ -69,6 +71,7 @@
     /** Returns the times since the request arrived, and the weights, as fields of a log line. */
     String describe() {
         return (" writtenMillis=" + millis(writtenNanos))
+                + (" headMillis=" + millis(headNanos))
                 + (" firstMillis=" + millis(firstDataNanos))
                 + (" reportedWeights=" + text(reportedVersion))
                 + (" replacedMillis="
