--- a/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
@@ -2,10 +2,8 @@
 
 import java.util.Collections;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 
 /**
  * The evidence that one part is the cause of the crashes at which it was: how unlikely it is that
@@ -62,19 +60,12 @@
                         .filter(crash -> !crash.suspects().containsKey(part))
                         .filter(crash -> crash.pool().equals(part.pool()))
                         .filter(crash -> nowNanos - crash.atNanos() < RATE_WINDOW_NANOS)
-                        .filter(crash -> Collections.disjoint(candidates, begunParts(crash)))
+                        .filter(crash -> Collections.disjoint(candidates, crash.begunParts()))
                         .toList();
         double rate = Math.max(MINIMUM_RATE, rate(without, endpoints, nowNanos));
         return new CrashEvidence(with, strength(part, with, rate));
     }
 
-    private static Set<PartKey> begunParts(EndpointCrash crash) {
-        return crash.suspects().entrySet().stream()
-                .filter(suspect -> suspect.getValue() == Involvement.BEGUN)
-                .map(Map.Entry::getKey)
-                .collect(Collectors.toSet());
-    }
-
     private static double rate(List<EndpointCrash> without, int endpoints, long nowNanos) {
         if (without.isEmpty()) {
             return 0;
--- a/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
@@ -90,15 +90,7 @@
     Set<PartKey> suspects() {
         if (suspects.isEmpty()) {
             Set<PartKey> begun = new HashSet<>();
-            for (EndpointCrash crash : crashes.values()) {
-                crash.suspects()
-                        .forEach(
-                                (part, involvement) -> {
-                                    if (involvement == Involvement.BEGUN) {
-                                        begun.add(part);
-                                    }
-                                });
-            }
+            crashes.values().forEach(crash -> begun.addAll(crash.begunParts()));
             suspects = Optional.of(begun);
         }
         return suspects.get();
--- a/core/src/main/java/org/bronzelug/core/poison/EndpointCrash.java
+++ b/core/src/main/java/org/bronzelug/core/poison/EndpointCrash.java
@@ -1,6 +1,8 @@
 package org.bronzelug.core.poison;
 
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The crash of one start of an endpoint, with the parts that may have caused it as far as one VM
@@ -22,6 +24,14 @@
         suspects = Map.copyOf(suspects);
     }
 
+    /** Returns the parts that had just begun. */
+    Set<PartKey> begunParts() {
+        return suspects.entrySet().stream()
+                .filter(suspect -> suspect.getValue() == Involvement.BEGUN)
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
+    }
+
     EndpointCrash withSuspects(Map<PartKey, Involvement> others) {
         return new EndpointCrash(start, pool, softwareVersion, atNanos, others);
     }
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -21,12 +21,6 @@
  * endpoint may yet survive it. Not thread-safe.
  */
 public final class PoisonMonitor {
-    /** Time without a sweep after which this VM was suspended or had no processor time. */
-    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-
-    /** Time for which a request that does not begin keeps others with its parts waiting. */
-    private static final long MAXIMUM_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(3);
-
     /** Time from a quarantine to its trial; requests that were in progress have ended by then. */
     private static final long CONFIRM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
@@ -36,7 +30,7 @@
     private final CrashLog crashes = new CrashLog();
     private final PartQuarantine quarantine = new PartQuarantine();
     private final PeerTrials peerTrials = new PeerTrials();
-    private final Set<EndpointRun> runs = new HashSet<>();
+    private final OwnRuns runs;
     private final PoisonNews news = new PoisonNews();
     private final Listener listener;
 
@@ -44,7 +38,6 @@
     private boolean changed;
 
     private Map<String, Integer> endpoints = Map.of();
-    private long sweptNanos;
 
     /** Is notified of what has been inferred. */
     public interface Listener {
@@ -60,7 +53,7 @@
 
     public PoisonMonitor(Listener listener, long nowNanos) {
         this.listener = listener;
-        this.sweptNanos = nowNanos;
+        this.runs = new OwnRuns(nowNanos);
     }
 
     /** Sets the number of endpoints of each pool. */
@@ -141,7 +134,7 @@
      * @param lostNanos when a connection to it was lost; empty if none was
      */
     public EndpointCrash recordCrash(EndpointRun run, OptionalLong lostNanos, long nowNanos) {
-        sweep(run, nowNanos);
+        runs.sweep(run, (part, version) -> recordOwnSurvival(part, version, nowNanos), nowNanos);
         runs.remove(run);
         EndpointCrash crash =
                 run.crash(
@@ -164,23 +157,12 @@
 
     /** Looks for parts that endpoints have survived; to be called several times a second. */
     public void sweep(long nowNanos) {
-        if (nowNanos - sweptNanos > STALL_NANOS) {
-            runs.forEach(run -> run.restartSurvival(nowNanos));
-        }
-        sweptNanos = nowNanos;
-        List.copyOf(runs).forEach(run -> sweep(run, nowNanos));
+        runs.sweep((part, version) -> recordOwnSurvival(part, version, nowNanos), nowNanos);
         quarantine.expire(nowNanos);
         crashes.expire(nowNanos);
         judge(nowNanos);
     }
 
-    private void sweep(EndpointRun run, long nowNanos) {
-        run.sweep(part -> recordOwnSurvival(part, run.softwareVersion(), nowNanos), nowNanos);
-        if (run.exposures().isEmpty()) {
-            runs.remove(run);
-        }
-    }
-
     private void recordOwnSurvival(PartKey part, String softwareVersion, long nowNanos) {
         boolean suspected = isSuspect(part);
         recordSurvival(part, softwareVersion, nowNanos);
@@ -214,16 +196,8 @@
     }
 
     private void renewProbation(EndpointCrash crash, long nowNanos) {
-        Set<PartKey> begun = new HashSet<>();
-        crash.suspects()
-                .forEach(
-                        (part, involvement) -> {
-                            if (involvement == Involvement.BEGUN) {
-                                begun.add(part);
-                            }
-                        });
         quarantine
-                .onProbation(begun, nowNanos)
+                .onProbation(crash.begunParts(), nowNanos)
                 .ifPresent(ended -> quarantine(ended.parts(), ended.softwareVersions(), nowNanos));
     }
 
@@ -261,13 +235,10 @@
 
     /** Returns the suspected parts of this VM's requests in progress that have begun, or not. */
     private Set<PartKey> ownTrials(boolean begun, long nowNanos) {
-        Set<PartKey> trials = new HashSet<>();
-        if (crashes.suspects().isEmpty() && quarantine.isEmpty()) {
-            return trials;
-        }
-        for (EndpointRun run : runs) {
-            trials.addAll(run.open(begun, nowNanos - MAXIMUM_TRIAL_NANOS, nowNanos));
+        if (!hasSuspects()) {
+            return Set.of();
         }
+        Set<PartKey> trials = runs.open(begun, nowNanos);
         trials.removeIf(part -> !isSuspect(part));
         return trials;
     }
@@ -289,11 +260,7 @@
 
     /** Adds this VM's requests at an endpoint of whose crash another VM was the first to learn. */
     private void join(EndpointCrash crash, long nowNanos) {
-        for (EndpointRun run : List.copyOf(runs)) {
-            if (run.start().equals(crash.start())) {
-                recordCrash(run, OptionalLong.empty(), nowNanos);
-            }
-        }
+        runs.find(crash.start()).ifPresent(run -> recordCrash(run, OptionalLong.empty(), nowNanos));
     }
 
     /**
