--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -189,9 +189,9 @@
     private void confirm(EndpointCrash crash) {
         Set<PartKey> present = crash.suspects().keySet();
         Set<PartKey> others = crashes.recurring(present);
-        for (QuarantinedParts changed : quarantine.confirm(present, others, crash.atNanos())) {
-            news.addQuarantine(changed);
-            listener.onQuarantined(changed, "another crash");
+        for (QuarantinedParts entry : quarantine.confirm(present, others, crash.atNanos())) {
+            news.addQuarantine(entry);
+            listener.onQuarantined(entry, "another crash");
         }
     }
 
