--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -15,7 +15,6 @@
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.core.membership.CallerSteering;
-import org.bronzelug.core.poison.QuarantinedParts;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.kernel.Service;
 import org.bronzelug.log.EventLog;
@@ -130,7 +129,7 @@
                 new StoredVersions(control, store, settings.vm(), members, this::adoptVersions);
         this.storedQuarantines =
                 new StoredQuarantines(
-                        control, store, settings.vm(), members, this::adoptQuarantines);
+                        control, store, settings.vm(), members, poisonReports::adoptStored);
         this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
     }
 
@@ -484,10 +483,6 @@
         traffic.execute(() -> trafficState.origins().versions().adopt(stored));
     }
 
-    private void adoptQuarantines(List<QuarantinedParts> stored) {
-        traffic.execute(() -> trafficState.poison().adopt(stored, "platform"));
-    }
-
     private int fleetSize() {
         return members.addresses().size();
     }
--- a/router/src/main/java/org/bronzelug/router/control/FleetPoisonReports.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetPoisonReports.java
@@ -59,6 +59,19 @@
                 });
     }
 
+    /**
+     * Adopts the quarantines that the platform keeps.
+     *
+     * @param onAdopted called on the control thread before any later report of the traffic thread
+     */
+    void adoptStored(List<QuarantinedParts> stored, Runnable onAdopted) {
+        traffic.execute(
+                () -> {
+                    directory.adopt(stored, "platform");
+                    control.execute(onAdopted);
+                });
+    }
+
     /** Receives what a message contains for this class. */
     void receive(VmState message, long nowNanos) {
         if (message.hasPoison()) {
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
@@ -0,0 +1,171 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.bronzelug.core.membership.Rendezvous;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.store.StoredItem;
+
+/**
+ * The objects of one kind that the VMs keep on the platform, one for each pool. A VM lists them
+ * once at its start.
+ *
+ * <p>Writing needs no lease: the first VMs of a pool's rendezvous order write one after the other,
+ * conditionally on the object's revision, so usually one write is made for each change.
+ *
+ * <p>Invariant: nothing is written before the objects were listed, and one call at a time is in
+ * progress. Confined to the control thread.
+ */
+final class PoolObjects {
+    /** The VMs that may write, so that one that is cut off does not prevent a write. */
+    private static final int WRITERS = 3;
+
+    /** Time that each VM of a higher rank has to write, before this one does. */
+    private static final long WAIT_PER_RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private static final long RETRY_MILLIS = 500;
+
+    private final EventLoop control;
+    private final ObjectStore store;
+    private final String vm;
+    private final MemberTable members;
+    private final String kind;
+    private final LogEvent written;
+    private final Consumer<List<StoredItem>> onListed;
+    private final Map<String, StoredItem> stored = new HashMap<>();
+    private final Map<String, Long> differsSinceNanos = new HashMap<>();
+    private boolean listed;
+    private boolean callInFlight;
+    private boolean stopped;
+    private long nextCallNanos = System.nanoTime();
+
+    /**
+     * @param written the log event of a write
+     * @param onListed receives the objects, once
+     */
+    PoolObjects(
+            EventLoop control,
+            ObjectStore store,
+            String vm,
+            MemberTable members,
+            String kind,
+            LogEvent written,
+            Consumer<List<StoredItem>> onListed) {
+        this.control = control;
+        this.store = store;
+        this.vm = vm;
+        this.members = members;
+        this.kind = kind;
+        this.written = written;
+        this.onListed = onListed;
+    }
+
+    void start() {
+        store.list(kind)
+                .whenComplete(
+                        (list, failure) -> {
+                            if (failure == null) {
+                                list.items().forEach(item -> stored.put(item.name(), item));
+                                listed = true;
+                                onListed.accept(list.items());
+                            } else if (!stopped) {
+                                control.schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+                            }
+                        });
+    }
+
+    void stop() {
+        stopped = true;
+    }
+
+    /** Returns the object of a pool as it was last read or written; empty if there is none. */
+    Optional<StoredItem> find(String pool) {
+        return Optional.ofNullable(stored.get(pool));
+    }
+
+    /** Returns the pools that have an object. */
+    Set<String> pools() {
+        return Set.copyOf(stored.keySet());
+    }
+
+    /** Records that the object of a pool is as it should be. */
+    void recordEqual(String pool) {
+        differsSinceNanos.remove(pool);
+    }
+
+    /**
+     * Writes the object of a pool, which differs from what it should be, if it is this VM's turn.
+     *
+     * @param description what is written, for the log
+     */
+    void writeIfDue(String pool, Supplier<byte[]> content, String description) {
+        long nowNanos = System.nanoTime();
+        if (isDue(pool, nowNanos)) {
+            write(pool, content.get(), description);
+        }
+    }
+
+    private boolean isDue(String pool, long nowNanos) {
+        long sinceNanos = differsSinceNanos.computeIfAbsent(pool, name -> nowNanos);
+        boolean pausing = callInFlight || nowNanos - nextCallNanos < 0;
+        if (!listed || stopped || pausing) {
+            return false;
+        }
+        List<String> names = new ArrayList<>();
+        names.add(vm);
+        members.live(nowNanos).forEach(member -> names.add(member.state().getVm()));
+        int rank = Rendezvous.order(pool, names).indexOf(vm);
+        return rank < WRITERS && nowNanos - sinceNanos >= rank * WAIT_PER_RANK_NANOS;
+    }
+
+    private void write(String pool, byte[] content, String description) {
+        callInFlight = true;
+        CompletableFuture<StoredItem> call =
+                find(pool)
+                        .map(known -> new StoredItem(pool, known.revision(), content))
+                        .map(item -> store.replace(kind, item))
+                        .orElseGet(() -> store.create(kind, pool, content));
+        call.whenComplete(
+                (item, failure) -> {
+                    String outcome = failure == null ? "written" : failure.getMessage();
+                    EventLog.info(
+                            written,
+                            "pool=" + pool + " " + description + " outcome=\"" + outcome + "\"");
+                    if (failure == null) {
+                        stored.put(pool, item);
+                        endCall();
+                    } else {
+                        readAgain(pool);
+                    }
+                });
+    }
+
+    /** Reads an object that another VM may have written. */
+    private void readAgain(String pool) {
+        store.read(kind, pool)
+                .whenComplete(
+                        (item, failure) -> {
+                            if (failure == null) {
+                                stored.put(pool, item);
+                            }
+                            endCall();
+                        });
+    }
+
+    private void endCall() {
+        callInFlight = false;
+        nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/control/StoredQuarantines.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredQuarantines.java
@@ -11,13 +11,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
-import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.core.poison.PartKey;
 import org.bronzelug.core.poison.QuarantinedParts;
 import org.bronzelug.log.EventLog;
@@ -31,10 +27,8 @@
  * reads them once at its start. Without this, VMs that have all restarted at the same time would
  * let the same parts crash endpoints again.
  *
- * <p>As in {@link StoredVersions}, the first VMs of a pool's rendezvous order write one after the
- * other, conditionally on the object's revision.
- *
- * <p>Invariant: an object is written only by a VM that has read it. Confined to the control thread.
+ * <p>Invariant: an object is written only by a VM that has adopted what it contained. Confined to
+ * the control thread.
  */
 final class StoredQuarantines {
     static final String KIND = "quarantined-parts";
@@ -46,74 +40,52 @@
     private static final String CONFIRMED = "confirmed";
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private static final int WRITERS = 3;
-    private static final long WAIT_PER_RANK_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-    private static final long RETRY_MILLIS = 500;
-
     /** Longest remaining time that is believed, since the time of day may be wrong. */
     private static final long MAXIMUM_MILLIS = TimeUnit.DAYS.toMillis(1);
 
-    private final EventLoop control;
-    private final ObjectStore store;
-    private final String vm;
-    private final MemberTable members;
-    private final Consumer<List<QuarantinedParts>> onRead;
-    private final Map<String, StoredItem> stored = new HashMap<>();
-    private final Map<String, Set<StoredParts>> known = new HashMap<>();
-    private final Map<String, Long> differsSinceNanos = new HashMap<>();
-    private boolean read;
-    private boolean callInFlight;
-    private boolean stopped;
-    private long nextCallNanos = System.nanoTime();
+    private final PoolObjects objects;
+    private final Reader reader;
+    private boolean adopted;
+
+    /** Adopts the stored quarantines. */
+    interface Reader {
+        /**
+         * Called once.
+         *
+         * @param onAdopted to be called when all later reports contain them
+         */
+        void adopt(List<QuarantinedParts> stored, Runnable onAdopted);
+    }
 
     /**
-     * @param onRead receives the stored quarantines, once
+     * @param reader receives the stored quarantines, once
      */
     StoredQuarantines(
-            EventLoop control,
-            ObjectStore store,
-            String vm,
-            MemberTable members,
-            Consumer<List<QuarantinedParts>> onRead) {
-        this.control = control;
-        this.store = store;
-        this.vm = vm;
-        this.members = members;
-        this.onRead = onRead;
+            EventLoop control, ObjectStore store, String vm, MemberTable members, Reader reader) {
+        this.objects =
+                new PoolObjects(
+                        control,
+                        store,
+                        vm,
+                        members,
+                        KIND,
+                        LogEvent.QUARANTINE_STORED,
+                        this::onListed);
+        this.reader = reader;
     }
 
     void start() {
-        store.list(KIND)
-                .whenComplete(
-                        (list, failure) -> {
-                            if (failure == null) {
-                                onListed(list.items());
-                            } else if (!stopped) {
-                                control.schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-                            }
-                        });
+        objects.start();
     }
 
     void stop() {
-        stopped = true;
+        objects.stop();
     }
 
     private void onListed(List<StoredItem> items) {
         List<QuarantinedParts> quarantines = new ArrayList<>();
-        for (StoredItem item : items) {
-            List<QuarantinedParts> decoded = decode(item);
-            quarantines.addAll(decoded);
-            recordStored(item, decoded);
-        }
-        read = true;
-        if (!quarantines.isEmpty()) {
-            onRead.accept(quarantines);
-        }
-    }
-
-    private void recordStored(StoredItem item, List<QuarantinedParts> quarantines) {
-        stored.put(item.name(), item);
-        known.put(item.name(), storedParts(quarantines));
+        items.forEach(item -> quarantines.addAll(decode(item)));
+        reader.adopt(quarantines, () -> adopted = true);
     }
 
     /** What makes VMs write a quarantine again if it changes. Immutable. */
@@ -127,8 +99,11 @@
 
     /** Writes what has changed, if it is this VM's turn. */
     void round(List<QuarantinedParts> quarantines) {
+        if (!adopted) {
+            return;
+        }
         Map<String, List<QuarantinedParts>> byPool = new HashMap<>();
-        known.keySet().forEach(pool -> byPool.put(pool, new ArrayList<>()));
+        objects.pools().forEach(pool -> byPool.put(pool, new ArrayList<>()));
         for (QuarantinedParts entry : quarantines) {
             entry.parts().stream()
                     .findAny()
@@ -137,72 +112,20 @@
                                     byPool.computeIfAbsent(part.pool(), any -> new ArrayList<>())
                                             .add(entry));
         }
-        byPool.forEach(this::writeIfDue);
-    }
-
-    private void writeIfDue(String pool, List<QuarantinedParts> quarantines) {
-        long nowNanos = System.nanoTime();
-        if (known.getOrDefault(pool, Set.of()).equals(storedParts(quarantines))) {
-            differsSinceNanos.remove(pool);
-        } else if (isDue(pool, nowNanos)) {
-            write(pool, quarantines, nowNanos);
-        }
+        byPool.forEach(this::update);
     }
 
-    private boolean isDue(String pool, long nowNanos) {
-        long sinceNanos = differsSinceNanos.computeIfAbsent(pool, name -> nowNanos);
-        if (!read || stopped || callInFlight || nowNanos - nextCallNanos < 0) {
-            return false;
+    private void update(String pool, List<QuarantinedParts> quarantines) {
+        Set<StoredParts> known =
+                objects.find(pool).map(item -> storedParts(decode(item))).orElse(Set.of());
+        if (known.equals(storedParts(quarantines))) {
+            objects.recordEqual(pool);
+        } else {
+            objects.writeIfDue(
+                    pool,
+                    () -> encode(quarantines, System.nanoTime()),
+                    "quarantines=" + quarantines.size());
         }
-        List<String> names = new ArrayList<>();
-        names.add(vm);
-        members.live(nowNanos).forEach(member -> names.add(member.state().getVm()));
-        int rank = Rendezvous.order(pool, names).indexOf(vm);
-        return rank < WRITERS && nowNanos - sinceNanos >= rank * WAIT_PER_RANK_NANOS;
-    }
-
-    private void write(String pool, List<QuarantinedParts> quarantines, long nowNanos) {
-        callInFlight = true;
-        byte[] content = encode(quarantines, nowNanos);
-        Optional<StoredItem> before = Optional.ofNullable(stored.get(pool));
-        CompletableFuture<StoredItem> written =
-                before.isEmpty()
-                        ? store.create(KIND, pool, content)
-                        : store.replace(
-                                KIND, new StoredItem(pool, before.get().revision(), content));
-        written.whenComplete(
-                (item, failure) -> {
-                    EventLog.info(
-                            LogEvent.QUARANTINE_STORED,
-                            ("pool=" + pool)
-                                    + (" quarantines=" + quarantines.size())
-                                    + (" outcome=\"")
-                                    + (failure == null ? "written" : failure.getMessage())
-                                    + "\"");
-                    if (failure == null) {
-                        recordStored(item, quarantines);
-                        endCall();
-                    } else {
-                        readAgain(pool);
-                    }
-                });
-    }
-
-    /** Reads an object that another VM may have written. */
-    private void readAgain(String pool) {
-        store.read(KIND, pool)
-                .whenComplete(
-                        (item, failure) -> {
-                            if (failure == null) {
-                                recordStored(item, decode(item));
-                            }
-                            endCall();
-                        });
-    }
-
-    private void endCall() {
-        callInFlight = false;
-        nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
     }
 
     private static byte[] encode(List<QuarantinedParts> quarantines, long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -41,7 +41,6 @@
     private final Runnable onQuarantined;
     private Peers peers = report -> {};
     private long roundNanos = System.nanoTime();
-    private long crashes;
 
     /** The other VMs. Called on the traffic thread; must not block. */
     public interface Peers {
@@ -95,7 +94,6 @@
      * @param lostNanos when a connection to it was lost; empty if none was
      */
     public void recordCrash(EndpointRun run, OptionalLong lostNanos, long nowNanos) {
-        crashes++;
         EndpointCrash crash = monitor.recordCrash(run, lostNanos, nowNanos);
         EventLog.info(
                 LogEvent.ENDPOINT_CRASHED,
@@ -174,11 +172,6 @@
         return monitor.quarantines();
     }
 
-    /** Returns the number of crashes of endpoints that this VM has seen itself. */
-    public long crashes() {
-        return crashes;
-    }
-
     /** Logs what has been inferred, and has the requests in progress follow it. */
     private final class Log implements PoisonMonitor.Listener {
         @Override
