--- a/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
@@ -10,23 +10,23 @@
  * as many crashes met it by chance.
  *
  * <p>Crashes at which the part was not tell how often endpoints crash without it. The more often
- * they do, the more crashes it takes to hold a part for the cause. Immutable.
+ * they do, the more crashes are required. Immutable.
  *
  * @param crashes the crashes at which the part was
  * @param strength the negative logarithm of the likelihood that they met it by chance
  */
 record CrashEvidence(List<EndpointCrash> crashes, double strength) {
-    /** A part that is not the cause is held to be with at most this probability. */
+    /** Maximum probability of quarantining a part that is not the cause. */
     private static final double ERROR_PROBABILITY = 1e-7;
 
-    /** Crashes that it takes at least, however rare crashes are. */
+    /** Crashes that are required even if crashes are rare. */
     static final int MINIMUM_CRASHES = 3;
 
-    private static final double CONVICTING_STRENGTH = -Math.log(ERROR_PROBABILITY);
+    private static final double REQUIRED_STRENGTH = -Math.log(ERROR_PROBABILITY);
 
-    /** Crashes a second and endpoint that are assumed at least, so that three convict. */
+    /** Crashes a second and endpoint that are assumed at least, so that three crashes suffice. */
     private static final double MINIMUM_RATE =
-            -Math.log(1 - Math.exp(-CONVICTING_STRENGTH / MINIMUM_CRASHES))
+            -Math.log(1 - Math.exp(-REQUIRED_STRENGTH / MINIMUM_CRASHES))
                     / Involvement.BEGUN_SECONDS;
 
     /** Endpoints that go down with their host or network go down within this time. */
@@ -99,7 +99,7 @@
         };
     }
 
-    boolean isConvicting() {
-        return strength > CONVICTING_STRENGTH - ROUNDING;
+    boolean isSufficient() {
+        return strength > REQUIRED_STRENGTH - ROUNDING;
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
@@ -24,7 +24,7 @@
  * {@link #MAXIMUM_CRASHES} are kept, the latest ones. Not thread-safe.
  */
 final class CrashLog {
-    /** How long a crash speaks against the parts that were there. */
+    /** Time for which a crash counts as evidence against the parts that were there. */
     static final long VALID_NANOS = TimeUnit.MINUTES.toNanos(10);
 
     static final int MAXIMUM_CRASHES = 256;
@@ -44,7 +44,7 @@
     private Optional<Set<PartKey>> suspects = Optional.empty();
 
     /** Parts that together explain several crashes. Immutable. */
-    record Explanation(Set<PartKey> parts, Set<String> softwareVersions, int crashes) {}
+    record Explanation(Set<PartKey> parts, Set<String> softwareVersions) {}
 
     /**
      * Records what one VM reports of a crash.
@@ -120,7 +120,7 @@
         }
     }
 
-    /** Forgets the crashes that speak against no part any more. */
+    /** Removes the crashes that no longer count. */
     void expire(long nowNanos) {
         if (crashes.values().removeIf(crash -> nowNanos - crash.atNanos() > VALID_NANOS)) {
             suspects = Optional.empty();
@@ -176,7 +176,7 @@
             evidence.put(part, CrashEvidence.of(part, open, begun.keySet(), size, nowNanos));
         }
         return evidence.values().stream()
-                .filter(CrashEvidence::isConvicting)
+                .filter(CrashEvidence::isSufficient)
                 .max(Comparator.comparingDouble(CrashEvidence::strength))
                 .map(heaviest -> explanation(heaviest, evidence));
     }
@@ -199,6 +199,6 @@
                 heaviest.crashes().stream()
                         .map(EndpointCrash::softwareVersion)
                         .collect(Collectors.toUnmodifiableSet());
-        return new Explanation(Set.copyOf(common), versions, heaviest.crashes().size());
+        return new Explanation(Set.copyOf(common), versions);
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
+++ b/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
@@ -28,7 +28,7 @@
     private final EndpointStart start;
     private final String pool;
     private final String softwareVersion;
-    private final List<PartExposure> exposures = new ArrayList<>();
+    private final List<WatchedAttempt> attempts = new ArrayList<>();
     private OptionalLong lastActivityNanos = OptionalLong.empty();
     private OptionalLong lastConnectedNanos = OptionalLong.empty();
 
@@ -46,12 +46,12 @@
         return softwareVersion;
     }
 
-    void add(PartExposure exposure) {
-        exposures.add(exposure);
+    void add(WatchedAttempt watched) {
+        attempts.add(watched);
     }
 
-    List<PartExposure> exposures() {
-        return exposures;
+    List<WatchedAttempt> attempts() {
+        return attempts;
     }
 
     /** Records that the endpoint has sent something. */
@@ -66,26 +66,26 @@
 
     /** Restarts the time that the endpoint must live, since this VM has not seen all of it. */
     void restartSurvival(long nowNanos) {
-        exposures.forEach(exposure -> exposure.restartSurvival(nowNanos));
+        attempts.forEach(watched -> watched.restartSurvival(nowNanos));
     }
 
     /** Passes on the parts that the endpoint has survived, and forgets what has become useless. */
     void sweep(Consumer<PartKey> onSurvived, long nowNanos) {
-        exposures.removeIf(
-                exposure -> {
-                    if (isSurvived(exposure)) {
-                        exposure.parts().forEach(onSurvived);
-                        exposure.recordSurvived();
+        attempts.removeIf(
+                watched -> {
+                    if (isSurvived(watched)) {
+                        watched.parts().forEach(onSurvived);
+                        watched.recordSurvived();
                         return true;
                     }
-                    long keptNanos = exposure.isBegun() ? FORGET_NANOS : SURVIVAL_NANOS;
-                    return exposure.isEndedBefore(nowNanos - keptNanos);
+                    long keptNanos = watched.isBegun() ? FORGET_NANOS : SURVIVAL_NANOS;
+                    return watched.isEndedBefore(nowNanos - keptNanos);
                 });
     }
 
-    private boolean isSurvived(PartExposure exposure) {
-        return exposure.isSurvivedAt(lastActivityNanos)
-                || exposure.isComplete() && exposure.isSurvivedAt(lastConnectedNanos);
+    private boolean isSurvived(WatchedAttempt watched) {
+        return watched.isSurvivedAt(lastActivityNanos)
+                || watched.isComplete() && watched.isSurvivedAt(lastConnectedNanos);
     }
 
     /**
@@ -98,15 +98,15 @@
     EndpointCrash crash(Predicate<PartKey> harmless, OptionalLong lostNanos, long nowNanos) {
         long crashNanos = lostNanos.orElse(lastAliveNanos().orElse(nowNanos));
         Map<PartKey, Involvement> suspects = new HashMap<>();
-        for (PartExposure exposure : exposures) {
-            if (exposure.isWritten() && !exposure.isEndedBefore(crashNanos - SURVIVAL_NANOS)) {
-                Involvement involvement = exposure.involvement(crashNanos);
-                exposure.parts().stream()
+        for (WatchedAttempt watched : attempts) {
+            if (watched.isWritten() && !watched.isEndedBefore(crashNanos - SURVIVAL_NANOS)) {
+                Involvement involvement = watched.involvement(crashNanos);
+                watched.parts().stream()
                         .filter(harmless.negate())
                         .forEach(part -> suspects.merge(part, involvement, Involvement::first));
             }
         }
-        exposures.clear();
+        attempts.clear();
         return new EndpointCrash(start, pool, softwareVersion, crashNanos, suspects);
     }
 
@@ -122,9 +122,9 @@
     /** Returns the parts of requests with an open outcome that have begun, or have not. */
     Set<PartKey> open(boolean begun, long afterNanos, long nowNanos) {
         Set<PartKey> parts = new HashSet<>();
-        for (PartExposure exposure : exposures) {
-            if (exposure.isOpen(afterNanos, nowNanos) && exposure.isBegun() == begun) {
-                parts.addAll(exposure.parts());
+        for (WatchedAttempt watched : attempts) {
+            if (watched.isOpen(afterNanos, nowNanos) && watched.isBegun() == begun) {
+                parts.addAll(watched.parts());
             }
         }
         return parts;
--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -9,16 +9,16 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The parts that are held to crash endpoints.
+ * The quarantines: sets of parts that crash endpoints if a request contains all parts of a set.
  *
- * <p>A quarantine is confirmed by one more crash under its parts: without a trial, parts that were
- * held for the cause by mistake would be rejected for long. A quarantine ends when one of its parts
- * is seen to survive and no other is left, or after a time that doubles each time the parts are put
- * under quarantine again. After that its parts stay on probation for as long: they are suspect, and
- * one more crash renews the quarantine.
+ * <p>One more crash under the parts confirms a quarantine. Until then requests are sent to test it,
+ * since a wrong quarantine would reject all requests that could refute it. A part that an endpoint
+ * survives leaves its quarantines, and a quarantine without parts ends. Otherwise it ends after a
+ * time, which doubles each time. An ended quarantine is kept for as long again: its parts are
+ * suspected, and one more crash renews it.
  *
- * <p>Invariant: no part of a quarantine is in force that an endpoint of the same software versions
- * has survived since. At most {@link #MAXIMUM_ENTRIES} are kept. Not thread-safe.
+ * <p>Invariant: no quarantine contains a part that an endpoint of the same software version has
+ * survived since. At most {@link #MAXIMUM_ENTRIES} are kept. Not thread-safe.
  */
 final class PartQuarantine {
     static final long FIRST_NANOS = TimeUnit.MINUTES.toNanos(10);
@@ -82,7 +82,7 @@
         return Optional.empty();
     }
 
-    /** Returns whether the part is one of a quarantine that has ended or needs other parts too. */
+    /** Returns whether the part is in a quarantine, in force or ended. */
     boolean isSuspect(PartKey part) {
         return entries.stream().anyMatch(entry -> entry.parts().contains(part));
     }
@@ -120,8 +120,8 @@
         return changed;
     }
 
-    /** Returns the ended quarantine that one more crash with these parts renews; empty if none. */
-    Optional<QuarantinedParts> onProbation(Collection<PartKey> parts, long nowNanos) {
+    /** Returns an ended quarantine whose parts are all among these; empty if there is none. */
+    Optional<QuarantinedParts> endedQuarantine(Collection<PartKey> parts, long nowNanos) {
         return entries.stream()
                 .filter(entry -> !entry.isInForce(nowNanos) && parts.containsAll(entry.parts()))
                 .findFirst();
@@ -157,7 +157,7 @@
         return found;
     }
 
-    /** Forgets the quarantines whose probation has ended. */
+    /** Removes the quarantines that have ended long ago. */
     void expire(long nowNanos) {
         entries.removeIf(
                 entry -> {
--- a/core/src/main/java/org/bronzelug/core/poison/PartSurvivals.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartSurvivals.java
@@ -13,7 +13,7 @@
  * recorded last. Not thread-safe.
  */
 final class PartSurvivals {
-    /** How long a survival speaks for its part, since weights and adapters change. */
+    /** Time for which a survival counts, since weights and adapters change. */
     static final long VALID_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     /** Age from which a survival is recorded again if its part is seen to survive. */
@@ -45,7 +45,7 @@
         return isYoungerThan(VALID_NANOS, part, softwareVersion, nowNanos);
     }
 
-    /** Returns whether it is of no use to see a part survive once more now. */
+    /** Returns whether the survival of a part was recorded so lately that it need not be again. */
     boolean isFresh(PartKey part, String softwareVersion, long nowNanos) {
         return isYoungerThan(REFRESH_NANOS, part, softwareVersion, nowNanos);
     }
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonNews.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PendingReports.java
@@ -7,12 +7,12 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * What this VM has to tell the other VMs of crashes and parts.
+ * What the next reports of this VM to the other VMs contain.
  *
- * <p>Invariant: that a part was survived is told by few VMs, although many may know it: it waits
- * for the next round, and is not told if another VM has done so by then. Not thread-safe.
+ * <p>Many VMs may know that a part was survived. So that few of them report it, it waits for the
+ * next round, and is dropped if another VM has reported it by then. Not thread-safe.
  */
-final class PoisonNews {
+final class PendingReports {
     /** Time for which this VM does not repeat what it or another VM has told of a survival. */
     private static final long TELL_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -31,7 +31,7 @@
     private final PartQuarantine quarantine = new PartQuarantine();
     private final PeerTrials peerTrials = new PeerTrials();
     private final OwnRuns runs;
-    private final PoisonNews news = new PoisonNews();
+    private final PendingReports pending = new PendingReports();
     private final Listener listener;
 
     /** Whether the parts that explain the crashes may have changed. */
@@ -113,19 +113,19 @@
     }
 
     /** Records that a request with these parts is sent to an endpoint. */
-    public PartExposure begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
+    public WatchedAttempt begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
         Set<PartKey> uncertain = new HashSet<>();
         for (PartKey part : parts) {
             if (!survivals.isFresh(part, run.softwareVersion(), nowNanos)) {
                 uncertain.add(part);
             }
         }
-        PartExposure exposure = new PartExposure(run, uncertain, nowNanos);
+        WatchedAttempt watched = new WatchedAttempt(run, uncertain, nowNanos);
         if (!uncertain.isEmpty()) {
-            run.add(exposure);
+            run.add(watched);
             runs.add(run);
         }
-        return exposure;
+        return watched;
     }
 
     /**
@@ -141,7 +141,7 @@
                         part -> survivals.contains(part, run.softwareVersion(), nowNanos),
                         lostNanos,
                         nowNanos);
-        news.addCrash(crash);
+        pending.addCrash(crash);
         record(crash, nowNanos);
         return crash;
     }
@@ -150,7 +150,7 @@
         String version = crash.softwareVersion();
         if (crashes.record(crash, part -> survivals.contains(part, version, nowNanos))) {
             confirm(crash);
-            renewProbation(crash, nowNanos);
+            renewEnded(crash, nowNanos);
             changed = true;
         }
     }
@@ -160,14 +160,14 @@
         runs.sweep((part, version) -> recordOwnSurvival(part, version, nowNanos), nowNanos);
         quarantine.expire(nowNanos);
         crashes.expire(nowNanos);
-        judge(nowNanos);
+        evaluate(nowNanos);
     }
 
     private void recordOwnSurvival(PartKey part, String softwareVersion, long nowNanos) {
         boolean suspected = isSuspect(part);
         recordSurvival(part, softwareVersion, nowNanos);
         if (suspected) {
-            news.addSeen(new PoisonReport.Survival(part, softwareVersion));
+            pending.addSeen(new PoisonReport.Survival(part, softwareVersion));
         }
     }
 
@@ -183,21 +183,21 @@
     }
 
     /**
-     * Confirms quarantines by one more crash. If another part that was at several crashes was there
-     * too, the two can't be told apart, and are rejected together only.
+     * Confirms quarantines by one more crash, or extends them by another part that was there and at
+     * several crashes before: either part may be the cause.
      */
     private void confirm(EndpointCrash crash) {
         Set<PartKey> present = crash.suspects().keySet();
         Set<PartKey> others = crashes.recurring(present);
         for (QuarantinedParts entry : quarantine.confirm(present, others, crash.atNanos())) {
-            news.addQuarantine(entry);
+            pending.addQuarantine(entry);
             listener.onQuarantined(entry, "another crash");
         }
     }
 
-    private void renewProbation(EndpointCrash crash, long nowNanos) {
+    private void renewEnded(EndpointCrash crash, long nowNanos) {
         quarantine
-                .onProbation(crash.begunParts(), nowNanos)
+                .endedQuarantine(crash.begunParts(), nowNanos)
                 .ifPresent(ended -> quarantine(ended.parts(), ended.softwareVersions(), nowNanos));
     }
 
@@ -205,7 +205,7 @@
      * Puts the parts under quarantine that explain the crashes; to be called shortly after a crash,
      * when the VMs with requests there have reported it, and in each sweep.
      */
-    public void judge(long nowNanos) {
+    public void evaluate(long nowNanos) {
         if (!changed) {
             return;
         }
@@ -229,8 +229,8 @@
 
     private void quarantine(Set<PartKey> parts, Set<String> softwareVersions, long nowNanos) {
         QuarantinedParts added = quarantine.add(parts, softwareVersions, nowNanos);
-        news.addQuarantine(added);
-        listener.onQuarantined(added, "own judgement");
+        pending.addQuarantine(added);
+        listener.onQuarantined(added, "own evidence");
     }
 
     /** Returns the suspected parts of this VM's requests in progress that have begun, or not. */
@@ -247,7 +247,7 @@
     public void receive(String vm, PoisonReport report, long nowNanos) {
         peerTrials.record(vm, report, nowNanos);
         for (PoisonReport.Survival survival : report.survivals()) {
-            news.recordHeard(survival, nowNanos);
+            pending.recordHeard(survival, nowNanos);
             recordSurvival(survival.part(), survival.softwareVersion(), nowNanos);
         }
         for (EndpointCrash crash : report.crashes()) {
@@ -291,7 +291,7 @@
             for (String version : softwareVersions) {
                 if (survivals.contains(part, version, nowNanos)) {
                     survived.add(part);
-                    news.addKnown(new PoisonReport.Survival(part, version), nowNanos);
+                    pending.addKnown(new PoisonReport.Survival(part, version), nowNanos);
                 }
             }
         }
@@ -308,13 +308,13 @@
         return !crashes.suspects().isEmpty() || !quarantine.isEmpty();
     }
 
-    /** Returns the report of this round, with the news of the last rounds; empty if none. */
+    /** Returns the report of this round, with what was new in the last rounds; empty if none. */
     public Optional<PoisonReport> roundReport(long nowNanos) {
-        return news.round(ownTrials(false, nowNanos), ownTrials(true, nowNanos));
+        return pending.round(ownTrials(false, nowNanos), ownTrials(true, nowNanos));
     }
 
     /** Returns the report of what must not wait for the next round; empty if there is nothing. */
     public Optional<PoisonReport> urgentReport(long nowNanos) {
-        return news.urgent(ownTrials(false, nowNanos), ownTrials(true, nowNanos));
+        return pending.urgent(ownTrials(false, nowNanos), ownTrials(true, nowNanos));
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
+++ b/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
@@ -5,7 +5,7 @@
 /**
  * Parts that crash endpoints if a request holds all of them. Immutable.
  *
- * @param parts the parts; several if they could not be told apart
+ * @param parts the parts; several if each of them may be the cause
  * @param softwareVersions the software versions of the endpoints that have crashed
  * @param sinceNanos when the quarantine began, by the local monotonic clock
  * @param untilNanos when it ends
--- a/core/src/main/java/org/bronzelug/core/poison/ReportQueue.java
+++ b/core/src/main/java/org/bronzelug/core/poison/ReportQueue.java
@@ -6,44 +6,43 @@
 import java.util.Map;
 
 /**
- * News that are told to the other VMs in several rounds, since datagrams get lost, and once at
- * once. Not thread-safe.
+ * Items for the reports to the other VMs. Each is in the reports of several rounds, since datagrams
+ * get lost; an urgent item is also in the next report before the round. Not thread-safe.
  */
 final class ReportQueue<T> {
     private static final int ROUNDS = 3;
 
     private final Map<T, Integer> roundsLeft = new LinkedHashMap<>();
-    private final List<T> untold = new ArrayList<>();
+    private final List<T> urgent = new ArrayList<>();
 
-    /** Adds news that are to be told as soon as possible. */
-    void addUrgent(T news) {
-        untold.add(news);
-        roundsLeft.put(news, ROUNDS);
+    /** Adds an item that must not wait for the next round. */
+    void addUrgent(T item) {
+        urgent.add(item);
+        add(item);
     }
 
-    /** Adds news that can wait for the next round, by when another VM may have told them. */
-    void add(T news) {
-        roundsLeft.put(news, ROUNDS);
+    /** Adds an item for the next rounds. */
+    void add(T item) {
+        roundsLeft.put(item, ROUNDS);
     }
 
-    /** Removes news that another VM has told. */
-    void remove(T news) {
-        roundsLeft.remove(news);
-        untold.remove(news);
+    void remove(T item) {
+        roundsLeft.remove(item);
+        urgent.remove(item);
     }
 
-    /** Returns the urgent news that have not been told yet. */
+    /** Returns the urgent items that no report has contained yet. */
     List<T> takeUrgent() {
-        List<T> taken = List.copyOf(untold);
-        untold.clear();
+        List<T> taken = List.copyOf(urgent);
+        urgent.clear();
         return taken;
     }
 
-    /** Returns the news of this round. */
+    /** Returns the items of this round. */
     List<T> takeRound() {
-        untold.clear();
+        urgent.clear();
         List<T> round = List.copyOf(roundsLeft.keySet());
-        roundsLeft.replaceAll((news, rounds) -> rounds - 1);
+        roundsLeft.replaceAll((item, rounds) -> rounds - 1);
         roundsLeft.values().removeIf(rounds -> rounds == 0);
         return round;
     }
--- a/core/src/main/java/org/bronzelug/core/poison/PartExposure.java
+++ b/core/src/main/java/org/bronzelug/core/poison/WatchedAttempt.java
@@ -9,7 +9,7 @@
  *
  * <p>Invariant: an attempt begins at most once and ends at most once. Not thread-safe.
  */
-public final class PartExposure {
+public final class WatchedAttempt {
     private static final double NANOS_PER_SECOND = 1e9;
 
     /** Time in which all VMs learn that the endpoint has crashed. */
@@ -25,7 +25,7 @@
     private boolean survived;
     private boolean complete;
 
-    PartExposure(EndpointRun run, Set<PartKey> parts, long sentNanos) {
+    WatchedAttempt(EndpointRun run, Set<PartKey> parts, long sentNanos) {
         this.run = run;
         this.parts = Set.copyOf(parts);
         this.sentNanos = sentNanos;
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
@@ -64,14 +64,14 @@
     private long order;
     private long millis;
     private int poisonCrashes;
-    private int crashesAtVerdict = -1;
+    private int crashesAtQuarantine = -1;
     private long boundMillis = Long.MAX_VALUE;
     private int sendsAfterBound;
     private int soundRejected;
     private int sound;
     private int soundHeld;
     private long longestHoldMillis;
-    private int falseVerdicts;
+    private int falseQuarantines;
 
     private record Event(long millis, long order, Runnable action) {}
 
@@ -175,9 +175,9 @@
         return poisonCrashes;
     }
 
-    /** Returns the number of these crashes before the first verdict on the part; -1 if none. */
-    int crashesAtVerdict() {
-        return crashesAtVerdict;
+    /** Returns the number of these crashes before the part was first quarantined; -1 if none. */
+    int crashesAtQuarantine() {
+        return crashesAtQuarantine;
     }
 
     /** Returns the sends of the part later than the bound after the fifth crash. */
@@ -201,8 +201,8 @@
         return longestHoldMillis;
     }
 
-    int falseVerdicts() {
-        return falseVerdicts;
+    int falseQuarantines() {
+        return falseQuarantines;
     }
 
     private final class Vm {
@@ -220,12 +220,12 @@
                             new PoisonMonitor.Listener() {
                                 @Override
                                 public void onQuarantined(QuarantinedParts parts, String source) {
-                                    recordVerdict(parts);
+                                    recordQuarantine(parts);
                                 }
 
                                 @Override
                                 public void onReleased(QuarantinedParts parts, PartKey survived) {
-                                    // Counted by the rejections that a wrong verdict causes.
+                                    // Counted by the rejections that a wrong quarantine causes.
                                 }
                             },
                             nanos());
@@ -240,48 +240,48 @@
                 }
             }
             monitor.sweep(nanos());
-            report(monitor.roundReport(nanos()));
+            send(monitor.roundReport(nanos()));
             after(roundMillis(), this::round);
         }
 
-        private void receive(String sender, PoisonReport news) {
-            monitor.receive(sender, news, nanos());
-            if (!news.crashes().isEmpty()) {
-                report();
-                judgeSoon();
+        private void receive(String sender, PoisonReport report) {
+            monitor.receive(sender, report, nanos());
+            if (!report.crashes().isEmpty()) {
+                sendUrgent();
+                evaluateSoon();
             }
         }
 
-        private void judgeSoon() {
+        private void evaluateSoon() {
             after(
                     REPORT_MILLIS,
                     () -> {
-                        monitor.judge(nanos());
-                        report();
+                        monitor.evaluate(nanos());
+                        sendUrgent();
                     });
         }
 
-        private void report() {
-            report(monitor.urgentReport(nanos()));
+        private void sendUrgent() {
+            send(monitor.urgentReport(nanos()));
         }
 
-        private void report(Optional<PoisonReport> report) {
-            report.ifPresent(
-                    news -> {
+        private void send(Optional<PoisonReport> reports) {
+            reports.ifPresent(
+                    report -> {
                         for (Vm peer : vms) {
                             if (peer != this && random.nextDouble() >= LOST_SHARE) {
-                                after(1 + random.nextInt(5), () -> peer.receive(name, news));
+                                after(1 + random.nextInt(5), () -> peer.receive(name, report));
                             }
                         }
                     });
         }
     }
 
-    private void recordVerdict(QuarantinedParts parts) {
+    private void recordQuarantine(QuarantinedParts parts) {
         if (parts.parts().equals(Set.of(PartKey.of(POOL, "poison")))) {
-            crashesAtVerdict = crashesAtVerdict < 0 ? poisonCrashes : crashesAtVerdict;
+            crashesAtQuarantine = crashesAtQuarantine < 0 ? poisonCrashes : crashesAtQuarantine;
         } else if (!parts.parts().contains(PartKey.of(POOL, "poison"))) {
-            falseVerdicts++;
+            falseQuarantines++;
         }
     }
 
@@ -323,8 +323,8 @@
                             if (run.getKey().monitor == seenBy) {
                                 seenBy.recordCrash(
                                         run.getValue(), OptionalLong.of(crashNanos), nanos());
-                                run.getKey().report();
-                                run.getKey().judgeSoon();
+                                run.getKey().sendUrgent();
+                                run.getKey().evaluateSoon();
                             }
                         });
             }
@@ -345,7 +345,7 @@
         private final long arrivedMillis = millis;
         private int attempts;
         private boolean held;
-        private Optional<PartExposure> exposure = Optional.empty();
+        private Optional<WatchedAttempt> watched = Optional.empty();
         private Optional<Endpoint> endpoint = Optional.empty();
 
         private Request(Vm vm, Set<PartKey> parts, boolean poison) {
@@ -388,19 +388,19 @@
             if (poison && millis > boundMillis) {
                 sendsAfterBound++;
             }
-            exposure = Optional.of(monitor.begin(chosen.run(vm), parts, nanos()));
+            watched = Optional.of(monitor.begin(chosen.run(vm), parts, nanos()));
             endpoint = Optional.of(chosen);
             chosen.requests.add(this);
-            vm.report();
-            PartExposure sent = exposure.get();
+            vm.sendUrgent();
+            WatchedAttempt sent = watched.get();
             sent.recordWritten();
             after(20 + random.nextInt(280), () -> begin(sent));
         }
 
-        private void begin(PartExposure sent) {
+        private void begin(WatchedAttempt sent) {
             if (isAt(sent)) {
                 sent.recordHead(nanos());
-                vm.report();
+                vm.sendUrgent();
                 if (poison) {
                     Endpoint crashing = endpoint.orElseThrow();
                     after(50 + random.nextInt(70), () -> crashIfStill(sent, crashing));
@@ -410,13 +410,13 @@
             }
         }
 
-        private void crashIfStill(PartExposure sent, Endpoint crashing) {
+        private void crashIfStill(WatchedAttempt sent, Endpoint crashing) {
             if (isAt(sent)) {
                 crashing.crash(true);
             }
         }
 
-        private void token(PartExposure sent, int left) {
+        private void token(WatchedAttempt sent, int left) {
             if (!isAt(sent)) {
                 return;
             }
@@ -427,16 +427,16 @@
                 endpoint.orElseThrow().requests.remove(this);
                 endpoint = Optional.empty();
                 sent.complete(nanos());
-                vm.report();
+                vm.sendUrgent();
             }
         }
 
-        private boolean isAt(PartExposure sent) {
-            return endpoint.isPresent() && exposure.filter(sent::equals).isPresent();
+        private boolean isAt(WatchedAttempt sent) {
+            return endpoint.isPresent() && watched.filter(sent::equals).isPresent();
         }
 
         private void onCrash() {
-            exposure.ifPresent(sent -> sent.end(nanos()));
+            watched.ifPresent(sent -> sent.end(nanos()));
             endpoint = Optional.empty();
             if (attempts < 2) {
                 boolean harmless = monitor.areHarmless(parts, VERSION, nanos());
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonFleetTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonFleetTest.java
@@ -12,8 +12,9 @@
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Guards against a fleet that sends a part on which crashes endpoints, or that accuses sound parts.
- * The property {@code model.seeds} sets the number of draws, and has each load's figures printed.
+ * Guards against a fleet that sends on a part that crashes endpoints, or that quarantines sound
+ * parts. The property {@code model.seeds} sets the number of draws, and has each load's figures
+ * printed.
  */
 class PoisonFleetTest {
     private static final String SEEDS_PROPERTY = "model.seeds";
@@ -47,9 +48,9 @@
     private static String describe(PoisonFleetModel.Load load, List<PoisonFleetModel> plays) {
         return load
                 + distribution(" crashes", plays, PoisonFleetModel::poisonCrashes)
-                + distribution(" at verdict", plays, PoisonFleetModel::crashesAtVerdict)
+                + distribution(" at quarantine", plays, PoisonFleetModel::crashesAtQuarantine)
                 + distribution(" late sends", plays, PoisonFleetModel::sendsAfterBound)
-                + distribution(" false verdicts", plays, PoisonFleetModel::falseVerdicts)
+                + distribution(" false quarantines", plays, PoisonFleetModel::falseQuarantines)
                 + distribution(" sound", plays, PoisonFleetModel::sound)
                 + distribution(" rejected", plays, PoisonFleetModel::soundRejected)
                 + distribution(" held", plays, PoisonFleetModel::soundHeld)
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -62,10 +62,10 @@
         return new EndpointRun(new EndpointStart("endpoint", ++starts), POOL, VERSION);
     }
 
-    private PartExposure send(EndpointRun run, PartKey... parts) {
-        PartExposure exposure = monitor.begin(run, List.of(parts), nanos());
-        exposure.recordWritten();
-        return exposure;
+    private WatchedAttempt send(EndpointRun run, PartKey... parts) {
+        WatchedAttempt watched = monitor.begin(run, List.of(parts), nanos());
+        watched.recordWritten();
+        return watched;
     }
 
     private void pass(long passed) {
@@ -78,21 +78,21 @@
     /** Sends a request that begins; its endpoint crashes a moment later. */
     private void crashUnder(PartKey... parts) {
         EndpointRun run = newRun();
-        PartExposure exposure = send(run, parts);
-        exposure.recordHead(nanos());
+        WatchedAttempt watched = send(run, parts);
+        watched.recordHead(nanos());
         pass(100);
-        exposure.end(nanos());
+        watched.end(nanos());
         monitor.recordCrash(run, OptionalLong.of(nanos()), nanos());
         pass(500);
     }
 
     private void survive(PartKey... parts) {
         EndpointRun run = newRun();
-        PartExposure exposure = send(run, parts);
-        exposure.recordData(nanos());
+        WatchedAttempt watched = send(run, parts);
+        watched.recordData(nanos());
         pass(1_100);
-        exposure.recordData(nanos());
-        exposure.complete(nanos());
+        watched.recordData(nanos());
+        watched.complete(nanos());
         pass(100);
     }
 
@@ -150,9 +150,9 @@
     void aWholeResponseAloneDoesNotShowThatTheEndpointSurvived() {
         for (int crash = 0; crash < 3; crash++) {
             EndpointRun run = newRun();
-            PartExposure exposure = send(run, BAD);
-            exposure.recordData(nanos());
-            exposure.complete(nanos());
+            WatchedAttempt watched = send(run, BAD);
+            watched.recordData(nanos());
+            watched.complete(nanos());
             run.recordConnected(nanos());
             pass(200);
             monitor.recordCrash(run, OptionalLong.of(nanos()), nanos());
@@ -165,11 +165,11 @@
     @Test
     void aSuspendedVmDoesNotTakeDelayedBytesForSurvival() {
         EndpointRun run = newRun();
-        PartExposure exposure = send(run, BAD);
-        exposure.recordData(nanos());
+        WatchedAttempt watched = send(run, BAD);
+        watched.recordData(nanos());
         millis += 5_000;
         monitor.sweep(nanos());
-        exposure.recordData(nanos());
+        watched.recordData(nanos());
         monitor.sweep(nanos());
         assertThat(monitor.areHarmless(List.of(BAD), VERSION, nanos())).isFalse();
     }
@@ -194,9 +194,9 @@
         int crashes = 0;
         while (quarantined.isEmpty() && crashes < SAFE_LOOPS) {
             EndpointRun run = newRun();
-            PartExposure exposure = send(run, BAD);
+            WatchedAttempt watched = send(run, BAD);
             pass(300);
-            exposure.end(nanos());
+            watched.end(nanos());
             monitor.recordCrash(run, OptionalLong.of(nanos()), nanos());
             pass(500);
             crashes++;
@@ -220,7 +220,7 @@
     void aSuspectedPartIsTriedOnceAtATime() {
         crashUnder(BAD);
         EndpointRun run = newRun();
-        PartExposure trial = send(run, BAD);
+        WatchedAttempt trial = send(run, BAD);
         assertThat(monitor.admit(List.of(BAD), nanos())).isEqualTo(new PartAdmission.Waiting(BAD));
         trial.end(nanos());
         assertThat(monitor.admit(List.of(BAD), nanos())).isEqualTo(new PartAdmission.Waiting(BAD));
@@ -245,7 +245,7 @@
         assertThat(isRejected(BAD)).isTrue();
         pass(1_500);
         assertThat(isRejected(BAD)).isFalse();
-        PartExposure trial = send(newRun(), BAD);
+        WatchedAttempt trial = send(newRun(), BAD);
         assertThat(isRejected(BAD)).isTrue();
         trial.end(nanos());
         crashUnder(BAD);
@@ -272,7 +272,7 @@
             send(run, SHARED).recordHead(nanos());
             pass(600);
             send(run, SHARED).recordHead(nanos());
-            PartExposure cause = send(run, BAD);
+            WatchedAttempt cause = send(run, BAD);
             pass(100);
             monitor.recordCrash(run, OptionalLong.of(nanos()), nanos());
             cause.end(nanos());
@@ -287,7 +287,7 @@
         survive(SHARED);
         for (int crash = 0; crash < 3; crash++) {
             EndpointRun run = newRun();
-            PartExposure left = send(run, SHARED, BAD);
+            WatchedAttempt left = send(run, SHARED, BAD);
             left.recordData(nanos());
             left.end(nanos());
             pass(900);
@@ -328,10 +328,10 @@
     @Test
     void survivalCountsForItsSoftwareVersionOnly() {
         EndpointRun other = new EndpointRun(new EndpointStart("other", 1), POOL, "v2");
-        PartExposure exposure = send(other, BAD);
-        exposure.recordData(nanos());
+        WatchedAttempt watched = send(other, BAD);
+        watched.recordData(nanos());
         pass(1_100);
-        exposure.recordData(nanos());
+        watched.recordData(nanos());
         pass(100);
         for (int crash = 0; crash < 3; crash++) {
             crashUnder(BAD);
--- a/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -1,7 +1,7 @@
 package org.bronzelug.router.exchange;
 
 import java.util.Optional;
-import org.bronzelug.core.poison.PartExposure;
+import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
@@ -17,7 +17,7 @@
 final class CurrentAttempt {
     private final EndpointState.RequestListener owner;
     private final PartGate gate;
-    private Optional<PartExposure> exposure = Optional.empty();
+    private Optional<WatchedAttempt> watched = Optional.empty();
     private Optional<EndpointState> endpoint = Optional.empty();
     private Optional<EndpointCall> call = Optional.empty();
     private PrefillProgress prefill;
@@ -75,29 +75,29 @@
     /** Records that the request was written to the endpoint's connection. */
     void recordWritten() {
         written = true;
-        exposure.ifPresent(PartExposure::recordWritten);
+        watched.ifPresent(WatchedAttempt::recordWritten);
     }
 
     /** Records that the endpoint has begun to respond to the request. */
     void recordBegun(long nowNanos) {
-        exposure.ifPresent(present -> present.recordHead(nowNanos));
+        watched.ifPresent(present -> present.recordHead(nowNanos));
         gate.recordChange();
     }
 
     /** Records that bytes of the response body have arrived. */
     void recordData(long nowNanos) {
         begun = true;
-        exposure.ifPresent(present -> present.recordData(nowNanos));
+        watched.ifPresent(present -> present.recordData(nowNanos));
     }
 
     /** Records that the endpoint stated that it did not run the request. */
     void recordNotExecuted() {
-        exposure.ifPresent(PartExposure::recordNotExecuted);
+        watched.ifPresent(WatchedAttempt::recordNotExecuted);
     }
 
     /** Records that the whole response has arrived. */
     void recordComplete(long nowNanos) {
-        exposure.ifPresent(present -> present.complete(nowNanos));
+        watched.ifPresent(present -> present.complete(nowNanos));
     }
 
     /**
@@ -113,7 +113,7 @@
         written = false;
         begun = false;
         prefill.begin(runner, nowNanos);
-        exposure = Optional.of(gate.begin(chosen, nowNanos));
+        watched = Optional.of(gate.begin(chosen, nowNanos));
     }
 
     void setCall(EndpointCall started) {
@@ -125,7 +125,7 @@
         endpoint = Optional.of(move.target());
         call = move.call();
         prefill = move.prefill();
-        exposure = Optional.of(move.exposure());
+        watched = Optional.of(move.watched());
         sentNanos = move.startNanos();
         accepted = false;
         written = true;
@@ -143,8 +143,8 @@
         endpoint = Optional.empty();
         current.end(owner);
         prefill.end();
-        exposure.ifPresent(present -> present.end(System.nanoTime()));
-        exposure = Optional.empty();
+        watched.ifPresent(present -> present.end(System.nanoTime()));
+        watched = Optional.empty();
         gate.recordChange();
         call = Optional.empty();
         return current;
--- a/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.poison.PartAdmission;
-import org.bronzelug.core.poison.PartExposure;
 import org.bronzelug.core.poison.PartKey;
+import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.TrafficState;
@@ -17,7 +17,7 @@
     /** Bounds the work for one request; the parts that follow are not watched. */
     private static final int MAXIMUM_PARTS = 64;
 
-    /** Longest retry delay: a wrong quarantine may end at any time. */
+    /** Maximum retry delay: a wrong quarantine may end at any time. */
     private static final long MAXIMUM_RETRY_MILLIS = 30_000;
 
     private final TrafficState state;
@@ -57,7 +57,7 @@
     }
 
     /** Records that the request is sent to an endpoint. */
-    PartExposure begin(EndpointState endpoint, long nowNanos) {
+    WatchedAttempt begin(EndpointState endpoint, long nowNanos) {
         return state.poison().begin(endpoint.run(), parts, nowNanos);
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
-import org.bronzelug.core.poison.PartExposure;
+import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
@@ -27,7 +27,7 @@
     private final StreamMover mover;
     private final EndpointState target;
     private final PrefillProgress prefill;
-    private final PartExposure exposure;
+    private final WatchedAttempt watched;
     private final String cause;
     private final long startNanos;
     private Optional<EndpointCall> call = Optional.empty();
@@ -38,14 +38,14 @@
             StreamMover mover,
             EndpointState target,
             PrefillProgress prefill,
-            PartExposure exposure,
+            WatchedAttempt watched,
             String cause,
             long startNanos) {
         this.exchange = exchange;
         this.mover = mover;
         this.target = target;
         this.prefill = prefill;
-        this.exposure = exposure;
+        this.watched = watched;
         this.cause = cause;
         this.startNanos = startNanos;
     }
@@ -66,8 +66,8 @@
         return prefill;
     }
 
-    PartExposure exposure() {
-        return exposure;
+    WatchedAttempt watched() {
+        return watched;
     }
 
     String cause() {
@@ -104,7 +104,7 @@
 
     @Override
     public void onSent(ConnectionUse use) {
-        exposure.recordWritten();
+        watched.recordWritten();
         mover.onSent(target, use);
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -3,7 +3,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
-import org.bronzelug.core.poison.PartExposure;
+import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
 import org.bronzelug.router.endpoint.EndpointResponse;
@@ -77,9 +77,9 @@
         PrefillProgress prefill = new PrefillProgress(state, admitted);
         prefill.begin(selection.runner(), nowNanos);
         relay.hold();
-        PartExposure exposure = gate.begin(target, nowNanos);
+        WatchedAttempt watched = gate.begin(target, nowNanos);
         StreamMove started =
-                new StreamMove(exchange, this, target, prefill, exposure, cause, nowNanos);
+                new StreamMove(exchange, this, target, prefill, watched, cause, nowNanos);
         move = Optional.of(started);
         log.sent(target, prefill.runner(), selection.limited());
         FullHttpRequest copy =
@@ -180,7 +180,7 @@
                     cancelled.call().ifPresent(EndpointCall::cancel);
                     cancelled.target().end(exchange);
                     cancelled.prefill().end();
-                    cancelled.exposure().end(System.nanoTime());
+                    cancelled.watched().end(System.nanoTime());
                 });
         move = Optional.empty();
     }
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -12,11 +12,11 @@
 import org.bronzelug.core.poison.EndpointRun;
 import org.bronzelug.core.poison.Involvement;
 import org.bronzelug.core.poison.PartAdmission;
-import org.bronzelug.core.poison.PartExposure;
 import org.bronzelug.core.poison.PartKey;
 import org.bronzelug.core.poison.PoisonMonitor;
 import org.bronzelug.core.poison.PoisonReport;
 import org.bronzelug.core.poison.QuarantinedParts;
+import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 
@@ -75,10 +75,10 @@
     }
 
     /** Records that a request with these parts is sent to an endpoint. */
-    public PartExposure begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
-        PartExposure exposure = monitor.begin(run, parts, nowNanos);
+    public WatchedAttempt begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
+        WatchedAttempt watched = monitor.begin(run, parts, nowNanos);
         recordChange(nowNanos);
-        return exposure;
+        return watched;
     }
 
     /** Tells the other VMs if they wait for the outcome of a request of this VM. */
@@ -104,17 +104,17 @@
                                 + TimeUnit.NANOSECONDS.toMillis(nowNanos - crash.atNanos()))
                         + describe(crash));
         monitor.urgentReport(nowNanos).ifPresent(peers::send);
-        judgeSoon();
+        evaluateSoon();
     }
 
-    /** Judges once the reports of the VMs that had requests at a crashed endpoint are there. */
-    private void judgeSoon() {
-        traffic.schedule(this::judge, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+    /** Evaluates the crashes once all VMs with requests at the endpoint have reported. */
+    private void evaluateSoon() {
+        traffic.schedule(this::evaluate, REPORT_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void judge() {
+    private void evaluate() {
         long nowNanos = System.nanoTime();
-        monitor.judge(nowNanos);
+        monitor.evaluate(nowNanos);
         monitor.urgentReport(nowNanos).ifPresent(peers::send);
     }
 
@@ -133,8 +133,8 @@
     }
 
     /**
-     * Looks for parts that endpoints have survived, and tells the other VMs the news of the last
-     * rounds. Calls that follow each other closely have no effect.
+     * Looks for parts that endpoints have survived, and reports to the other VMs what was new in
+     * the last rounds. Calls that follow each other closely have no effect.
      *
      * @param endpoints the pool of each endpoint
      */
@@ -157,7 +157,7 @@
         monitor.receive(vm, report, nowNanos);
         if (!report.crashes().isEmpty()) {
             monitor.urgentReport(nowNanos).ifPresent(peers::send);
-            judgeSoon();
+            evaluateSoon();
         }
     }
 
