--- a/core/src/main/java/org/bronzelug/core/limit/Admission.java
+++ b/core/src/main/java/org/bronzelug/core/limit/Admission.java
@@ -6,12 +6,15 @@
     record Granted() implements Admission {}
 
     /**
-     * The team has exceeded its rate.
+     * The tokens that are certainly left do not suffice.
      *
      * @param retryAfterNanos time until the amount is available; negative if it never will be,
      *     since it exceeds the burst
+     * @param mayBeWithinRate whether the team may still be within its rate, since it is unknown
+     *     what the previous holder of the rate had admitted; the amount is then set aside until it
+     *     is granted or settled
      */
-    record OverRate(long retryAfterNanos) implements Admission {}
+    record OverRate(long retryAfterNanos, boolean mayBeWithinRate) implements Admission {}
 
     /**
      * This VM does not hold the team's rate. While a claim moves between VMs, no VM may hold it.
--- a/core/src/main/java/org/bronzelug/core/limit/RateShares.java
+++ b/core/src/main/java/org/bronzelug/core/limit/RateShares.java
@@ -36,7 +36,7 @@
     private final MemberIdentity self;
     private final long stalenessBoundNanos;
     private final Map<Integer, ExclusiveClaim> claims = new HashMap<>();
-    private final Map<String, TokenBucket> buckets = new HashMap<>();
+    private final Map<String, TeamTokens> buckets = new HashMap<>();
 
     public RateShares(MemberIdentity self, long stalenessBoundNanos) {
         this.self = self;
@@ -86,10 +86,7 @@
         if (!claim(group).mayUse(nowNanos, fresh)) {
             return new Admission.NotHeld(CLAIM_MOVE_NANOS);
         }
-        TokenBucket bucket = bucket(group, team, rate, nowNanos);
-        return bucket.reserve(id, amount, nowNanos)
-                ? new Admission.Granted()
-                : new Admission.OverRate(bucket.nanosUntil(amount, nowNanos));
+        return bucket(group, team, rate, nowNanos).reserve(id, amount, nowNanos);
     }
 
     /** Settles a reservation; has no effect if the group has moved to another VM meanwhile. */
@@ -110,7 +107,7 @@
             rates.forEach(
                     (team, rate) -> {
                         if (groupOf(team) == group) {
-                            TokenBucket bucket = bucket(group, team, rate, nowNanos);
+                            TeamTokens bucket = bucket(group, team, rate, nowNanos);
                             levels.put(team, bucket.tokens(nowNanos));
                         }
                     });
@@ -136,30 +133,28 @@
         levels.forEach(
                 (team, level) -> {
                     TeamRate rate = rates.getOrDefault(team, new TeamRate(0, 0));
-                    buckets.put(team, newBucket(rate, level, nowNanos));
+                    buckets.put(team, TeamTokens.known(rate, level, nowNanos));
                 });
     }
 
-    private TokenBucket bucket(int group, String team, TeamRate rate, long nowNanos) {
-        TokenBucket bucket = buckets.get(team);
+    private TeamTokens bucket(int group, String team, TeamRate rate, long nowNanos) {
+        TeamTokens bucket = buckets.get(team);
         if (bucket == null) {
             // An idle team's tokens accrue from when the claim became usable, not from the team's
             // first request after that; otherwise this request would be rejected although it is
             // within the rate. Only the first holder ever starts with a full bucket, since no other
             // VM can have used the burst before.
-            double initialLevel = claim(group).isFirstHolder() ? rate.burstTokens() : 0;
             long startNanos = claim(group).usableFrom().orElse(nowNanos);
-            bucket = newBucket(rate, initialLevel, startNanos);
+            bucket =
+                    claim(group).isFirstHolder()
+                            ? TeamTokens.known(rate, rate.burstTokens(), startNanos)
+                            : TeamTokens.unknown(rate, startNanos);
             buckets.put(team, bucket);
         }
-        bucket.change(rate.tokensPerSecond(), rate.burstTokens(), nowNanos);
+        bucket.change(rate, nowNanos);
         return bucket;
     }
 
-    private static TokenBucket newBucket(TeamRate rate, double level, long nowNanos) {
-        return new TokenBucket(rate.tokensPerSecond(), rate.burstTokens(), level, nowNanos);
-    }
-
     private void dropBuckets(int group) {
         buckets.keySet().removeIf(team -> groupOf(team) == group);
     }
--- a/core/src/test/java/org/bronzelug/core/limit/RateSharesTest.java
+++ b/core/src/test/java/org/bronzelug/core/limit/RateSharesTest.java
@@ -5,15 +5,21 @@
 import java.util.Map;
 import org.bronzelug.core.membership.MemberIdentity;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Tests a team's rate at each step in which the team's group moves from one VM to another. */
 class RateSharesTest {
     private static final long LIMIT = 2_000_000_000L;
+    private static final long SECOND = 1_000_000_000L;
     private static final String TEAM = "buchhandel";
     private static final int GROUP = RateShares.groupOf(TEAM);
     private static final TeamRate RATE = new TeamRate(10, 100);
     private static final Map<String, TeamRate> RATES = Map.of(TEAM, RATE);
 
+    /** When a share that was taken at 0 without a transfer may be used, with an empty bucket. */
+    private static final long USABLE = (long) (LIMIT * 1.02);
+
     private final MemberIdentity first = new MemberIdentity("vm-1", "a");
     private final MemberIdentity second = new MemberIdentity("vm-2", "b");
     private final RateShares shares = new RateShares(first, LIMIT);
@@ -81,6 +87,53 @@
         assertThat(reserve(shares, "s", 50, usableNanos)).isInstanceOf(Admission.OverRate.class);
     }
 
+    /** Of requests that the rate may allow, no more are told to wait than a full bucket admits. */
+    @ParameterizedTest
+    @CsvSource({"40, 2", "50, 2", "100, 1", "101, 0"})
+    void requestsThatMayBeWithinTheRateAreBoundedByTheBurst(double amount, int expected) {
+        take(otherShares, 2, true, 0);
+        int within = 0;
+        for (int number = 0; number < 5; number++) {
+            within += mayBeWithinRate(reserve(otherShares, "r" + number, amount, USABLE)) ? 1 : 0;
+        }
+        assertThat(within).isEqualTo(expected);
+    }
+
+    /** A request that asks again, or gives up, takes no second share of what may be left. */
+    @Test
+    void aRequestThatWaitsIsCountedOnceAndNoLongerOnceItGivesUp() {
+        take(otherShares, 2, true, 0);
+        assertThat(mayBeWithinRate(reserve(otherShares, "r", 100, USABLE))).isTrue();
+        assertThat(mayBeWithinRate(reserve(otherShares, "r", 100, USABLE))).isTrue();
+        assertThat(mayBeWithinRate(reserve(otherShares, "s", 1, USABLE))).isFalse();
+        otherShares.settle("r", TEAM, 0, USABLE);
+        assertThat(mayBeWithinRate(reserve(otherShares, "s", 100, USABLE))).isTrue();
+        assertThat(otherShares.tokens(TEAM, USABLE)).hasValue(0.0);
+    }
+
+    /** A team that goes on above its rate must not keep a queue of requests for good. */
+    @ParameterizedTest
+    @CsvSource({"9, true", "10, false"})
+    void whatIsMissingOnceTheBucketCouldBeFullIsTheTeamsOwnUse(int seconds, boolean expected) {
+        take(otherShares, 2, true, 0);
+        for (int second = 1; second < seconds; second++) {
+            reserve(otherShares, "r" + second, 10, USABLE + second * SECOND);
+        }
+        Admission beyond = reserve(otherShares, "s", 20, USABLE + seconds * SECOND);
+        assertThat(mayBeWithinRate(beyond)).isEqualTo(expected);
+    }
+
+    @Test
+    void aTeamBeyondAKnownLevelIsNotWithinItsRate() {
+        take(shares, 1, false, 0);
+        reserve(shares, "r", 100, 0);
+        assertThat(mayBeWithinRate(reserve(shares, "s", 1, 0))).isFalse();
+    }
+
+    private static boolean mayBeWithinRate(Admission admission) {
+        return admission instanceof Admission.OverRate over && over.mayBeWithinRate();
+    }
+
     private static void take(RateShares vmShares, long version, boolean hadHolder, long now) {
         vmShares.recordAcquisition(GROUP, version, hadHolder);
         vmShares.confirm(GROUP, version, now);
--- a/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/limit/RateGate.java
@@ -25,9 +25,11 @@
  * share (a group of teams' rates that one VM at a time admits from).
  *
  * <p>While a share moves to another VM, a request waits for the new holder, since it may be within
- * the team's rate. The wait ends at the request's deadline, or when this VM has become stale and
- * may no longer serve the request. A request beyond the rate is rejected immediately. Each
- * reservation has an id, so a retry after a lost answer does not take tokens twice.
+ * the team's rate. For the same reason it waits for tokens if the new holder does not know how many
+ * are left. The wait ends at the request's deadline, or when this VM has become stale and may no
+ * longer serve the request. A request beyond the rate, or whose tokens accrue only after its
+ * deadline, is rejected immediately. Each reservation has an id, so a retry after a lost answer
+ * does not take tokens twice.
  *
  * <p>Blocking; called on traffic threads. Thread-safe.
  */
@@ -50,22 +52,38 @@
     }
 
     /**
-     * Reserves tokens for a request; waits while the share moves, at most until the deadline and
-     * while this VM is fresh.
+     * Reserves tokens for a request; waits while the share moves or the tokens left are unknown, at
+     * most until the deadline and while this VM is fresh.
      */
     public Admission reserve(String id, String team, double tokens, long deadlineNanos) {
         while (true) {
             Admission admission = tryReserve(id, team, tokens);
-            boolean shareMoving = admission instanceof Admission.NotHeld;
             long nowNanos = System.nanoTime();
-            boolean mayWait = nowNanos < deadlineNanos && state.view().isFresh(nowNanos);
-            if (!shareMoving || !mayWait) {
+            if (!mayWait(admission, deadlineNanos - nowNanos) || !state.view().isFresh(nowNanos)) {
+                if (isSetAside(admission)) {
+                    settle(id, team, 0);
+                }
                 return admission;
             }
             Pause.millis(RETRY_DELAY_MILLIS);
         }
     }
 
+    private static boolean mayWait(Admission admission, long remainingNanos) {
+        return switch (admission) {
+            case Admission.Granted granted -> false;
+            case Admission.OverRate over ->
+                    over.mayBeWithinRate()
+                            && over.retryAfterNanos() >= 0
+                            && over.retryAfterNanos() < remainingNanos;
+            case Admission.NotHeld notHeld -> remainingNanos > 0;
+        };
+    }
+
+    private static boolean isSetAside(Admission admission) {
+        return admission instanceof Admission.OverRate over && over.mayBeWithinRate();
+    }
+
     private Admission tryReserve(String id, String team, double tokens) {
         Optional<String> address = addressOfHolder(team);
         if (address.isEmpty()) {
@@ -155,7 +173,8 @@
             case Admission.Granted granted -> message.setResult(Reserved.Result.GRANTED);
             case Admission.OverRate over ->
                     message.setResult(Reserved.Result.OVER_RATE)
-                            .setRetryAfterMs(toMillis(over.retryAfterNanos()));
+                            .setRetryAfterMs(toMillis(over.retryAfterNanos()))
+                            .setMayBeWithinRate(over.mayBeWithinRate());
             case Admission.NotHeld notHeld ->
                     message.setResult(Reserved.Result.NOT_HELD)
                             .setRetryAfterMs(toMillis(notHeld.retryAfterNanos()));
@@ -170,7 +189,7 @@
                         : TimeUnit.MILLISECONDS.toNanos(message.getRetryAfterMs());
         return switch (message.getResult()) {
             case GRANTED -> new Admission.Granted();
-            case OVER_RATE -> new Admission.OverRate(nanos);
+            case OVER_RATE -> new Admission.OverRate(nanos, message.getMayBeWithinRate());
             default -> new Admission.NotHeld(nanos);
         };
     }
--- a/daemon/src/test/java/org/bronzelug/daemon/RateFailureTest.java
+++ b/daemon/src/test/java/org/bronzelug/daemon/RateFailureTest.java
@@ -5,12 +5,14 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.bronzelug.api.GenerateEvent;
 import org.bronzelug.api.GenerateRequest;
 import org.bronzelug.core.limit.RateShares;
+import org.bronzelug.daemon.configuration.Catalog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -104,6 +106,42 @@
         assertThat(outcome(survivor, "after")).isEqualTo("OVER_RATE");
     }
 
+    /**
+     * Guards against a rejection as beyond the rate of a team that has sent nothing: the holder
+     * dies, and the next holder starts without tokens.
+     */
+    @Test
+    void newHolderAfterCrashRejectsNothingWithinTheRate() throws Exception {
+        fleet.change(r -> r.setSetTeam(TestFleet.team("small", 200, BURST)));
+        killHolder();
+        String survivor = fleet.daemons.keySet().iterator().next();
+        assertThat(outcome(survivor, "after")).isEqualTo("served");
+    }
+
+    /**
+     * Guards against requests that wait for tokens without a bound: of a team that exceeds its rate
+     * while its share moves, as many wait as its burst allows.
+     */
+    @Test
+    void newHolderAfterCrashLetsWaitNoMoreThanTheBurst() throws Exception {
+        int burst = 100;
+        int requests = 15;
+        fleet.change(r -> r.setSetTeam(TestFleet.team("small", 20, burst)));
+        killHolder();
+        String survivor = fleet.daemons.keySet().iterator().next();
+        List<CompletableFuture<String>> outcomes = new ArrayList<>();
+        try (ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int number = 0; number < requests; number++) {
+                String id = "after-" + number;
+                outcomes.add(CompletableFuture.supplyAsync(() -> outcome(survivor, id), callers));
+            }
+        }
+        List<String> results = outcomes.stream().map(CompletableFuture::join).toList();
+        assertThat(results.stream().filter("served"::equals).count()).isEqualTo(burst / 20);
+        assertThat(results.stream().filter("OVER_RATE"::equals).count())
+                .isEqualTo(requests - burst / 20);
+    }
+
     /**
      * Guards against remaining tokens that are lost or counted twice when the holder stops
      * gracefully and transfers them to its successor.
@@ -122,17 +160,17 @@
         assertThat(servedCount).isEqualTo(BURST / 20 - 4);
     }
 
-    private String holder() {
+    private Optional<Catalog.Claim> share() {
         int group = RateShares.groupOf("small");
-        return fleet.daemons
-                .values()
-                .iterator()
-                .next()
-                .view()
-                .catalog()
-                .share(group)
-                .orElseThrow()
-                .holder()
-                .vm();
+        return fleet.daemons.values().iterator().next().view().catalog().share(group);
+    }
+
+    private String holder() {
+        return share().orElseThrow().holder().vm();
+    }
+
+    private void killHolder() throws Exception {
+        Await.until("the team's share has a holder", () -> share().isPresent());
+        fleet.daemons.remove(holder()).kill();
     }
 }
