--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -123,6 +123,7 @@
         boolean misdirected = head.status() == MISDIRECTED;
         if (head.notExecuted() || misdirected) {
             attempts.recordNotExecuted(target);
+            move.ifPresent(current -> current.watched().recordNotExecuted());
         }
         target.recordRejection(misdirected, System.nanoTime());
         stay("answered " + head.status());
