--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -198,7 +198,12 @@
     private void renewEnded(EndpointCrash crash, long nowNanos) {
         quarantine
                 .endedQuarantine(crash.begunParts(), nowNanos)
-                .ifPresent(ended -> quarantine(ended.parts(), ended.softwareVersions(), nowNanos));
+                .ifPresent(
+                        ended -> {
+                            Set<String> versions = new HashSet<>(ended.softwareVersions());
+                            versions.add(crash.softwareVersion());
+                            quarantine(ended.parts(), versions, nowNanos);
+                        });
     }
 
     /**
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -77,7 +77,10 @@
 
     /** Sends a request that begins; its endpoint crashes a moment later. */
     private void crashUnder(PartKey... parts) {
-        EndpointRun run = newRun();
+        crashUnder(newRun(), parts);
+    }
+
+    private void crashUnder(EndpointRun run, PartKey... parts) {
         WatchedAttempt watched = send(run, parts);
         watched.recordHead(nanos());
         pass(100);
@@ -312,6 +315,25 @@
         assertThat(monitor.quarantines().get(0).times()).isEqualTo(2);
     }
 
+    /** Software that was installed meanwhile crashes under the part once, then survives it. */
+    @Test
+    void aQuarantineThatWasRenewedUnderOtherSoftwareEndsOnceThatSurvives() {
+        for (int crash = 0; crash < 4; crash++) {
+            crashUnder(BAD);
+        }
+        millis += TimeUnit.NANOSECONDS.toMillis(PartQuarantine.FIRST_NANOS);
+        pass(100);
+        EndpointRun surviving = new EndpointRun(new EndpointStart("new", 1), POOL, "v2");
+        WatchedAttempt watched = send(surviving, BAD);
+        watched.recordData(nanos());
+        crashUnder(new EndpointRun(new EndpointStart("new", 2), POOL, "v2"), BAD);
+        assertThat(isRejected(BAD)).isTrue();
+        pass(1_000);
+        watched.recordData(nanos());
+        pass(100);
+        assertThat(isRejected(BAD)).isFalse();
+    }
+
     @Test
     void aQuarantineOfAnotherVmIsNotAdoptedForASurvivedPart() {
         survive(RARE);
