--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -15,7 +15,8 @@
  * since a wrong quarantine would reject all requests that could refute it. A part that an endpoint
  * survives leaves its quarantines, and a quarantine without parts ends. Otherwise it ends after a
  * time, which doubles each time. An ended quarantine is kept for as long again: its parts are
- * suspected, and one more crash renews it.
+ * suspected, and one more crash renews it. One crash also suffices for parts that are under
+ * quarantine in another pool.
  *
  * <p>Invariant: no quarantine contains a part that an endpoint of the same software version has
  * survived since. At most {@link #MAXIMUM_ENTRIES} are kept. Not thread-safe.
@@ -120,11 +121,23 @@
         return changed;
     }
 
-    /** Returns an ended quarantine whose parts are all among these; empty if there is none. */
-    Optional<QuarantinedParts> endedQuarantine(Collection<PartKey> parts, long nowNanos) {
-        return entries.stream()
-                .filter(entry -> !entry.isInForce(nowNanos) && parts.containsAll(entry.parts()))
-                .findFirst();
+    /**
+     * Returns the parts that one crash puts under quarantine, as they have been before or are in
+     * another pool, where that has been confirmed; empty if there are none.
+     *
+     * @param present the parts of a pool that were at the crash
+     */
+    Optional<QuarantinedParts> precedent(String pool, Collection<PartKey> present, long nowNanos) {
+        for (QuarantinedParts entry : entries) {
+            boolean counts = entry.isOf(pool) ? !entry.isInForce(nowNanos) : entry.confirmed();
+            QuarantinedParts here = entry.in(pool);
+            if (counts
+                    && present.containsAll(here.parts())
+                    && match(here.parts(), nowNanos).isEmpty()) {
+                return Optional.of(here);
+            }
+        }
+        return Optional.empty();
     }
 
     /**
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -150,7 +150,7 @@
         String version = crash.softwareVersion();
         if (crashes.record(crash, part -> survivals.contains(part, version, nowNanos))) {
             confirm(crash);
-            renewEnded(crash, nowNanos);
+            followPrecedent(crash, nowNanos);
             changed = true;
         }
     }
@@ -195,14 +195,15 @@
         }
     }
 
-    private void renewEnded(EndpointCrash crash, long nowNanos) {
+    /** Puts parts under quarantine at one crash that have been, or are in another pool. */
+    private void followPrecedent(EndpointCrash crash, long nowNanos) {
         quarantine
-                .endedQuarantine(crash.begunParts(), nowNanos)
+                .precedent(crash.pool(), crash.begunParts(), nowNanos)
                 .ifPresent(
-                        ended -> {
-                            Set<String> versions = new HashSet<>(ended.softwareVersions());
+                        known -> {
+                            Set<String> versions = new HashSet<>(known.softwareVersions());
                             versions.add(crash.softwareVersion());
-                            quarantine(ended.parts(), versions, nowNanos);
+                            quarantine(known.parts(), versions, nowNanos);
                         });
     }
 
--- a/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
+++ b/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
@@ -1,6 +1,7 @@
 package org.bronzelug.core.poison;
 
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Parts that crash endpoints if a request holds all of them. Immutable.
@@ -28,6 +29,20 @@
         return untilNanos - nowNanos > 0;
     }
 
+    boolean isOf(String pool) {
+        return parts.stream().allMatch(part -> part.pool().equals(pool));
+    }
+
+    /** Returns the same for requests that are sent to a pool. */
+    QuarantinedParts in(String pool) {
+        Set<PartKey> there =
+                parts.stream()
+                        .map(part -> new PartKey(pool, part.id()))
+                        .collect(Collectors.toSet());
+        return new QuarantinedParts(
+                there, softwareVersions, sinceNanos, untilNanos, times, confirmed);
+    }
+
     QuarantinedParts confirm() {
         return new QuarantinedParts(parts, softwareVersions, sinceNanos, untilNanos, times, true);
     }
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -19,6 +19,7 @@
  */
 class PoisonMonitorTest {
     private static final String POOL = "pool";
+    private static final String OTHER_POOL = "other";
     private static final String VERSION = "v1";
     private static final PartKey BAD = part("bad");
     private static final PartKey SHARED = part("shared");
@@ -46,7 +47,7 @@
                             }
                         },
                         0);
-        created.setEndpoints(Map.of(POOL, 8));
+        created.setEndpoints(Map.of(POOL, 8, OTHER_POOL, 8));
         return created;
     }
 
@@ -59,7 +60,11 @@
     }
 
     private EndpointRun newRun() {
-        return new EndpointRun(new EndpointStart("endpoint", ++starts), POOL, VERSION);
+        return newRun(POOL);
+    }
+
+    private EndpointRun newRun(String pool) {
+        return new EndpointRun(new EndpointStart("endpoint", ++starts), pool, VERSION);
     }
 
     private WatchedAttempt send(EndpointRun run, PartKey... parts) {
@@ -90,7 +95,10 @@
     }
 
     private void survive(PartKey... parts) {
-        EndpointRun run = newRun();
+        survive(newRun(), parts);
+    }
+
+    private void survive(EndpointRun run, PartKey... parts) {
         WatchedAttempt watched = send(run, parts);
         watched.recordData(nanos());
         pass(1_100);
@@ -334,6 +342,54 @@
         assertThat(isRejected(BAD)).isFalse();
     }
 
+    /** A route moves to another pool, whose endpoints crash under the same part. */
+    @Test
+    void aPartUnderWhichAnotherPoolCrashedIsQuarantinedAtOneCrash() {
+        PartKey badThere = PartKey.of(OTHER_POOL, BAD.id());
+        PartKey sharedThere = PartKey.of(OTHER_POOL, SHARED.id());
+        survive(SHARED);
+        for (int crash = 0; crash < 4; crash++) {
+            crashUnder(SHARED, BAD);
+        }
+        assertThat(isRejected(sharedThere, badThere)).isFalse();
+        crashUnder(newRun(OTHER_POOL), sharedThere, badThere);
+        assertThat(isRejected(sharedThere, badThere)).isTrue();
+        assertThat(isRejected(sharedThere)).isFalse();
+        crashUnder(newRun(OTHER_POOL), sharedThere, badThere);
+        pass(60_000);
+        assertThat(isRejected(sharedThere, badThere)).isTrue();
+    }
+
+    /** The other pool's endpoints may survive the part, and crash for another reason. */
+    @ParameterizedTest
+    @CsvSource({"true", "false"})
+    void aPartThatAPoolSurvivesIsNotQuarantinedThereForLong(boolean survivedBefore) {
+        PartKey badThere = PartKey.of(OTHER_POOL, BAD.id());
+        for (int crash = 0; crash < 4; crash++) {
+            crashUnder(BAD);
+        }
+        if (survivedBefore) {
+            survive(newRun(OTHER_POOL), badThere);
+        }
+        crashUnder(newRun(OTHER_POOL), badThere);
+        assertThat(isRejected(badThere)).isEqualTo(!survivedBefore);
+        pass(1_500);
+        survive(newRun(OTHER_POOL), badThere);
+        assertThat(isRejected(badThere)).isFalse();
+        assertThat(isRejected(BAD)).isTrue();
+    }
+
+    /** Three crashes may be a coincidence; only a confirmed quarantine counts for other pools. */
+    @Test
+    void aQuarantineThatIsNotConfirmedDoesNotCountForAnotherPool() {
+        for (int crash = 0; crash < 3; crash++) {
+            crashUnder(BAD);
+        }
+        PartKey badThere = PartKey.of(OTHER_POOL, BAD.id());
+        crashUnder(newRun(OTHER_POOL), badThere);
+        assertThat(isRejected(badThere)).isFalse();
+    }
+
     @Test
     void aQuarantineOfAnotherVmIsNotAdoptedForASurvivedPart() {
         survive(RARE);
