--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -29,31 +29,20 @@
     private final PartSurvivals survivals = new PartSurvivals();
     private final CrashLog crashes = new CrashLog();
     private final PartQuarantine quarantine = new PartQuarantine();
-    private final PeerTrials peerTrials = new PeerTrials();
     private final OwnRuns runs;
+    private final PartTrials trials;
     private final PendingReports pending = new PendingReports();
-    private final Listener listener;
+    private final QuarantineListener listener;
 
     /** Whether the parts that explain the crashes may have changed. */
     private boolean changed;
 
     private Map<String, Integer> endpoints = Map.of();
 
-    /** Is notified of what has been inferred. */
-    public interface Listener {
-        /** Called if parts have been put under quarantine; the source says by whose knowledge. */
-        void onQuarantined(QuarantinedParts parts, String source);
-
-        /**
-         * Called if an endpoint has survived a part of a quarantine, which ends or goes on for the
-         * other parts.
-         */
-        void onReleased(QuarantinedParts before, PartKey survived);
-    }
-
-    public PoisonMonitor(Listener listener, long nowNanos) {
+    public PoisonMonitor(QuarantineListener listener, long nowNanos) {
         this.listener = listener;
         this.runs = new OwnRuns(nowNanos);
+        this.trials = new PartTrials(runs);
     }
 
     /** Sets the number of endpoints of each pool. */
@@ -72,7 +61,7 @@
                     match.get().parts(), match.get().untilNanos() - nowNanos);
         }
         for (PartKey part : parts) {
-            if (isSuspect(part) && isInProgress(part, nowNanos)) {
+            if (isSuspect(part) && trials.isInProgress(part, nowNanos)) {
                 return new PartAdmission.Waiting(part);
             }
         }
@@ -94,19 +83,13 @@
 
     private boolean mayConfirm(QuarantinedParts entry, long nowNanos) {
         return isOnTrial(entry, nowNanos)
-                && entry.parts().stream().noneMatch(part -> isInProgress(part, nowNanos));
+                && entry.parts().stream().noneMatch(part -> trials.isInProgress(part, nowNanos));
     }
 
     private boolean isSuspect(PartKey part) {
         return crashes.suspects().contains(part) || quarantine.isSuspect(part);
     }
 
-    private boolean isInProgress(PartKey part, long nowNanos) {
-        return peerTrials.isInProgress(part, nowNanos)
-                || ownTrials(true, nowNanos).contains(part)
-                || ownTrials(false, nowNanos).contains(part);
-    }
-
     /** Returns whether an endpoint is known to survive each of the parts. */
     public boolean areHarmless(Collection<PartKey> parts, String softwareVersion, long nowNanos) {
         return parts.stream().allMatch(part -> survivals.contains(part, softwareVersion, nowNanos));
@@ -217,7 +200,7 @@
         }
         changed = false;
         for (CrashLog.Explanation found : crashes.explain(this::isExplained, endpoints, nowNanos)) {
-            if (found.parts().stream().anyMatch(part -> isBegun(part, nowNanos))) {
+            if (found.parts().stream().anyMatch(part -> trials.isBegun(part, nowNanos))) {
                 changed = true;
             } else {
                 quarantine(found.parts(), found.softwareVersions(), nowNanos);
@@ -229,29 +212,19 @@
         return quarantine.entries().stream().anyMatch(entry -> parts.containsAll(entry.parts()));
     }
 
-    private boolean isBegun(PartKey part, long nowNanos) {
-        return peerTrials.isBegun(part, nowNanos) || ownTrials(true, nowNanos).contains(part);
-    }
-
     private void quarantine(Set<PartKey> parts, Set<String> softwareVersions, long nowNanos) {
         QuarantinedParts added = quarantine.add(parts, softwareVersions, nowNanos);
         pending.addQuarantine(added);
         listener.onQuarantined(added, "own evidence");
     }
 
-    /** Returns the suspected parts of this VM's requests in progress that have begun, or not. */
     private Set<PartKey> ownTrials(boolean begun, long nowNanos) {
-        if (!hasSuspects()) {
-            return Set.of();
-        }
-        Set<PartKey> trials = runs.open(begun, nowNanos);
-        trials.removeIf(part -> !isSuspect(part));
-        return trials;
+        return hasSuspects() ? trials.own(begun, this::isSuspect, nowNanos) : Set.of();
     }
 
     /** Applies the report of another VM. */
     public void receive(String vm, PoisonReport report, long nowNanos) {
-        peerTrials.record(vm, report, nowNanos);
+        trials.record(vm, report, nowNanos);
         for (PoisonReport.Survival survival : report.survivals()) {
             pending.recordHeard(survival, nowNanos);
             recordSurvival(survival.part(), survival.softwareVersion(), nowNanos);
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
@@ -217,7 +217,7 @@
         private void restart() {
             monitor =
                     new PoisonMonitor(
-                            new PoisonMonitor.Listener() {
+                            new QuarantineListener() {
                                 @Override
                                 public void onQuarantined(QuarantinedParts parts, String source) {
                                     recordQuarantine(parts);
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -35,7 +35,7 @@
     private PoisonMonitor newMonitor() {
         PoisonMonitor created =
                 new PoisonMonitor(
-                        new PoisonMonitor.Listener() {
+                        new QuarantineListener() {
                             @Override
                             public void onQuarantined(QuarantinedParts parts, String source) {
                                 quarantined.add(parts.parts());
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -15,6 +15,7 @@
 import org.bronzelug.core.poison.PartKey;
 import org.bronzelug.core.poison.PoisonMonitor;
 import org.bronzelug.core.poison.PoisonReport;
+import org.bronzelug.core.poison.QuarantineListener;
 import org.bronzelug.core.poison.QuarantinedParts;
 import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.log.EventLog;
@@ -173,7 +174,7 @@
     }
 
     /** Logs what has been inferred, and has the requests in progress follow it. */
-    private final class Log implements PoisonMonitor.Listener {
+    private final class Log implements QuarantineListener {
         @Override
         public void onQuarantined(QuarantinedParts parts, String source) {
             EventLog.warn(
