--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -88,6 +88,11 @@
         return entries.stream().anyMatch(entry -> entry.parts().contains(part));
     }
 
+    /** Returns whether a quarantine, in force or ended, has none but these parts. */
+    boolean covers(Set<PartKey> parts) {
+        return entries.stream().anyMatch(entry -> parts.containsAll(entry.parts()));
+    }
+
     /**
      * Confirms the quarantines of which all parts were at one more crash, or adds other parts to
      * them.
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -183,11 +183,12 @@
         quarantine
                 .precedent(crash.pool(), crash.begunParts(), nowNanos)
                 .ifPresent(
-                        known -> {
-                            Set<String> versions = new HashSet<>(known.softwareVersions());
-                            versions.add(crash.softwareVersion());
-                            quarantine(known.parts(), versions, nowNanos);
-                        });
+                        known ->
+                                quarantine(
+                                        known.parts(),
+                                        known.versionsWith(crash.softwareVersion()),
+                                        "an earlier quarantine",
+                                        nowNanos));
     }
 
     /**
@@ -199,23 +200,21 @@
             return;
         }
         changed = false;
-        for (CrashLog.Explanation found : crashes.explain(this::isExplained, endpoints, nowNanos)) {
+        for (CrashLog.Explanation found :
+                crashes.explain(quarantine::covers, endpoints, nowNanos)) {
             if (found.parts().stream().anyMatch(part -> trials.isBegun(part, nowNanos))) {
                 changed = true;
             } else {
-                quarantine(found.parts(), found.softwareVersions(), nowNanos);
+                quarantine(found.parts(), found.softwareVersions(), "own evidence", nowNanos);
             }
         }
     }
 
-    private boolean isExplained(Set<PartKey> parts) {
-        return quarantine.entries().stream().anyMatch(entry -> parts.containsAll(entry.parts()));
-    }
-
-    private void quarantine(Set<PartKey> parts, Set<String> softwareVersions, long nowNanos) {
+    private void quarantine(
+            Set<PartKey> parts, Set<String> softwareVersions, String source, long nowNanos) {
         QuarantinedParts added = quarantine.add(parts, softwareVersions, nowNanos);
         pending.addQuarantine(added);
-        listener.onQuarantined(added, "own evidence");
+        listener.onQuarantined(added, source);
     }
 
     private Set<PartKey> ownTrials(boolean begun, long nowNanos) {
--- a/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
+++ b/core/src/main/java/org/bronzelug/core/poison/QuarantinedParts.java
@@ -1,5 +1,6 @@
 package org.bronzelug.core.poison;
 
+import java.util.HashSet;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -43,6 +44,12 @@
                 there, softwareVersions, sinceNanos, untilNanos, times, confirmed);
     }
 
+    Set<String> versionsWith(String softwareVersion) {
+        Set<String> versions = new HashSet<>(softwareVersions);
+        versions.add(softwareVersion);
+        return versions;
+    }
+
     QuarantinedParts confirm() {
         return new QuarantinedParts(parts, softwareVersions, sinceNanos, untilNanos, times, true);
     }
