--- a/core/src/main/java/org/bronzelug/core/poison/PendingReports.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PendingReports.java
@@ -1,7 +1,6 @@
 package org.bronzelug.core.poison;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,11 +17,16 @@
 
     private static final int MAXIMUM_TOLD = 1_024;
 
+    /** Rounds after which unchanged requests in progress are told again. */
+    private static final int TRIAL_ROUNDS = 3;
+
     private final ReportQueue<EndpointCrash> crashes = new ReportQueue<>();
     private final ReportQueue<PoisonReport.Survival> survivals = new ReportQueue<>();
     private final ReportQueue<QuarantinedParts> quarantines = new ReportQueue<>();
     private final LinkedHashMap<PoisonReport.Survival, Long> toldNanos = new LinkedHashMap<>();
-    private boolean trialsReported;
+    private Set<PartKey> toldWaiting = Set.of();
+    private Set<PartKey> toldBegun = Set.of();
+    private int roundsSinceTold;
 
     void addCrash(EndpointCrash crash) {
         crashes.addUrgent(crash);
@@ -61,34 +65,39 @@
 
     /** Returns the report of this round; empty if there is nothing to tell. */
     Optional<PoisonReport> round(Set<PartKey> waiting, Set<PartKey> begun) {
+        roundsSinceTold++;
+        boolean due = roundsSinceTold >= TRIAL_ROUNDS && !(waiting.isEmpty() && begun.isEmpty());
         return report(
-                crashes.takeRound(),
-                survivals.takeRound(),
-                waiting,
-                begun,
-                quarantines.takeRound());
+                new PoisonReport(
+                        crashes.takeRound(),
+                        survivals.takeRound(),
+                        waiting,
+                        begun,
+                        quarantines.takeRound()),
+                due);
     }
 
     /** Returns what must not wait for the next round; empty if there is nothing. */
     Optional<PoisonReport> urgent(Set<PartKey> waiting, Set<PartKey> begun) {
         return report(
-                crashes.takeUrgent(),
-                survivals.takeUrgent(),
-                waiting,
-                begun,
-                quarantines.takeUrgent());
+                new PoisonReport(
+                        crashes.takeUrgent(),
+                        survivals.takeUrgent(),
+                        waiting,
+                        begun,
+                        quarantines.takeUrgent()),
+                false);
     }
 
-    private Optional<PoisonReport> report(
-            List<EndpointCrash> newCrashes,
-            List<PoisonReport.Survival> newSurvivals,
-            Set<PartKey> waiting,
-            Set<PartKey> begun,
-            List<QuarantinedParts> newQuarantines) {
-        PoisonReport report =
-                new PoisonReport(newCrashes, newSurvivals, waiting, begun, newQuarantines);
-        boolean trialsEnded = trialsReported && waiting.isEmpty() && begun.isEmpty();
-        trialsReported = !waiting.isEmpty() || !begun.isEmpty();
-        return report.isEmpty() && !trialsEnded ? Optional.empty() : Optional.of(report);
+    private Optional<PoisonReport> report(PoisonReport report, boolean due) {
+        boolean changed =
+                !report.waiting().equals(toldWaiting) || !report.begun().equals(toldBegun);
+        if (!report.hasItems() && !changed && !due) {
+            return Optional.empty();
+        }
+        toldWaiting = report.waiting();
+        toldBegun = report.begun();
+        roundsSinceTold = 0;
+        return Optional.of(report);
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonReport.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonReport.java
@@ -29,12 +29,8 @@
     /** A part that an endpoint of a software version has survived. Immutable. */
     public record Survival(PartKey part, String softwareVersion) {}
 
-    /** Returns whether the report tells nothing. */
-    public boolean isEmpty() {
-        return crashes.isEmpty()
-                && survivals.isEmpty()
-                && waiting.isEmpty()
-                && begun.isEmpty()
-                && quarantines.isEmpty();
+    /** Returns whether the report tells more than what the VM has in progress. */
+    boolean hasItems() {
+        return !(crashes.isEmpty() && survivals.isEmpty() && quarantines.isEmpty());
     }
 }
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -247,6 +247,29 @@
         assertThat(monitor.admit(List.of(BAD), nanos())).isEqualTo(new PartAdmission.Allowed());
     }
 
+    /** All VMs get each report; repeating it at each request would take a large fleet's time. */
+    @Test
+    void aTrialIsReportedWhenItChangesAndAFewTimesASecond() {
+        crashUnder(BAD);
+        while (monitor.roundReport(nanos()).isPresent()) {
+            pass(100);
+        }
+        WatchedAttempt trial = send(newRun(), BAD);
+        assertThat(monitor.urgentReport(nanos())).isPresent();
+        send(newRun(), SHARED);
+        assertThat(monitor.urgentReport(nanos())).isEmpty();
+        int reports = 0;
+        for (int round = 0; round < 9; round++) {
+            pass(100);
+            reports += monitor.roundReport(nanos()).isPresent() ? 1 : 0;
+        }
+        assertThat(reports).isEqualTo(3);
+        trial.end(nanos());
+        pass(300);
+        assertThat(monitor.urgentReport(nanos())).isPresent();
+        assertThat(monitor.urgentReport(nanos())).isEmpty();
+    }
+
     /** A wrong quarantine would otherwise reject requests that would refute it. */
     @Test
     void oneRequestIsSentToConfirmAQuarantine() {
