--- a/router/src/main/java/org/bronzelug/router/endpoint/CrashDetection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/CrashDetection.java
@@ -9,8 +9,9 @@
 import java.util.function.Consumer;
 
 /**
- * Tells the crash of an endpoint from the loss of single connections to it: after a connection was
- * lost within a request, the endpoint refuses a new one, or the platform lists another start of it.
+ * Distinguishes the crash of an endpoint from the loss of a single connection. An endpoint has
+ * crashed if it refuses a new connection after a loss, or if the platform lists another start of
+ * it.
  *
  * <p>Invariant: the listener is called at most once. A connect that times out shows nothing: it may
  * be the path that is lost. Confined to the traffic thread.
@@ -41,7 +42,9 @@
         listener = Optional.of(onCrashed);
     }
 
-    /** Records that a connection was lost within a request. */
+    /**
+     * Records that a connection was lost within a request, or ended a response without a length.
+     */
     void recordLost(long nowNanos) {
         lostNanos = OptionalLong.of(nowNanos);
         if (firstLostNanos.isEmpty()) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -53,7 +53,8 @@
     private long idleLimitMillis = Long.MAX_VALUE;
 
     /**
-     * @param onLost called when the connection ends or fails within a request
+     * @param onLost called when the connection ends or fails within a request, or ends a response
+     *     without a length, which a crash may have cut short
      * @param relayVm the VM that relays the connection; empty if it is direct
      */
     EndpointConnection(
@@ -203,6 +204,9 @@
         } else {
             channel.close();
         }
+        if (endsWithConnection) {
+            onLost.run();
+        }
         active.ifPresent(ResponseListener::onComplete);
     }
 
