--- a/core/src/main/java/org/bronzelug/core/limit/TeamTokens.java
+++ b/core/src/main/java/org/bronzelug/core/limit/TeamTokens.java
@@ -5,10 +5,11 @@
 
 /**
  * A team's tokens on the VM that holds its rate. If the previous holder did not transfer the tokens
- * it had left, a second bucket counts the most that may be left.
+ * it had left, a second bucket counts the most that may be left. It is dropped once the first would
+ * be full without requests, since by then only the team's own requests can have emptied that.
  *
- * <p>Invariant: only tokens that are certainly left are admitted. Requests that only the second
- * bucket can pay for are not rejected as beyond the rate; together they take no more than it has.
+ * <p>Invariant: a request is granted only tokens that are certainly left. Requests for which only
+ * the second bucket has enough may be within the rate; together they take no more than it has.
  *
  * <p>Not thread-safe: guarded by its owner.
  */
--- a/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashEvidence.java
@@ -24,7 +24,9 @@
 
     private static final double REQUIRED_STRENGTH = -Math.log(ERROR_PROBABILITY);
 
-    /** Crashes a second and endpoint that are assumed at least, so that three crashes suffice. */
+    /**
+     * Lowest rate of crashes per endpoint and second that is assumed; three crashes suffice at it.
+     */
     private static final double MINIMUM_RATE =
             -Math.log(1 - Math.exp(-REQUIRED_STRENGTH / MINIMUM_CRASHES))
                     / Involvement.BEGUN_SECONDS;
--- a/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
@@ -17,8 +17,8 @@
  * The recent crashes of endpoints, as all VMs have reported them, and the parts that explain them.
  *
  * <p>The part with the most evidence against it is taken as the cause of all crashes at which it
- * was, so that parts which were merely there as well are left with the crashes that remain. Parts
- * that were at all of these crashes can't be told apart, and are returned together.
+ * was; the remaining crashes alone count against the other parts. Parts that were at all of the
+ * same crashes can't be told apart, and are returned together.
  *
  * <p>Invariant: the reports of several VMs on one start of an endpoint count as one crash. At most
  * {@link #MAXIMUM_CRASHES} are kept, the latest ones. Not thread-safe.
@@ -50,7 +50,7 @@
      * Records what one VM reports of a crash.
      *
      * @param harmless returns whether a part is known not to have caused it
-     * @return whether the report tells anything new
+     * @return whether the report contains anything new
      */
     boolean record(EndpointCrash reported, Predicate<PartKey> harmless) {
         Map<PartKey, Involvement> merged = new HashMap<>();
--- a/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
+++ b/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
@@ -69,7 +69,9 @@
         attempts.forEach(watched -> watched.restartSurvival(nowNanos));
     }
 
-    /** Passes on the parts that the endpoint has survived, and forgets what has become useless. */
+    /**
+     * Passes on the parts that the endpoint has survived, and drops attempts that ended long ago.
+     */
     void sweep(Consumer<PartKey> onSurvived, long nowNanos) {
         attempts.removeIf(
                 watched -> {
--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -88,7 +88,7 @@
         return entries.stream().anyMatch(entry -> entry.parts().contains(part));
     }
 
-    /** Returns whether a quarantine, in force or ended, has none but these parts. */
+    /** Returns whether all parts of a quarantine, in force or ended, are among these. */
     boolean covers(Set<PartKey> parts) {
         return entries.stream().anyMatch(entry -> parts.containsAll(entry.parts()));
     }
@@ -127,10 +127,11 @@
     }
 
     /**
-     * Returns the parts that one crash puts under quarantine, as they have been before or are in
-     * another pool, where that has been confirmed; empty if there are none.
+     * Returns a quarantine because of which one crash in a pool suffices for another: one of that
+     * pool that has ended, or a confirmed one of another pool. Empty if there is none.
      *
-     * @param present the parts of a pool that were at the crash
+     * @param present the parts of the pool that were at the crash
+     * @return the quarantine, with its parts as those of the pool
      */
     Optional<QuarantinedParts> precedent(String pool, Collection<PartKey> present, long nowNanos) {
         for (QuarantinedParts entry : entries) {
--- a/core/src/main/java/org/bronzelug/core/poison/PendingReports.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PendingReports.java
@@ -12,21 +12,21 @@
  * next round, and is dropped if another VM has reported it by then. Not thread-safe.
  */
 final class PendingReports {
-    /** Time for which this VM does not repeat what it or another VM has told of a survival. */
-    private static final long TELL_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(1);
+    /** Time in which no VM needs to report the same survival again. */
+    private static final long REPORT_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-    private static final int MAXIMUM_TOLD = 1_024;
+    private static final int MAXIMUM_REPORTED = 1_024;
 
-    /** Rounds after which unchanged requests in progress are told again. */
+    /** Rounds after which what is in progress is reported again, though it has not changed. */
     private static final int TRIAL_ROUNDS = 3;
 
     private final ReportQueue<EndpointCrash> crashes = new ReportQueue<>();
     private final ReportQueue<PoisonReport.Survival> survivals = new ReportQueue<>();
     private final ReportQueue<QuarantinedParts> quarantines = new ReportQueue<>();
-    private final LinkedHashMap<PoisonReport.Survival, Long> toldNanos = new LinkedHashMap<>();
-    private Set<PartKey> toldWaiting = Set.of();
-    private Set<PartKey> toldBegun = Set.of();
-    private int roundsSinceTold;
+    private final LinkedHashMap<PoisonReport.Survival, Long> reportedNanos = new LinkedHashMap<>();
+    private Set<PartKey> reportedWaiting = Set.of();
+    private Set<PartKey> reportedBegun = Set.of();
+    private int roundsSinceReport;
 
     void addCrash(EndpointCrash crash) {
         crashes.addUrgent(crash);
@@ -41,32 +41,32 @@
         survivals.addUrgent(survival);
     }
 
-    /** Adds a survival that this VM knows and that another one does not seem to know. */
+    /** Adds a survival that this VM knows of and another VM does not seem to. */
     void addKnown(PoisonReport.Survival survival, long nowNanos) {
-        Long knownNanos = toldNanos.get(survival);
-        if (knownNanos == null || nowNanos - knownNanos > TELL_AGAIN_NANOS) {
-            recordTold(survival, nowNanos);
+        Long knownNanos = reportedNanos.get(survival);
+        if (knownNanos == null || nowNanos - knownNanos > REPORT_AGAIN_NANOS) {
+            recordReported(survival, nowNanos);
             survivals.add(survival);
         }
     }
 
-    /** Records that another VM has told of a survival. */
+    /** Records that another VM has reported a survival. */
     void recordHeard(PoisonReport.Survival survival, long nowNanos) {
         survivals.remove(survival);
-        recordTold(survival, nowNanos);
+        recordReported(survival, nowNanos);
     }
 
-    private void recordTold(PoisonReport.Survival survival, long nowNanos) {
-        toldNanos.putLast(survival, nowNanos);
-        if (toldNanos.size() > MAXIMUM_TOLD) {
-            toldNanos.pollFirstEntry();
+    private void recordReported(PoisonReport.Survival survival, long nowNanos) {
+        reportedNanos.putLast(survival, nowNanos);
+        if (reportedNanos.size() > MAXIMUM_REPORTED) {
+            reportedNanos.pollFirstEntry();
         }
     }
 
-    /** Returns the report of this round; empty if there is nothing to tell. */
+    /** Returns the report of this round; empty if there is nothing to report. */
     Optional<PoisonReport> round(Set<PartKey> waiting, Set<PartKey> begun) {
-        roundsSinceTold++;
-        boolean due = roundsSinceTold >= TRIAL_ROUNDS && !(waiting.isEmpty() && begun.isEmpty());
+        roundsSinceReport++;
+        boolean due = roundsSinceReport >= TRIAL_ROUNDS && !(waiting.isEmpty() && begun.isEmpty());
         return report(
                 new PoisonReport(
                         crashes.takeRound(),
@@ -91,13 +91,13 @@
 
     private Optional<PoisonReport> report(PoisonReport report, boolean due) {
         boolean changed =
-                !report.waiting().equals(toldWaiting) || !report.begun().equals(toldBegun);
+                !report.waiting().equals(reportedWaiting) || !report.begun().equals(reportedBegun);
         if (!report.hasItems() && !changed && !due) {
             return Optional.empty();
         }
-        toldWaiting = report.waiting();
-        toldBegun = report.begun();
-        roundsSinceTold = 0;
+        reportedWaiting = report.waiting();
+        reportedBegun = report.begun();
+        roundsSinceReport = 0;
         return Optional.of(report);
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -178,7 +178,7 @@
         }
     }
 
-    /** Puts parts under quarantine at one crash that have been, or are in another pool. */
+    /** Puts parts under quarantine at one crash if they were before, or are in another pool. */
     private void followPrecedent(EndpointCrash crash, long nowNanos) {
         quarantine
                 .precedent(crash.pool(), crash.begunParts(), nowNanos)
--- a/core/src/test/java/org/bronzelug/core/limit/RateSharesTest.java
+++ b/core/src/test/java/org/bronzelug/core/limit/RateSharesTest.java
@@ -87,7 +87,7 @@
         assertThat(reserve(shares, "s", 50, usableNanos)).isInstanceOf(Admission.OverRate.class);
     }
 
-    /** Of requests that the rate may allow, no more are told to wait than a full bucket admits. */
+    /** The requests that may wait for tokens need at most one full bucket together. */
     @ParameterizedTest
     @CsvSource({"40, 2", "50, 2", "100, 1", "101, 0"})
     void requestsThatMayBeWithinTheRateAreBoundedByTheBurst(double amount, int expected) {
@@ -111,7 +111,7 @@
         assertThat(otherShares.tokens(TEAM, USABLE)).hasValue(0.0);
     }
 
-    /** A team that goes on above its rate must not keep a queue of requests for good. */
+    /** Requests of a team that stays above its rate must be rejected again after a time. */
     @ParameterizedTest
     @CsvSource({"9, true", "10, false"})
     void whatIsMissingOnceTheBucketCouldBeFullIsTheTeamsOwnUse(int seconds, boolean expected) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -226,7 +226,8 @@
         boolean notGenuine = head.isSuccess() && !head.genuine();
         boolean failed = notGenuine || head.isServerError();
         if (failed) {
-            Optional<EndpointState> other = conditions.chooseOther(RetryKind.REQUIRED);
+            Optional<EndpointState> other =
+                    conditions.chooseOther(RetryKind.REQUIRED, System.nanoTime());
             if (other.isPresent()) {
                 attempt.cancelCall();
                 responding.recordFailure(System.nanoTime());
@@ -378,7 +379,7 @@
 
     /** Does the same as {@link #retry}, once it is known whether the last endpoint has crashed. */
     void retryOnceVerified(String cause) {
-        hold.afterVerification(() -> retry(cause));
+        hold.afterVerification(() -> retry(cause), System.nanoTime());
     }
 
     @Override
@@ -430,7 +431,8 @@
     /** Moves the request if that is allowed and another endpoint accepts it; otherwise it stays. */
     private void moveToOtherEndpoint(String cause, RetryKind kind) {
         boolean possible = !mover.isMoving() && (!relay.hasBegun() || relay.canResume());
-        Optional<EndpointState> other = possible ? conditions.chooseOther(kind) : Optional.empty();
+        Optional<EndpointState> other =
+                possible ? conditions.chooseOther(kind, System.nanoTime()) : Optional.empty();
         if (other.isEmpty()) {
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/MoveConditions.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/MoveConditions.java
@@ -38,8 +38,7 @@
     }
 
     /** Chooses another endpoint before the current attempt is cancelled: there may be none. */
-    Optional<EndpointState> chooseOther(RetryKind kind) {
-        long nowNanos = System.nanoTime();
+    Optional<EndpointState> chooseOther(RetryKind kind, long nowNanos) {
         boolean possible =
                 !builder.isExpired(nowNanos)
                         && gate.admit(nowNanos) instanceof PartAdmission.Allowed;
--- a/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
@@ -51,9 +51,9 @@
     }
 
     /** Returns whether the request may have crashed an endpoint that it has left. */
-    boolean mayHaveCrashed(EndpointState endpoint) {
+    boolean mayHaveCrashed(EndpointState endpoint, long nowNanos) {
         String version = endpoint.entry().softwareVersion();
-        return !state.poison().areHarmless(parts, version, System.nanoTime());
+        return !state.poison().areHarmless(parts, version, nowNanos);
     }
 
     /** Records that the request is sent to an endpoint. */
--- a/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
@@ -93,8 +93,8 @@
      * Continues with the request that has left its endpoint, once it is known whether it may have
      * crashed that one.
      */
-    void afterVerification(Runnable continuation) {
-        if (lastEndpoint.filter(gate::mayHaveCrashed).isPresent()) {
+    void afterVerification(Runnable continuation, long nowNanos) {
+        if (lastEndpoint.filter(last -> gate.mayHaveCrashed(last, nowNanos)).isPresent()) {
             schedule(continuation, VERIFICATION_MILLIS);
         } else {
             continuation.run();
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -22,8 +22,8 @@
 import org.bronzelug.log.LogEvent;
 
 /**
- * Knows which parts of prompts crash endpoints, by this VM's own requests and the reports of the
- * other VMs, and tells those what this VM has seen.
+ * Knows which parts of prompts crash endpoints, from this VM's own requests and from the reports of
+ * the other VMs, and reports to the other VMs what this one has seen.
  *
  * <p>Invariant: what may change the decisions of other VMs is sent to them at once, and again in
  * the next rounds. Confined to the traffic thread.
@@ -82,7 +82,7 @@
         return watched;
     }
 
-    /** Tells the other VMs if they wait for the outcome of a request of this VM. */
+    /** Reports a request that has begun or ended to the other VMs, if they may wait for it. */
     public void recordChange(long nowNanos) {
         if (monitor.hasSuspects()) {
             monitor.urgentReport(nowNanos).ifPresent(peers::send);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -242,7 +242,7 @@
     /**
      * Records that the endpoint rejected a request.
      *
-     * @param misdirected whether that was because the endpoint is another one than estimated
+     * @param misdirected whether because its identity or its weights are not the expected ones
      */
     public void recordRejection(boolean misdirected, long nowNanos) {
         if (misdirected) {
