Settings state memory pressure, the slack of rates and the VM's memory

The decisions under load need to know whether runners fail if their memory is exceeded, how many tokens a team may get beyond its rate, and how much memory the VM has. No decision uses them yet.

--- a/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
+++ b/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
@@ -14,6 +14,7 @@
  * @param fleetStarts whether the whole fleet starts for the first time
  * @param processorCapacity processor time that the VM has, in cores
  * @param bounds bounds of the fleet
+ * @param load what the installation states about its behavior under load
  */
 public record VmSettings(
         String vm,
@@ -24,7 +25,8 @@
         List<String> seedAddresses,
         boolean fleetStarts,
         double processorCapacity,
-        FleetBounds bounds) {
+        FleetBounds bounds,
+        LoadSettings load) {
     public VmSettings {
         seedAddresses = List.copyOf(seedAddresses);
     }
@@ -41,6 +43,7 @@
                 + (" seedAddresses=" + seedAddresses)
                 + (" fleetStarts=" + fleetStarts)
                 + (" processorCapacity=" + processorCapacity)
-                + (" " + bounds);
+                + (" " + bounds)
+                + (" " + load);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -25,6 +25,7 @@
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.order.RunnerReport;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.settings.LoadSettings;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ItemChanges;
 import org.bronzelug.router.store.ItemList;
@@ -66,7 +67,8 @@
                                 List.of(),
                                 true,
                                 1,
-                                BOUNDS),
+                                BOUNDS,
+                                LoadSettings.none()),
                         "incarnation",
                         state,
                         new MemberTable("vm"),
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -7,6 +7,7 @@
 import org.bronzelug.core.membership.PlatformReaders.Candidate;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.settings.LoadSettings;
 import org.bronzelug.router.settings.VmSettings;
 import org.junit.jupiter.api.Test;
 
@@ -25,7 +26,16 @@
     private void start(String vm, String zone, String address) {
         VmSettings settings =
                 new VmSettings(
-                        vm, zone, "10.0.0.9:80", address, address, List.of(), true, 1, BOUNDS);
+                        vm,
+                        zone,
+                        "10.0.0.9:80",
+                        address,
+                        address,
+                        List.of(),
+                        true,
+                        1,
+                        BOUNDS,
+                        LoadSettings.none());
         new VmRegistration(control, store, settings, new MemberTable(vm), found -> listed = found)
                 .start();
     }
