VMs know the pools whose endpoints report how long work takes

A VM that serves no callers learns them from its peers, since any VM may order runners to load weights.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -393,6 +393,7 @@
                         .addAllReads(report.reads())
                         .addAllLimits(report.limits())
                         .addAllRollouts(report.rollouts())
+                        .addAllAdaptivePools(report.adaptivePools())
                         .addAllQuarantines(
                                 PoisonMessages.encode(report.quarantines(), System.nanoTime()))
                         .addAllPublishedWeights(
--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -79,8 +79,10 @@
         List<PrefixRead> reads = new ArrayList<>();
         Set<String> ordered = new HashSet<>(orders.orderedEndpoints());
         List<RelayPeer> relays = new ArrayList<>();
+        Set<String> adaptivePools = new HashSet<>();
         for (Member member : members.live(nowNanos)) {
             addUsage(member, usage);
+            adaptivePools.addAll(member.state().getAdaptivePoolsList());
             relayPeer(member.state()).ifPresent(relays::add);
             if (member.receivedNanos() >= lastUpdateNanos) {
                 member.state()
@@ -110,7 +112,8 @@
                 members.reachableFraction(nowNanos),
                 members.fleetSize(nowNanos),
                 relays,
-                propagationDelayNanos);
+                propagationDelayNanos,
+                adaptivePools);
     }
 
     /**
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -41,6 +41,7 @@
  * @param versionsWatched whether this VM has watched the list of endpoints for as long
  * @param streamOrigins number of streams whose origins this VM knows
  * @param quarantines the parts of prompts under quarantine
+ * @param adaptivePools names of the pools in which decisions adapt to the measured load
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -57,12 +58,13 @@
         Map<String, Set<String>> recentVersions,
         boolean versionsWatched,
         int streamOrigins,
-        List<QuarantinedParts> quarantines) {
+        List<QuarantinedParts> quarantines,
+        Set<String> adaptivePools) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0, List.of());
+                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0, List.of(), Set.of());
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -125,7 +127,8 @@
                 state.origins().versions().recent(),
                 state.origins().versions().isWatched(),
                 state.origins().size(),
-                state.poison().quarantines());
+                state.poison().quarantines(),
+                state.endpoints().adaptivePools().names());
     }
 
     private static List<TeamUse> teams(TrafficState state, long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -47,6 +47,7 @@
     private final EndpointConnections connections;
     private final EndpointAdvertisements advertisements;
     private final PrefillRate prefillRate;
+    private final AdaptivePools adaptivePools;
     private final LoadEstimate load = new LoadEstimate();
     private final EndpointRun run;
     private final RejectionRisk rejectionRisk = new RejectionRisk();
@@ -64,11 +65,16 @@
     private final Set<RequestListener> ownRequests = new HashSet<>();
     private long weightsUnknownUntilNanos = Long.MIN_VALUE;
 
-    EndpointState(EndpointEntry entry, EndpointConnections connections, PrefillRate prefillRate) {
+    EndpointState(
+            EndpointEntry entry,
+            EndpointConnections connections,
+            PrefillRate prefillRate,
+            AdaptivePools adaptivePools) {
         this.entry = entry;
         this.connections = connections;
         this.advertisements = new EndpointAdvertisements(entry.id());
         this.prefillRate = prefillRate;
+        this.adaptivePools = adaptivePools;
         this.silence = new SilenceDetector(connections, load, prefillRate);
         this.run =
                 new EndpointRun(
@@ -293,6 +299,9 @@
         long nowNanos = System.nanoTime();
         advertisements.recordResponse(response, nowNanos);
         rejectionRisk.recordResponse(response, nowNanos);
+        response.load()
+                .filter(reported -> reported.workPercent().isPresent())
+                .ifPresent(reported -> adaptivePools.record(entry.pool()));
         if (isLeaving()) {
             connections.retire();
         }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 import org.bronzelug.core.placement.PrefillRate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.router.endpoint.EndpointConnections;
@@ -33,6 +34,7 @@
     private final Map<String, EndpointState> states = new HashMap<>();
     private final RemovedEndpoints removed = new RemovedEndpoints();
     private final Map<String, PrefillRate> rates = new HashMap<>();
+    private final AdaptivePools adaptivePools = new AdaptivePools();
     private Optional<CrashListener> crashListener = Optional.empty();
 
     /** Is notified on the traffic thread. */
@@ -55,6 +57,11 @@
         crashListener = Optional.of(listener);
     }
 
+    /** Returns the pools whose endpoints report how long work takes on their machines. */
+    public AdaptivePools adaptivePools() {
+        return adaptivePools;
+    }
+
     /** Returns the paths from this VM to the endpoints. */
     public VmPaths paths() {
         return paths;
@@ -64,6 +71,11 @@
     void update(TrafficUpdate update) {
         paths.updatePeers(update.relayPeers(), System.nanoTime());
         removeUnlisted(update.endpoints());
+        update.adaptivePools().forEach(adaptivePools::record);
+        adaptivePools.retain(
+                update.endpoints().values().stream()
+                        .map(EndpointEntry::pool)
+                        .collect(Collectors.toSet()));
         List<EndpointState> draining = new ArrayList<>();
         for (EndpointEntry entry : update.endpoints().values()) {
             PeerEndpointUsage usage =
@@ -137,7 +149,8 @@
                         wire,
                         new RelayTarget(entry.id(), entry.bornMillis()),
                         paths);
-        EndpointState state = new EndpointState(entry, connections, prefillRate(entry.pool()));
+        EndpointState state =
+                new EndpointState(entry, connections, prefillRate(entry.pool()), adaptivePools);
         connections.setCrashListener(
                 lostNanos ->
                         crashListener.ifPresent(present -> present.onCrashed(state, lostNanos)));
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -33,6 +33,7 @@
  * @param vmCount number of VMs of the fleet, this VM included
  * @param relayPeers the VMs that relay connections to endpoints
  * @param propagationDelayNanos the time until the usage of one VM is known to all VMs
+ * @param adaptivePools pools that peers know to report how long work takes on their machines
  */
 public record TrafficUpdate(
         Optional<RoutingConfiguration> configuration,
@@ -48,7 +49,8 @@
         double reachableFraction,
         int vmCount,
         List<RelayPeer> relayPeers,
-        long propagationDelayNanos) {
+        long propagationDelayNanos,
+        Set<String> adaptivePools) {
     public TrafficUpdate {
         endpoints = Map.copyOf(endpoints);
         weights = Map.copyOf(weights);
@@ -59,5 +61,6 @@
         loadOrdered = Set.copyOf(loadOrdered);
         rollouts = Map.copyOf(rollouts);
         relayPeers = List.copyOf(relayPeers);
+        adaptivePools = Set.copyOf(adaptivePools);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
@@ -87,7 +87,8 @@
                 1,
                 1,
                 List.of(),
-                0);
+                0,
+                Set.of());
     }
 
     private static AdmittedRequest request(int prompt) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -54,7 +54,8 @@
                         new NoWireFormat(),
                         new RelayTarget("a", 1),
                         new VmPaths(group.next())),
-                new PrefillRate());
+                new PrefillRate(),
+                new AdaptivePools());
     }
 
     @ParameterizedTest
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -74,7 +74,8 @@
                         1,
                         1,
                         List.of(),
-                        450_000_000L));
+                        450_000_000L,
+                        Set.of()));
     }
 
     @ParameterizedTest
--- a/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
@@ -53,7 +53,8 @@
                 1,
                 1,
                 List.of(),
-                0);
+                0,
+                Set.of());
     }
 
     /** The endpoint has two models; those of one may have expired before those of the other. */
