Prompts prefer the newest weights only within a fraction of their goal

On a small model of an installation whose weights are published every few seconds, two of eight runners had the newest weights and took all prompts for ten seconds: 36 requests at a runner with 32 slots, the other six idle, a sixth of the prompts late. The penalty for replaced weights was 400 ms, more than the whole goal of a short prompt (257 ms), and the cost of a runner did not know its slots.

In pools whose endpoints report how long work takes, the penalty is now a fifth of the prompt's goal, and requests beyond the slots cost the time until one is free.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -238,7 +238,13 @@
     private Optional<RunnerChoice> chooseAmong(
             EndpointPool pool, PromptSpec prompt, Predicate<String> allowed, long nowNanos) {
         return state.choice()
-                .chooseRunner(pool.name(), prompt, admitted.cachePartition(), allowed, nowNanos);
+                .chooseRunner(
+                        pool.name(),
+                        prompt,
+                        admitted.route().goalMillis(),
+                        admitted.cachePartition(),
+                        allowed,
+                        nowNanos);
     }
 
     /** Returns the ids of the allowed runners that have the fewest requests. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -14,7 +14,9 @@
 import org.bronzelug.core.placement.PlacementSettings;
 import org.bronzelug.core.placement.PrefixChain;
 import org.bronzelug.core.placement.PrefixHash;
+import org.bronzelug.core.placement.ReplacedWeightsPenalty;
 import org.bronzelug.core.placement.RunnerLoad;
+import org.bronzelug.core.placement.SlotWait;
 import org.bronzelug.router.exchange.PromptSpec;
 
 /**
@@ -56,7 +58,7 @@
     /** A prompt may wait this many times as long as estimated: runners differ in speed. */
     private static final double WAIT_ESTIMATE_MULTIPLE = 2;
 
-    /** Penalty for replaced weights, as a queue delay. */
+    /** Penalty for replaced weights in pools that are not adaptive, as a queue delay. */
     private static final double REPLACED_WEIGHTS_PENALTY_NANOS = 400_000_000;
 
     /** A queue of fewer tokens does not delay a prompt noticeably. */
@@ -104,12 +106,14 @@
     /**
      * Returns the runner for a prompt; empty if none is available.
      *
+     * @param goalMillis target time to the prompt's first token
      * @param cachePartition separates the cached prefixes of dedicated teams
      * @param allowed returns whether the endpoint with the given id may be chosen
      */
     public Optional<RunnerChoice> chooseRunner(
             String pool,
             PromptSpec prompt,
+            long goalMillis,
             String cachePartition,
             Predicate<String> allowed,
             long nowNanos) {
@@ -122,7 +126,9 @@
         int considered = usable.size();
         PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
         List<RunnerLoad> loads =
-                usable.stream().map(state -> load(state, prompt.model(), nowNanos)).toList();
+                usable.stream()
+                        .map(state -> load(state, prompt.model(), goalMillis, nowNanos))
+                        .toList();
         Optional<Placement> placement = policy(pool).choose(chain, loads, cacheEstimate, nowNanos);
         return placement.flatMap(
                 best ->
@@ -135,6 +141,7 @@
                                                         best,
                                                         chain,
                                                         prompt,
+                                                        goalMillis,
                                                         considered,
                                                         nowNanos)));
     }
@@ -247,7 +254,7 @@
                 nowNanos);
     }
 
-    private RunnerLoad load(EndpointState state, String model, long nowNanos) {
+    private RunnerLoad load(EndpointState state, String model, long goalMillis, long nowNanos) {
         PeerEndpointUsage peers = state.peerUsage();
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
@@ -255,17 +262,33 @@
                 own.incarnation(),
                 own.queuedPrefillTokens()
                         + peers.queuedPrefillTokens()
-                        + replacedWeightsPenaltyTokens(state, model, nowNanos),
+                        + slotWaitTokens(state)
+                        + replacedWeightsPenaltyTokens(state, model, goalMillis, nowNanos),
                 own.runningStreams() + peers.requests());
     }
 
+    /** Returns the wait for a free slot in an adaptive pool, as tokens added to the queue. */
+    private int slotWaitTokens(EndpointState state) {
+        if (!endpoints.adaptivePools().contains(state.entry().pool())) {
+            return 0;
+        }
+        double waitNanos = SlotWait.nanos(state.requests(), state.entry().slots());
+        return (int) (waitNanos / state.prefillRate().nanosPerToken());
+    }
+
     /** Returns the penalty for replaced weights, as tokens added to the runner's queue. */
-    private int replacedWeightsPenaltyTokens(EndpointState state, String model, long nowNanos) {
+    private int replacedWeightsPenaltyTokens(
+            EndpointState state, String model, long goalMillis, long nowNanos) {
         long replacedNanos =
                 weightsAges.replacedNanos(model, state.weights(model), nowNanos).orElse(0);
-        return replacedNanos > REPLACED_WEIGHTS_GRACE_NANOS
-                ? (int) (REPLACED_WEIGHTS_PENALTY_NANOS / state.prefillRate().nanosPerToken())
-                : 0;
+        if (replacedNanos <= REPLACED_WEIGHTS_GRACE_NANOS) {
+            return 0;
+        }
+        double penaltyNanos =
+                endpoints.adaptivePools().contains(state.entry().pool())
+                        ? ReplacedWeightsPenalty.nanos(goalMillis)
+                        : REPLACED_WEIGHTS_PENALTY_NANOS;
+        return (int) (penaltyNanos / state.prefillRate().nanosPerToken());
     }
 
     private RunnerChoice runnerChoice(
@@ -273,6 +296,7 @@
             Placement best,
             PrefixChain chain,
             PromptSpec prompt,
+            long goalMillis,
             int considered,
             long nowNanos) {
         int missing = Math.max(1, chain.tokens() - best.estimatedCachedTokens());
@@ -285,7 +309,8 @@
                 weightsAges.replacedNanos(prompt.model(), state.weights(prompt.model()), nowNanos),
                 missing,
                 sharedCached,
-                best.queuedTokens() - replacedWeightsPenaltyTokens(state, prompt.model(), nowNanos),
+                best.queuedTokens()
+                        - replacedWeightsPenaltyTokens(state, prompt.model(), goalMillis, nowNanos),
                 best,
                 considered);
     }
