Memory pressure makes all pools adaptive

Endpoints of an installation with memory pressure may report loads of three numbers only, so that its pools were placed with fixed parameters: on a small model, short prompts still preferred a runner with 36 requests in 32 slots to idle ones with replaced weights. The settings state memory pressure, so a VM knows it from its start.

--- a/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
@@ -5,15 +5,23 @@
 import java.util.Set;
 
 /**
- * The pools whose endpoints report how long work takes on their machines. Placement, waiting and
- * the pace of weight rollouts adapt to the measured load in these pools only; all other pools are
- * served with fixed parameters.
+ * The pools in which decisions adapt to the measured load: those whose endpoints report how long
+ * work takes on their machines, or all pools if the installation states memory pressure. All other
+ * pools are served with fixed parameters.
  *
  * <p>Invariant: a pool stays adaptive while it has endpoints. Confined to the traffic thread.
  */
 public final class AdaptivePools {
+    private final boolean all;
     private final Set<String> pools = new HashSet<>();
 
+    /**
+     * @param all whether all pools are adaptive
+     */
+    AdaptivePools(boolean all) {
+        this.all = all;
+    }
+
     /** Records that an endpoint of the pool has reported how long work takes. */
     void record(String pool) {
         pools.add(pool);
@@ -24,9 +32,15 @@
     }
 
     public boolean contains(String pool) {
-        return pools.contains(pool);
+        return all || pools.contains(pool);
+    }
+
+    /** Returns whether any pool is adaptive. */
+    public boolean isAny() {
+        return all || !pools.isEmpty();
     }
 
+    /** Returns the names of the pools whose endpoints report how long work takes. */
     public Set<String> names() {
         return Set.copyOf(pools);
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -34,7 +34,7 @@
     private final Map<String, EndpointState> states = new HashMap<>();
     private final RemovedEndpoints removed = new RemovedEndpoints();
     private final Map<String, PrefillRate> rates = new HashMap<>();
-    private final AdaptivePools adaptivePools = new AdaptivePools();
+    private final AdaptivePools adaptivePools;
     private Optional<CrashListener> crashListener = Optional.empty();
 
     /** Is notified on the traffic thread. */
@@ -48,8 +48,13 @@
     }
 
     public EndpointTable(EventLoop traffic, WireFormat wire) {
+        this(traffic, wire, new AdaptivePools(false));
+    }
+
+    EndpointTable(EventLoop traffic, WireFormat wire, AdaptivePools adaptivePools) {
         this.traffic = traffic;
         this.wire = wire;
+        this.adaptivePools = adaptivePools;
         this.paths = new VmPaths(traffic);
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -12,6 +12,7 @@
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.poison.PoisonDirectory;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.settings.LoadSettings;
 import org.bronzelug.router.stream.StreamOriginDirectory;
 
 /**
@@ -42,8 +43,19 @@
             RouterMetrics metrics,
             String availabilityZone,
             boolean fleetStarts) {
+        this(traffic, wire, bounds, metrics, availabilityZone, fleetStarts, LoadSettings.none());
+    }
+
+    public TrafficState(
+            EventLoop traffic,
+            WireFormat wire,
+            FleetBounds bounds,
+            RouterMetrics metrics,
+            String availabilityZone,
+            boolean fleetStarts,
+            LoadSettings load) {
         this.bounds = bounds;
-        this.endpoints = new EndpointTable(traffic, wire);
+        this.endpoints = new EndpointTable(traffic, wire, new AdaptivePools(load.memoryPressure()));
         this.poison = new PoisonDirectory(traffic, this::withdrawQuarantined);
         endpoints.setCrashListener(this::recordCrash);
         this.rates = new TeamRates(fleetStarts);
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -55,7 +55,7 @@
                         new RelayTarget("a", 1),
                         new VmPaths(group.next())),
                 new PrefillRate(),
-                new AdaptivePools());
+                new AdaptivePools(false));
     }
 
     @ParameterizedTest
