Placement in adaptive pools uses measured speeds and reported load

Cause: placement treated all endpoints of a pool as equally fast, and the load that an endpoint states in its responses was not used.

Change, in pools whose endpoints report how long work takes: response times of requests without a prompt, and times to the first token, become samples of the endpoint's speed. The work of a prompt is a range, since its prefix may be cached. The speed goes to peers with EndpointUse, for endpoints with requests or a sample in the last 2 s. The load that an endpoint has just stated replaces what peers reported, until the peers' reports are as recent. An endpoint that appears slow and that no VM has measured for 1.2 s gets a request with a probability that the pool's rate of requests determines.

--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -14,6 +14,7 @@
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
+import org.bronzelug.core.capacity.SpeedReports;
 import org.bronzelug.core.limit.AdvertisedLimit;
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.limit.PeerBucketUsage;
@@ -81,7 +82,7 @@
         List<RelayPeer> relays = new ArrayList<>();
         Set<String> adaptivePools = new HashSet<>();
         for (Member member : members.live(nowNanos)) {
-            addUsage(member, usage);
+            addUsage(member, usage, nowNanos);
             adaptivePools.addAll(member.state().getAdaptivePoolsList());
             relayPeer(member.state()).ifPresent(relays::add);
             if (member.receivedNanos() >= lastUpdateNanos) {
@@ -144,15 +145,25 @@
         return Optional.of(new RelayPeer(peer.getVm(), address, peer.getLostPaths()));
     }
 
-    private static void addUsage(Member member, Map<String, PeerEndpointUsage> usage) {
+    private static void addUsage(
+            Member member, Map<String, PeerEndpointUsage> usage, long nowNanos) {
         for (EndpointUse use : member.state().getEndpointsList()) {
             usage.merge(
                     use.getEndpoint(),
-                    new PeerEndpointUsage(use.getQueuedPrefillTokens(), use.getRequests()),
-                    (left, right) -> left.plus(right.queuedPrefillTokens(), right.requests()));
+                    new PeerEndpointUsage(
+                            use.getQueuedPrefillTokens(),
+                            use.getRequests(),
+                            speed(member, use, nowNanos)),
+                    PeerEndpointUsage::plus);
         }
     }
 
+    private static SpeedReports speed(Member member, EndpointUse use, long nowNanos) {
+        long sampleNanos =
+                member.receivedNanos() - TimeUnit.MILLISECONDS.toNanos(use.getSpeedAgeMillis());
+        return SpeedReports.of(use.getSpeedPercent(), sampleNanos, nowNanos);
+    }
+
     private static PeerLimitUsage limitUsage(Member member, EndpointLimitUse use, long nowNanos) {
         long observedNanos =
                 member.receivedNanos() - TimeUnit.MILLISECONDS.toNanos(use.getSeenAgeMillis());
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -23,7 +23,7 @@
  * A snapshot of the traffic thread's state that the control thread sends to peers. Immutable.
  *
  * @param teams tokens admitted by this VM, by team
- * @param endpoints requests in flight at each endpoint
+ * @param endpoints requests in flight at each endpoint, and the speeds measured recently
  * @param weights versions that responses of runners showed and the platform's entries do not show
  *     yet
  * @param reads prompts recently sent to runners
@@ -80,8 +80,11 @@
         long nowNanos = System.nanoTime();
         List<EndpointUse> endpoints =
                 state.endpoints().all().stream()
-                        .filter(endpoint -> endpoint.ownRequests() > 0)
-                        .map(TrafficReport::usage)
+                        .filter(
+                                endpoint ->
+                                        endpoint.ownRequests() > 0
+                                                || endpoint.capacity().report(nowNanos).isPresent())
+                        .map(endpoint -> usage(endpoint, nowNanos))
                         .toList();
         List<EndpointWeights> weights =
                 state.endpoints().all().stream()
@@ -164,12 +167,19 @@
         return usage.build();
     }
 
-    private static EndpointUse usage(EndpointState endpoint) {
+    private static EndpointUse usage(EndpointState endpoint, long nowNanos) {
         RunnerLoad load = endpoint.load().load(endpoint.entry().id(), "");
-        return EndpointUse.newBuilder()
-                .setEndpoint(endpoint.entry().id())
-                .setQueuedPrefillTokens((int) load.queuedPrefillTokens())
-                .setRequests(endpoint.ownRequests())
-                .build();
+        EndpointUse.Builder usage =
+                EndpointUse.newBuilder()
+                        .setEndpoint(endpoint.entry().id())
+                        .setQueuedPrefillTokens((int) load.queuedPrefillTokens())
+                        .setRequests(endpoint.ownRequests());
+        endpoint.capacity()
+                .report(nowNanos)
+                .ifPresent(
+                        report ->
+                                usage.setSpeedPercent(report.percent())
+                                        .setSpeedAgeMillis(report.ageMillis()));
+        return usage.build();
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
@@ -24,6 +24,7 @@
     private final AdmittedRequest admitted;
     private Optional<RunnerChoice> runner = Optional.empty();
     private boolean queued;
+    private boolean successful;
     private long sentNanos;
 
     PrefillProgress(TrafficState state, AdmittedRequest admitted) {
@@ -39,6 +40,7 @@
     void begin(Optional<RunnerChoice> choice, long nowNanos) {
         runner = choice;
         sentNanos = nowNanos;
+        successful = false;
         queued = choice.isPresent();
         choice.ifPresent(chosen -> chosen.endpoint().load().recordSent(chosen.missingTokens()));
     }
@@ -57,9 +59,10 @@
     }
 
     /**
-     * Records an endpoint's own response for the comparison of software versions. The response time
-     * of a prompt is taken in percent of the time that it was expected to wait and be prefilled, so
-     * that an endpoint without cached prefixes does not look slow.
+     * Records an endpoint's own response for the comparison of software versions, and as a sample
+     * of the endpoint's speed if it has no prompt. The response time of a prompt is taken in
+     * percent of the time that it was expected to wait and be prefilled, so that an endpoint
+     * without cached prefixes does not look slow.
      */
     void recordResponse(EndpointState responding, EndpointResponse head, long elapsedNanos) {
         double expectedNanos =
@@ -75,6 +78,15 @@
                         admitted.route().name(),
                         head.isServerError(),
                         relativeMillis);
+        successful = head.isSuccess();
+        if (runner.isEmpty() && successful) {
+            state.speedSamples()
+                    .recordResponse(
+                            responding,
+                            admitted.route().name(),
+                            elapsedNanos,
+                            sentNanos + elapsedNanos);
+        }
     }
 
     /**
@@ -95,11 +107,22 @@
         if (wholePrompt) {
             state.choice().recordPrefillTime(choice, sentNanos, nowNanos);
         }
+        if (successful) {
+            String route = admitted.route().name();
+            state.speedSamples().recordFirstToken(choice, route, nowNanos - sentNanos, nowNanos);
+        }
         state.choice().recordRead(choice, model(), saving, nowNanos);
     }
 
-    /** Records that the request leaves the runner. */
+    /** Records that the request leaves the endpoint. */
     void end() {
+        long nowNanos = System.nanoTime();
+        admitted.pool()
+                .ifPresent(
+                        pool ->
+                                state.choice()
+                                        .speeds()
+                                        .recordEnded(pool.name(), nowNanos - sentNanos, nowNanos));
         runner.ifPresent(
                 choice -> {
                     if (queued) {
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
@@ -0,0 +1,101 @@
+package org.bronzelug.router.traffic;
+
+import java.util.Optional;
+import org.bronzelug.core.capacity.EndpointSpeed;
+import org.bronzelug.core.capacity.Remeasurement;
+import org.bronzelug.core.capacity.ReportedLoad;
+import org.bronzelug.core.capacity.SmoothedCount;
+import org.bronzelug.router.endpoint.EndpointLoad;
+
+/**
+ * What placement knows about the work that one endpoint handles: its measured speed, and the other
+ * VMs' requests there.
+ *
+ * <p>Invariant: in pools that are not adaptive, the speed is 1, the other VMs' requests are those
+ * that they reported, and nothing is measured. Confined to the traffic thread.
+ */
+public final class EndpointCapacity {
+    /** The scaled queue of the other VMs is at most this multiple of what they reported. */
+    private static final double MAXIMUM_QUEUE_MULTIPLE = 2;
+
+    private final AdaptivePools adaptivePools;
+    private final String pool;
+    private final EndpointSpeed speed = new EndpointSpeed();
+    private final ReportedLoad reported = new ReportedLoad();
+    private final SmoothedCount smoothed = new SmoothedCount();
+    private PeerEndpointUsage peers = PeerEndpointUsage.NONE;
+    private long peerDelayNanos;
+
+    EndpointCapacity(AdaptivePools adaptivePools, String pool) {
+        this.adaptivePools = adaptivePools;
+        this.pool = pool;
+    }
+
+    /** Returns whether decisions about this endpoint adapt to the measured load. */
+    boolean isAdaptive() {
+        return adaptivePools.contains(pool);
+    }
+
+    /** Records the load that the endpoint reports in a response. */
+    void recordLoad(EndpointLoad load, int ownRequests, long nowNanos) {
+        load.workPercent()
+                .ifPresent(
+                        percent -> {
+                            adaptivePools.record(pool);
+                            speed.recordWork(percent, nowNanos);
+                        });
+        reported.record(load.running(), load.waiting(), ownRequests, nowNanos);
+    }
+
+    /** Records the speed that a response shows, as a range. */
+    void recordSample(double lowest, double highest, long nowNanos) {
+        if (isAdaptive()) {
+            speed.recordSample(lowest, highest, nowNanos);
+        }
+    }
+
+    /** Records what the other VMs report. */
+    void setPeers(PeerEndpointUsage usage, long nowNanos) {
+        peers = usage;
+        smoothed.record(usage.requests(), nowNanos);
+        speed.setPeers(usage.speeds(), nowNanos);
+    }
+
+    /** Sets the time until the usage of one VM is known to this one. */
+    void setPeerDelay(long nanos) {
+        peerDelayNanos = nanos;
+    }
+
+    /** Returns the endpoint's speed relative to its pool. */
+    double speed(long nowNanos) {
+        return isAdaptive() ? speed.speed(nowNanos) : 1;
+    }
+
+    /** Returns whether a request is sent to the endpoint to measure it ({@link Remeasurement}). */
+    boolean isRemeasured(double probability, double draw, long nowNanos) {
+        return isAdaptive() && Remeasurement.isDue(speed, probability, draw, nowNanos);
+    }
+
+    /** Returns the speed that this VM has measured, for its peers; empty if it has none. */
+    public Optional<EndpointSpeed.Report> report(long nowNanos) {
+        return isAdaptive() ? speed.report(nowNanos) : Optional.empty();
+    }
+
+    /** Returns the mean number of the other VMs' requests at the endpoint in the last second. */
+    int meanPeerRequests() {
+        return smoothed.rounded();
+    }
+
+    /** Returns the other VMs' usage of the endpoint, by the more recent of the reports. */
+    PeerEndpointUsage peers(long nowNanos) {
+        if (!isAdaptive() || !reported.isFresher(peerDelayNanos, nowNanos)) {
+            return peers;
+        }
+        double multiple =
+                Math.min(
+                        MAXIMUM_QUEUE_MULTIPLE,
+                        (double) reported.otherRequests() / Math.max(1, peers.requests()));
+        return new PeerEndpointUsage(
+                (int) (peers.queuedPrefillTokens() * multiple), reported.otherRequests());
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -70,13 +70,20 @@
             new CacheEstimate(PREFIXES_PER_RUNNER, CACHE_ENTRY_LIFETIME_NANOS, System.nanoTime());
     private final PrefixReads prefixReads = new PrefixReads();
     private final WeightsAges weightsAges;
+    private final SpeedPlacement speeds;
 
     EndpointChoice(EndpointTable endpoints, String availabilityZone, WeightsAges weightsAges) {
+        this.speeds = new SpeedPlacement(endpoints.adaptivePools(), availabilityZone);
         this.endpoints = endpoints;
         this.availabilityZone = availabilityZone;
         this.weightsAges = weightsAges;
     }
 
+    /** Returns the placement by measured speeds. */
+    public SpeedPlacement speeds() {
+        return speeds;
+    }
+
     /** Returns the endpoint for a request without a prompt; empty if none is available. */
     public Optional<EndpointState> leastLoadedEndpoint(
             String pool, Predicate<String> allowed, long nowNanos) {
@@ -89,6 +96,9 @@
                 usable.put(state.entry().id(), state);
             }
         }
+        if (endpoints.adaptivePools().contains(pool)) {
+            return speeds.choose(usable.values(), nowNanos);
+        }
         List<LeastLoad.Candidate> candidates =
                 usable.values().stream().map(state -> candidate(state, nowNanos)).toList();
         return LeastLoad.choose(candidates).map(best -> usable.get(best.endpoint()));
@@ -125,9 +135,10 @@
         usable = preferred(usable, nowNanos);
         int considered = usable.size();
         PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
+        double remeasured = speeds.remeasureProbability(usable);
         List<RunnerLoad> loads =
                 usable.stream()
-                        .map(state -> load(state, prompt.model(), goalMillis, nowNanos))
+                        .map(state -> load(state, prompt.model(), goalMillis, remeasured, nowNanos))
                         .toList();
         Optional<Placement> placement = policy(pool).choose(chain, loads, cacheEstimate, nowNanos);
         return placement.flatMap(
@@ -244,7 +255,7 @@
     private boolean isBeginExpectedInTime(EndpointState state, PromptSpec prompt, long nowNanos) {
         double tokens =
                 state.load().ownTokens()
-                        + state.peerUsage().queuedPrefillTokens()
+                        + state.capacity().peers(nowNanos).queuedPrefillTokens()
                         + prompt.inputTokens();
         double waitNanos = WAIT_ESTIMATE_MULTIPLE * tokens * state.prefillRate().nanosPerToken();
         return weightsAges.mayWait(
@@ -254,25 +265,32 @@
                 nowNanos);
     }
 
-    private RunnerLoad load(EndpointState state, String model, long goalMillis, long nowNanos) {
-        PeerEndpointUsage peers = state.peerUsage();
+    private RunnerLoad load(
+            EndpointState state,
+            String model,
+            long goalMillis,
+            double remeasured,
+            long nowNanos) {
+        PeerEndpointUsage peers = state.capacity().peers(nowNanos);
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
                 own.name(),
                 own.incarnation(),
                 own.queuedPrefillTokens()
                         + peers.queuedPrefillTokens()
-                        + slotWaitTokens(state)
+                        + slotWaitTokens(state, nowNanos)
                         + replacedWeightsPenaltyTokens(state, model, goalMillis, nowNanos),
-                own.runningStreams() + peers.requests());
+                own.runningStreams() + peers.requests(),
+                speeds.speed(state, remeasured, nowNanos));
     }
 
     /** Returns the wait for a free slot in an adaptive pool, as tokens added to the queue. */
-    private int slotWaitTokens(EndpointState state) {
+    private int slotWaitTokens(EndpointState state, long nowNanos) {
         if (!endpoints.adaptivePools().contains(state.entry().pool())) {
             return 0;
         }
-        double waitNanos = SlotWait.nanos(state.requests(), state.entry().slots());
+        int requests = state.ownRequests() + state.capacity().peers(nowNanos).requests();
+        double waitNanos = SlotWait.nanos(requests, state.entry().slots());
         return (int) (waitNanos / state.prefillRate().nanosPerToken());
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -47,7 +47,7 @@
     private final EndpointConnections connections;
     private final EndpointAdvertisements advertisements;
     private final PrefillRate prefillRate;
-    private final AdaptivePools adaptivePools;
+    private final EndpointCapacity capacity;
     private final LoadEstimate load = new LoadEstimate();
     private final EndpointRun run;
     private final RejectionRisk rejectionRisk = new RejectionRisk();
@@ -74,7 +74,7 @@
         this.connections = connections;
         this.advertisements = new EndpointAdvertisements(entry.id());
         this.prefillRate = prefillRate;
-        this.adaptivePools = adaptivePools;
+        this.capacity = new EndpointCapacity(adaptivePools, entry.pool());
         this.silence = new SilenceDetector(connections, load, prefillRate);
         this.run =
                 new EndpointRun(
@@ -105,6 +105,11 @@
         return load;
     }
 
+    /** Returns what is known about the work that the endpoint handles. */
+    public EndpointCapacity capacity() {
+        return capacity;
+    }
+
     /**
      * Applies an update from the control thread.
      *
@@ -119,6 +124,7 @@
         }
         entry = newer;
         peerUsage = usage;
+        capacity.setPeers(usage, System.nanoTime());
         boolean newlyOrdered = nowOrdered && !loadOrdered;
         loadOrdered = nowOrdered;
         return newlyOrdered;
@@ -139,10 +145,6 @@
         Set.copyOf(ownRequests).forEach(RequestListener::onPartsQuarantined);
     }
 
-    PeerEndpointUsage peerUsage() {
-        return peerUsage;
-    }
-
     /**
      * Returns whether the endpoint is expected to reject requests now, because it loads weights or
      * has another version of them than estimated.
@@ -300,8 +302,7 @@
         advertisements.recordResponse(response, nowNanos);
         rejectionRisk.recordResponse(response, nowNanos);
         response.load()
-                .filter(reported -> reported.workPercent().isPresent())
-                .ifPresent(reported -> adaptivePools.record(entry.pool()));
+                .ifPresent(reported -> capacity.recordLoad(reported, ownRequests.size(), nowNanos));
         if (isLeaving()) {
             connections.retire();
         }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -29,6 +29,7 @@
     private final WeightsAges weightsAges;
     private final WeightsExpiry weightsExpiry;
     private final EndpointChoice choice;
+    private final SpeedSamples speedSamples = new SpeedSamples();
     private final RolloutTable rollouts;
     private final StreamOriginDirectory origins;
     private final PoisonDirectory poison;
@@ -131,6 +132,10 @@
         return choice;
     }
 
+    public SpeedSamples speedSamples() {
+        return speedSamples;
+    }
+
     public WeightsAges weightsAges() {
         return weightsAges;
     }
