Prompts are placed on the runners of their class of goals

Change: VMs count the prefill tokens that they send, by pool and class, and report the counters in VmState.pool_work. EndpointChoice restricts prompts to the runners of their class in pools with engine limits whose endpoints report the fourth load value and whose routes have goals in two classes. All runners are considered if the best one of the set is expected to take over half of the goal.

--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -28,6 +28,7 @@
     private final TeamRates rates;
     private final WeightsAges weightsAges;
     private final WeightsExpiry weightsExpiry;
+    private final GoalSets goals;
     private final EndpointChoice choice;
     private final SpeedSamples speedSamples = new SpeedSamples();
     private final RolloutTable rollouts;
@@ -66,7 +67,8 @@
         long weightsNanos = bounds.weightsMillis() * NANOS_PER_MILLI;
         this.weightsAges = new WeightsAges(weightsNanos);
         this.weightsExpiry = new WeightsExpiry(traffic, endpoints, weightsAges);
-        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges);
+        this.goals = new GoalSets(endpoints);
+        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges, goals);
     }
 
     /** Applies an update from the control thread. */
@@ -80,6 +82,7 @@
                 update.endpoints().values(),
                 update.listCurrent(),
                 configuration.map(RoutingConfiguration::resumableRoutes).orElse(List.of()));
+        goals.update(configuration, update.peerWork(), System.nanoTime());
         weightsAges.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         rates.update(update, System.nanoTime());
@@ -128,6 +131,11 @@
         return endpoints;
     }
 
+    /** Returns the division of runners between prompts with shorter and longer goals. */
+    public GoalSets goals() {
+        return goals;
+    }
+
     public EndpointChoice choice() {
         return choice;
     }
--- a/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
@@ -88,7 +88,8 @@
                 1,
                 List.of(),
                 0,
-                Set.of());
+                Set.of(),
+                List.of());
     }
 
     private static AdmittedRequest request(int prompt) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -75,7 +75,8 @@
                         1,
                         List.of(),
                         450_000_000L,
-                        Set.of()));
+                        Set.of(),
+                        List.of()));
     }
 
     @ParameterizedTest
--- a/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
@@ -54,7 +54,8 @@
                 1,
                 List.of(),
                 0,
-                Set.of());
+                Set.of(),
+                List.of());
     }
 
     /** The endpoint has two models; those of one may have expired before those of the other. */
