Tests of placement and rates pass the settings under load and the peers' work

The parts on endpoint speed, goals and rates were built side by side; their tests now build the joint types.

--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -146,8 +146,7 @@
         PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
         List<EndpointState> inSet =
                 goals.preferred(pool, goalMillis, preferred(available, nowNanos), usable, nowNanos);
-        Optional<RunnerChoice> best =
-                chooseAmong(inSet, pool, prompt, chain, goalMillis, nowNanos);
+        Optional<RunnerChoice> best = chooseAmong(inSet, pool, prompt, chain, goalMillis, nowNanos);
         boolean overflows =
                 inSet.size() < usable.size()
                         && best.filter(
@@ -155,8 +154,7 @@
                                                 GoalSeparation.overflows(
                                                         expectedNanos(choice), goalMillis))
                                 .isPresent();
-        return overflows ? chooseAmong(usable, pool, prompt, chain, goalMillis, nowNanos)
-                : best;
+        return overflows ? chooseAmong(usable, pool, prompt, chain, goalMillis, nowNanos) : best;
     }
 
     private Optional<RunnerChoice> chooseAmong(
@@ -298,11 +296,7 @@
     }
 
     private RunnerLoad load(
-            EndpointState state,
-            String model,
-            long goalMillis,
-            double remeasured,
-            long nowNanos) {
+            EndpointState state, String model, long goalMillis, double remeasured, long nowNanos) {
         PeerEndpointUsage peers = state.capacity().peers(nowNanos);
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
--- a/router/src/test/java/org/bronzelug/router/traffic/GoalSetsTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/GoalSetsTest.java
@@ -27,6 +27,7 @@
 import org.bronzelug.router.exchange.PromptSpec;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.settings.LoadSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -47,7 +48,13 @@
     private final EventLoop traffic = group.next();
     private final TrafficState state =
             new TrafficState(
-                    traffic, new NoWireFormat(), BOUNDS, new RouterMetrics(), "zone", true);
+                    traffic,
+                    new NoWireFormat(),
+                    BOUNDS,
+                    new RouterMetrics(),
+                    "zone",
+                    true,
+                    LoadSettings.none());
     private int prompts;
 
     @AfterEach
--- a/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
@@ -65,7 +65,8 @@
                         1,
                         List.of(),
                         0,
-                        adaptive ? Set.of("pool") : Set.of()));
+                        adaptive ? Set.of("pool") : Set.of(),
+                        List.of()));
         ages.update(
                 Map.of(MODEL, WeightsTarget.first(MODEL, 2, System.nanoTime() - REPLACED_NANOS)));
     }
--- a/router/src/test/java/org/bronzelug/router/traffic/SpeedPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/SpeedPlacementTest.java
@@ -26,6 +26,7 @@
 import org.bronzelug.router.exchange.PromptSpec;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.settings.FleetBounds;
+import org.bronzelug.router.settings.LoadSettings;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,7 +55,13 @@
 
     private TrafficState state() {
         return new TrafficState(
-                traffic, new NoWireFormat(), BOUNDS, new RouterMetrics(), "zone-0", true);
+                traffic,
+                new NoWireFormat(),
+                BOUNDS,
+                new RouterMetrics(),
+                "zone-0",
+                true,
+                LoadSettings.none());
     }
 
     private static EndpointEntry entry(int index) {
@@ -92,7 +99,8 @@
                 90,
                 List.of(),
                 450_000_000L,
-                Set.of());
+                Set.of(),
+                List.of());
     }
 
     private static EndpointResponse response(int running, OptionalInt workPercent) {
@@ -125,7 +133,9 @@
         List<PromptPart> parts =
                 List.of(new PromptPart("s" + prompt, 600), new PromptPart("o" + prompt, 3_000));
         PromptSpec spec = new PromptSpec(MODEL, 3_600, 30, parts);
-        return state.choice().chooseRunner("pool", spec, 600, "", id -> true, nowNanos).orElseThrow();
+        return state.choice()
+                .chooseRunner("pool", spec, 600, "", id -> true, nowNanos)
+                .orElseThrow();
     }
 
     /** Measures the endpoints in all ways that are not the fourth load value. */
--- a/router/src/test/java/org/bronzelug/router/traffic/TeamRatesTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/TeamRatesTest.java
@@ -48,7 +48,8 @@
                 2,
                 List.of(),
                 900_000_000L,
-                Set.of());
+                Set.of(),
+                List.of());
     }
 
     @Test
