Peers hear the speeds of endpoints in use only

Cause: reporting each endpoint with a sample in the last 2 s adds entries of some 25 bytes to every state update, at most about six for each VM by the rates of requests of the larger installations (not measured).

--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -24,7 +24,7 @@
  * A snapshot of the traffic thread's state that the control thread sends to peers. Immutable.
  *
  * @param teams tokens admitted by this VM, by team
- * @param endpoints requests in flight at each endpoint, and the speeds measured recently
+ * @param endpoints requests in flight at each endpoint, with its speed if measured recently
  * @param weights versions that responses of runners showed and the platform's entries do not show
  *     yet
  * @param reads prompts recently sent to runners
@@ -84,10 +84,7 @@
         long nowNanos = System.nanoTime();
         List<EndpointUse> endpoints =
                 state.endpoints().all().stream()
-                        .filter(
-                                endpoint ->
-                                        endpoint.ownRequests() > 0
-                                                || endpoint.capacity().report(nowNanos).isPresent())
+                        .filter(endpoint -> endpoint.ownRequests() > 0)
                         .map(endpoint -> usage(endpoint, nowNanos))
                         .toList();
         List<EndpointWeights> weights =
