Slow endpoints are measured within 2 s; placement uses the knee

Cause: with one measurement expected in 250 ms, one of 25 would come later than 2 s after the previous one. The number of requests in flight was a sum of rounded means, which is 0 in a large pool with little load, so that every VM would have measured at once. The knee was not used yet.

Change: one measurement is expected in 100 ms, and the sum takes the means as they are. Durations of requests without a prompt go to ConcurrencyKnee, and its limit replaces the slots in the choice by speed. The replay reports endpoints in use only, as VMs do.

Result: RemeasurementTest (10, 131 and 900 requests/s): never more than 2 s apart, at most 5 requests/s. SpeedReplayTest 16, ConcurrencyKneeTest 5, EndpointSpeedTest 22, LeastLoadTest 9, SpeedPlacementTest 10, none failed.

--- a/core/src/main/java/org/bronzelug/core/capacity/Remeasurement.java
+++ b/core/src/main/java/org/bronzelug/core/capacity/Remeasurement.java
@@ -9,7 +9,8 @@
  * Stateless and thread-safe.
  */
 public final class Remeasurement {
-    private static final double INTERVAL_NANOS = 250_000_000;
+    /** With 250 ms, one of 25 measurements would come later than 2 s after the previous one. */
+    private static final double INTERVAL_NANOS = 100_000_000;
 
     /** An endpoint without a sample for this long is measured again. */
     private static final long UNMEASURED_NANOS = 1_200_000_000L;
@@ -23,11 +24,11 @@
      * Returns the probability with which a request is sent to an endpoint to measure it. The rate
      * of the pool's requests follows from their number and their duration.
      *
-     * @param requests known requests of all VMs in flight at the pool
+     * @param requests mean number of requests of all VMs in flight at the pool
      * @param durationNanos usual duration of a request
      */
-    public static double probability(int requests, double durationNanos) {
-        return requests == 0 ? 1 : Math.min(1, durationNanos / (requests * INTERVAL_NANOS));
+    public static double probability(double requests, double durationNanos) {
+        return Math.min(1, durationNanos / Math.max(1, requests * INTERVAL_NANOS));
     }
 
     /**
--- a/core/src/main/java/org/bronzelug/core/capacity/SmoothedCount.java
+++ b/core/src/main/java/org/bronzelug/core/capacity/SmoothedCount.java
@@ -24,7 +24,7 @@
         lastNanos = nowNanos;
     }
 
-    public int rounded() {
-        return (int) Math.round(mean);
+    public double mean() {
+        return mean;
     }
 }
--- a/core/src/test/java/org/bronzelug/core/capacity/ReplayedFleet.java
+++ b/core/src/test/java/org/bronzelug/core/capacity/ReplayedFleet.java
@@ -105,7 +105,11 @@
             }
         }
 
+        /** Returns the report to peers, which covers endpoints in use only. */
         private SpeedReports report(int endpoint, int nowMillis) {
+            if (own[endpoint] == 0) {
+                return SpeedReports.NONE;
+            }
             return speeds[endpoint]
                     .report(nowMillis * MILLI)
                     .map(
@@ -266,7 +270,10 @@
 
     private Optional<LeastLoad.Candidate> chooseBySpeed(
             Vm vm, List<LeastLoad.Candidate> candidates, int nowMillis) {
-        int known = candidates.stream().mapToInt(LeastLoad.Candidate::requests).sum();
+        double known = 0;
+        for (int index = 0; index < endpoints.size(); index++) {
+            known += vm.own[index] + vm.means[index].mean();
+        }
         double probability = Remeasurement.probability(known, vm.usual.duration() * MILLI);
         List<LeastLoad.Candidate> remeasured =
                 candidates.stream()
@@ -303,7 +310,7 @@
                             String.valueOf(index),
                             sameZone,
                             false,
-                            vm.own[index] + vm.means[index].rounded(),
+                            vm.own[index] + (int) Math.round(vm.means[index].mean()),
                             vm.knees[index].slots(),
                             vm.speeds[index].speed(nowMillis * MILLI));
             case PERFECT ->
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.traffic;
 
 import java.util.Optional;
+import org.bronzelug.core.capacity.ConcurrencyKnee;
 import org.bronzelug.core.capacity.EndpointSpeed;
 import org.bronzelug.core.capacity.Remeasurement;
 import org.bronzelug.core.capacity.ReportedLoad;
@@ -18,12 +19,16 @@
     /** The scaled queue of the other VMs is at most this multiple of what they reported. */
     private static final double MAXIMUM_QUEUE_MULTIPLE = 2;
 
+    private static final double PERCENT = 100;
+
     private final AdaptivePools adaptivePools;
     private final String pool;
     private final EndpointSpeed speed = new EndpointSpeed();
     private final ReportedLoad reported = new ReportedLoad();
+    private final ConcurrencyKnee knee = new ConcurrencyKnee();
     private final SmoothedCount smoothed = new SmoothedCount();
     private PeerEndpointUsage peers = PeerEndpointUsage.NONE;
+    private Optional<EndpointLoad> latestLoad = Optional.empty();
     private long peerDelayNanos;
 
     EndpointCapacity(AdaptivePools adaptivePools, String pool) {
@@ -44,6 +49,7 @@
                             adaptivePools.record(pool);
                             speed.recordWork(percent, nowNanos);
                         });
+        latestLoad = Optional.of(load);
         reported.record(load.running(), load.waiting(), ownRequests, nowNanos);
     }
 
@@ -54,6 +60,34 @@
         }
     }
 
+    /**
+     * Records the duration of a request at the load that the endpoint reported last, which is that
+     * of the same response.
+     *
+     * @param duration the duration relative to the usual one
+     * @param slots requests that the endpoint states to serve at the same time; at least 1
+     */
+    void recordDuration(double duration, int slots, long nowNanos) {
+        latestLoad
+                .filter(load -> isAdaptive() && load.workPercent().isPresent())
+                .ifPresent(
+                        load ->
+                                knee.record(
+                                        load.running(),
+                                        slots,
+                                        duration * PERCENT / load.workPercent().getAsInt(),
+                                        nowNanos));
+    }
+
+    /**
+     * Returns the number of requests that the endpoint handles well.
+     *
+     * @param slots requests that the endpoint states to serve at the same time; at least 1
+     */
+    int slots(int slots) {
+        return isAdaptive() ? knee.slots(slots) : slots;
+    }
+
     /** Records what the other VMs report. */
     void setPeers(PeerEndpointUsage usage, long nowNanos) {
         peers = usage;
@@ -82,8 +116,8 @@
     }
 
     /** Returns the mean number of the other VMs' requests at the endpoint in the last second. */
-    int meanPeerRequests() {
-        return smoothed.rounded();
+    double meanPeerRequests() {
+        return smoothed.mean();
     }
 
     /** Returns the other VMs' usage of the endpoint, by the more recent of the reports. */
--- a/router/src/main/java/org/bronzelug/router/traffic/SpeedPlacement.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/SpeedPlacement.java
@@ -62,8 +62,8 @@
                 state.entry().id(),
                 state.entry().availabilityZone().equals(availabilityZone),
                 state.isSuspect(nowNanos),
-                state.ownRequests() + state.capacity().meanPeerRequests(),
-                Math.max(1, state.entry().slots()),
+                state.ownRequests() + (int) Math.round(state.capacity().meanPeerRequests()),
+                state.capacity().slots(Math.max(1, state.entry().slots())),
                 state.capacity().speed(nowNanos));
     }
 
@@ -73,9 +73,9 @@
         if (first.isEmpty() || !first.get().capacity().isAdaptive()) {
             return 0;
         }
-        int requests =
+        double requests =
                 usable.stream()
-                        .mapToInt(
+                        .mapToDouble(
                                 state -> state.ownRequests() + state.capacity().meanPeerRequests())
                         .sum();
         UsualTime duration = durations.get(first.get().entry().pool());
--- a/router/src/main/java/org/bronzelug/router/traffic/SpeedSamples.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/SpeedSamples.java
@@ -21,7 +21,13 @@
     /** Records the response of an endpoint to a request without a prompt. */
     public void recordResponse(
             EndpointState endpoint, String route, long elapsedNanos, long nowNanos) {
+        if (!endpoint.capacity().isAdaptive()) {
+            return;
+        }
         record(endpoint, route, 1, 1, elapsedNanos, nowNanos);
+        double usualNanos = usual(endpoint, route).duration();
+        int slots = Math.max(1, endpoint.entry().slots());
+        endpoint.capacity().recordDuration(elapsedNanos / usualNanos, slots, nowNanos);
     }
 
     /**
@@ -54,12 +60,15 @@
         if (!endpoint.capacity().isAdaptive() || elapsedNanos <= 0) {
             return;
         }
-        UsualTime usual =
-                usualTimes
-                        .computeIfAbsent(endpoint.entry().pool(), pool -> new HashMap<>())
-                        .computeIfAbsent(route, name -> new UsualTime());
+        UsualTime usual = usual(endpoint, route);
         usual.record(elapsedNanos / Math.sqrt(leastWork * mostWork), nowNanos);
         double workPerTime = usual.duration() / elapsedNanos;
         endpoint.capacity().recordSample(leastWork * workPerTime, mostWork * workPerTime, nowNanos);
     }
+
+    private UsualTime usual(EndpointState endpoint, String route) {
+        return usualTimes
+                .computeIfAbsent(endpoint.entry().pool(), pool -> new HashMap<>())
+                .computeIfAbsent(route, name -> new UsualTime());
+    }
 }
