The lease of orders is written less often

Cause: the holder renewed the lease in each second or third round while any runner was behind, also while all ordered runners loaded; each renewal also wakes every reader's watch of the lease. A failed write was repeated in the next round. After a long rollout the turns of all VMs had already come when the lease became free, so up to 13 VMs wrote it at the same moment. Change: LeaseRenewal, taken out of OrderService, renews after 0.7 s if an order is to be sent and after 2 s otherwise; a confirmed renewal gives the next orders at once. Turns count from when the lease became free and the rollout was pending. The validity of the lease (1 s) and the time between orders of two VMs are unchanged.

--- a/core/src/main/java/org/bronzelug/core/order/OrderLease.java
+++ b/core/src/main/java/org/bronzelug/core/order/OrderLease.java
@@ -1,6 +1,7 @@
 package org.bronzelug.core.order;
 
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /**
  * The lease of the right to order runners to load weights, as this VM last saw it.
@@ -36,6 +37,19 @@
      */
     public static final long TRANSIT_MILLIS = 400;
 
+    /**
+     * Age of the last renewal from which the lease is renewed if an order is to be sent. With
+     * rounds of 300 ms, the renewal is sent before the lease expires after 1 s. One that is
+     * confirmed later delays an order by some milliseconds.
+     */
+    private static final long RENEW_MILLIS = 700;
+
+    /**
+     * Age of the last renewal from which the lease is renewed in any case: less than half of the
+     * time after which another VM may acquire it.
+     */
+    private static final long KEEP_MILLIS = 2_000;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /**
@@ -43,11 +57,49 @@
      */
     public static boolean isFree(
             Optional<OrderLease> lease, String vm, long leaseMillis, long nowNanos) {
+        return lease.isEmpty()
+                || lease.get().holder().equals(vm)
+                || nowNanos - lease.get().freeSinceNanos(leaseMillis) >= 0;
+    }
+
+    /** Returns from when on VMs other than the holder may acquire the lease if it is unchanged. */
+    private long freeSinceNanos(long leaseMillis) {
+        long unchangedMillis = VALID_MILLIS + TRANSIT_MILLIS + leaseMillis;
+        return seenNanos + unchangedMillis * NANOS_PER_MILLI;
+    }
+
+    /**
+     * Returns from when on the VMs take their turns to acquire the lease: since orders are to be
+     * given and the lease is free.
+     *
+     * <p>If the turns began when orders were first to be given, all of them would have come when a
+     * holder fails during a long rollout, and all VMs would write the lease at the same time.
+     *
+     * @param pendingSinceNanos since when orders are to be given
+     */
+    public static long turnsSinceNanos(
+            Optional<OrderLease> lease, String vm, long leaseMillis, long pendingSinceNanos) {
         if (lease.isEmpty() || lease.get().holder().equals(vm)) {
-            return true;
+            return pendingSinceNanos;
         }
-        long unchangedMillis = VALID_MILLIS + TRANSIT_MILLIS + leaseMillis;
-        return nowNanos - lease.get().seenNanos() >= unchangedMillis * NANOS_PER_MILLI;
+        long freeNanos = lease.get().freeSinceNanos(leaseMillis);
+        return freeNanos - pendingSinceNanos > 0 ? freeNanos : pendingSinceNanos;
+    }
+
+    /**
+     * Returns whether the holder is to renew the lease.
+     *
+     * <p>Each renewal is a call to the platform and wakes every watch of the lease. While no order
+     * is to be sent, the lease is renewed only often enough that no other VM acquires it.
+     *
+     * @param renewalSentNanos when the holder sent the request for its last confirmed renewal
+     * @param orderDue whether an order is to be sent; evaluated only if it matters
+     */
+    public static boolean isRenewalDue(
+            long renewalSentNanos, BooleanSupplier orderDue, long nowNanos) {
+        long ageNanos = nowNanos - renewalSentNanos;
+        return ageNanos >= KEEP_MILLIS * NANOS_PER_MILLI
+                || ageNanos >= RENEW_MILLIS * NANOS_PER_MILLI && orderDue.getAsBoolean();
     }
 
     /**
--- a/router/src/main/java/org/bronzelug/router/order/OrderService.java
+++ b/router/src/main/java/org/bronzelug/router/order/OrderService.java
@@ -1,10 +1,6 @@
 package org.bronzelug.router.order;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
-import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -15,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
-import org.bronzelug.core.membership.Rendezvous;
 import org.bronzelug.core.order.OrderLease;
 import org.bronzelug.core.order.RolloutPlan;
 import org.bronzelug.core.order.RolloutTarget;
@@ -24,11 +19,9 @@
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.control.ControlState;
-import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
-import org.bronzelug.router.store.StoredItem;
 import org.bronzelug.router.traffic.WeightsAges;
 import org.bronzelug.router.traffic.WeightsTarget;
 
@@ -39,7 +32,8 @@
  * lease ({@link OrderLease}), an object of the platform that is written conditionally on its
  * revision and contains a fencing token. While any runner is behind its target version, a VM
  * acquires the lease if it is free, renews it, and sends orders to the runners that {@link
- * RolloutPlan} selects, each tracked by a {@link RunnerOrder}.
+ * RolloutPlan} selects, each tracked by a {@link RunnerOrder}. {@link LeaseRenewal} writes the
+ * lease.
  *
  * <p>Invariant: a VM sends orders only while it holds the lease and requested its last confirmed
  * renewal less than {@link OrderLease#VALID_MILLIS} ago. Where several VMs could acquire the lease,
@@ -47,40 +41,23 @@
  * the control thread.
  */
 public final class OrderService {
-    private static final String LEASE_NAME = "weights";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Age of the last renewal from which the lease is renewed: half of its validity. */
-    private static final long RENEW_MILLIS = OrderLease.VALID_MILLIS / 2;
-
-    /** Time for which a VM waits for each VM that precedes it in the order of acquisition. */
-    private static final long WAIT_PER_RANK_MILLIS = 300;
-
-    /** Time for which the other VMs wait for the previous holder, if it is reachable. */
-    private static final long PREVIOUS_HOLDER_WAIT_MILLIS = 700;
-
     /**
      * From one round to the next, the advances of the wall clock and of the monotonic clock differ
      * by more than this only if the VM was suspended or its wall clock was set.
      */
     private static final long CLOCK_DIFFERENCE_MILLIS = 200;
 
-    private static final ObjectMapper JSON = new ObjectMapper();
-
-    private final ObjectStore store;
     private final VmSettings settings;
-    private final String incarnation;
     private final ControlState state;
-    private final MemberTable members;
     private final Runners runners;
+    private final LeaseRenewal lease;
     private final Map<String, RunnerOrder> orders = new HashMap<>();
     private Map<String, Integer> load = Map.of();
     private Set<String> unreachable = Set.of();
-    private Optional<OrderLease> lease = Optional.empty();
-    private long renewalSentNanos = Long.MIN_VALUE;
     private long rolloutPendingSinceNanos;
     private boolean rolloutPending;
-    private boolean leaseRequestInFlight;
     private long lastRoundNanos;
     private long lastRoundWallMillis;
 
@@ -92,12 +69,11 @@
             ControlState state,
             MemberTable members,
             Runners runners) {
-        this.store = store;
         this.settings = settings;
-        this.incarnation = incarnation;
         this.state = state;
-        this.members = members;
         this.runners = runners;
+        this.lease =
+                new LeaseRenewal(store, settings, incarnation, state, members, this::giveOrders);
     }
 
     /** Sends requests to runners; futures complete on the control thread. */
@@ -120,32 +96,7 @@
      */
     public void onChange(String kind) {
         if (kind.equals(ControlState.LEASE_KIND)) {
-            state.mirror(kind).items().stream()
-                    .filter(item -> item.name().equals(LEASE_NAME))
-                    .findFirst()
-                    .ifPresent(this::recordLease);
-        }
-    }
-
-    private void recordLease(StoredItem item) {
-        if (lease.isPresent() && lease.get().revision() >= item.revision()) {
-            return;
-        }
-        lease = Optional.of(readLease(item));
-    }
-
-    private static OrderLease readLease(StoredItem item) {
-        try {
-            JsonNode content = JSON.readTree(item.content());
-            return new OrderLease(
-                    content.path("holder").asText(""),
-                    content.path("incarnation").asText(""),
-                    content.path("fence").asLong(0),
-                    item.revision(),
-                    System.nanoTime());
-        } catch (IOException malformed) {
-            EventLog.warn(LogEvent.CONFIGURATION_UNREADABLE, "lease " + malformed.getMessage());
-            return new OrderLease("", "", 0, item.revision(), System.nanoTime());
+            lease.onChange();
         }
     }
 
@@ -233,14 +184,30 @@
             rolloutPending = true;
             rolloutPendingSinceNanos = nowNanos;
         }
-        if (!holdsLease() || nowNanos - renewalSentNanos > RENEW_MILLIS * NANOS_PER_MILLI) {
-            requestLease(nowNanos);
+        lease.renewIfDue(() -> isOrderDue(rollouts, nowNanos), rolloutPendingSinceNanos, nowNanos);
+        giveOrders();
+    }
+
+    private boolean isOrderDue(List<Rollout> rollouts, long nowNanos) {
+        return orders.values().stream().anyMatch(RunnerOrder::needsLease)
+                || rollouts.stream().anyMatch(rollout -> !nextTargets(rollout, nowNanos).isEmpty());
+    }
+
+    /** Gives the next orders while the lease is valid, and follows those already given. */
+    private void giveOrders() {
+        if (lease.mayOrder()) {
+            long nowNanos = System.nanoTime();
+            rollouts().forEach(rollout -> addOrders(rollout, nowNanos));
         }
-        if (mayOrder()) {
-            rollouts.forEach(rollout -> advance(rollout, nowNanos));
+        if (lease.isHeld()) {
+            orders.values().forEach(this::advance);
         }
     }
 
+    private void advance(RunnerOrder order) {
+        order.advance(runners, this::loadOrder, lease::mayOrder, this::recordTargetWeights);
+    }
+
     /**
      * Treats the lease as lost, until it is renewed, if the wall clock and the monotonic clock have
      * advanced by different amounts. In that case the VM may have been suspended, which can stop
@@ -253,88 +220,12 @@
                 Math.abs(wallMillis - lastRoundWallMillis - monotonicMillis)
                         > CLOCK_DIFFERENCE_MILLIS;
         if (suspended) {
-            renewalSentNanos = Long.MIN_VALUE;
+            lease.drop();
         }
         lastRoundNanos = nowNanos;
         lastRoundWallMillis = wallMillis;
     }
 
-    private boolean holdsLease() {
-        return renewalSentNanos != Long.MIN_VALUE
-                && lease.filter(held -> held.incarnation().equals(incarnation)).isPresent();
-    }
-
-    private boolean mayOrder() {
-        return holdsLease() && OrderLease.mayOrder(renewalSentNanos, System.nanoTime());
-    }
-
-    private void requestLease(long nowNanos) {
-        if (leaseRequestInFlight || !state.mirror(ControlState.LEASE_KIND).isKnown()) {
-            return;
-        }
-        boolean free =
-                OrderLease.isFree(lease, settings.vm(), settings.bounds().leaseMillis(), nowNanos);
-        long waitedMillis = (nowNanos - rolloutPendingSinceNanos) / NANOS_PER_MILLI;
-        if (!free || waitedMillis < acquisitionWaitMillis()) {
-            return;
-        }
-        leaseRequestInFlight = true;
-        long sentNanos = nowNanos;
-        boolean isHolder = lease.filter(held -> held.incarnation().equals(incarnation)).isPresent();
-        long fence =
-                isHolder ? lease.get().fence() : lease.map(OrderLease::revision).orElse(0L) + 1;
-        byte[] content =
-                ("{\"holder\":\""
-                                + settings.vm()
-                                + "\",\"incarnation\":\""
-                                + incarnation
-                                + "\",\"fence\":"
-                                + fence
-                                + ",\"renewal\":"
-                                + sentNanos
-                                + "}")
-                        .getBytes(StandardCharsets.UTF_8);
-        CompletableFuture<StoredItem> written =
-                lease.isPresent()
-                        ? store.replace(
-                                ControlState.LEASE_KIND,
-                                new StoredItem(LEASE_NAME, lease.get().revision(), content))
-                        : store.create(ControlState.LEASE_KIND, LEASE_NAME, content);
-        written.whenComplete(
-                (item, failure) -> {
-                    leaseRequestInFlight = false;
-                    if (failure != null) {
-                        EventLog.info(
-                                LogEvent.ORDER_LEASE_NOT_TAKEN,
-                                "cause=\"" + failure.getMessage() + "\"");
-                        return;
-                    }
-                    recordLease(item);
-                    renewalSentNanos = sentNanos;
-                    if (!isHolder) {
-                        EventLog.info(LogEvent.ORDER_TAKEN, "lease=" + lease);
-                    }
-                });
-    }
-
-    /** Returns how long this VM waits for the VMs that precede it in the order of acquisition. */
-    private long acquisitionWaitMillis() {
-        String previousHolder = lease.map(OrderLease::holder).orElse("");
-        if (previousHolder.equals(settings.vm())) {
-            return 0;
-        }
-        List<String> names = new ArrayList<>();
-        names.add(settings.vm());
-        boolean previousHolderReachable = false;
-        for (Member member : members.live(System.nanoTime())) {
-            names.add(member.state().getVm());
-            previousHolderReachable |= member.state().getVm().equals(previousHolder);
-        }
-        int rank = Rendezvous.order(LEASE_NAME, names).indexOf(settings.vm());
-        return (previousHolderReachable ? PREVIOUS_HOLDER_WAIT_MILLIS : 0)
-                + rank * WAIT_PER_RANK_MILLIS;
-    }
-
     private List<Rollout> rollouts() {
         List<Rollout> rollouts = new ArrayList<>();
         if (state.configuration().isEmpty()) {
@@ -361,7 +252,8 @@
         return rollouts;
     }
 
-    private void advance(Rollout rollout, long nowNanos) {
+    /** Returns the runners to order now. */
+    private List<RolloutTarget> nextTargets(Rollout rollout, long nowNanos) {
         List<RolloutTarget> targets = new ArrayList<>();
         for (EndpointEntry entry : rollout.runners) {
             targets.add(
@@ -373,18 +265,17 @@
                             load.containsKey(entry.id()),
                             orders.containsKey(entry.id())));
         }
-        List<RolloutTarget> next =
-                RolloutPlan.next(
-                        targets,
-                        rollout.target.version(),
-                        WeightsAges.usableMillis(settings.bounds().weightsMillis()));
-        for (RolloutTarget target : next) {
+        return RolloutPlan.next(
+                targets,
+                rollout.target.version(),
+                WeightsAges.usableMillis(settings.bounds().weightsMillis()));
+    }
+
+    private void addOrders(Rollout rollout, long nowNanos) {
+        for (RolloutTarget target : nextTargets(rollout, nowNanos)) {
             EndpointEntry runner = state.endpoints().get(target.endpoint());
             orders.put(target.endpoint(), new RunnerOrder(runner, rollout.target));
         }
-        for (RunnerOrder order : orders.values()) {
-            order.advance(runners, this::loadOrder, this::mayOrder, this::recordTargetWeights);
-        }
     }
 
     private static long replacedMillis(EndpointEntry entry, WeightsTarget target, long nowNanos) {
@@ -395,13 +286,13 @@
 
     /** Returns the order to send; empty if the lease has expired in the meantime. */
     private Optional<LoadOrder> loadOrder(WeightsTarget target, long expectedSequence) {
-        return mayOrder()
+        return lease.mayOrder()
                 ? Optional.of(
                         new LoadOrder(
                                 target.model(),
                                 target.version(),
                                 settings.vm(),
-                                lease.get().fence(),
+                                lease.fence(),
                                 expectedSequence))
                 : Optional.empty();
     }
--- a/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
+++ b/router/src/main/java/org/bronzelug/router/order/RunnerOrder.java
@@ -36,6 +36,7 @@
     private final long startNanos = System.nanoTime();
     private boolean callInFlight;
     private long reportRequestNanos = Long.MIN_VALUE;
+    private boolean loading;
     private boolean finished;
 
     RunnerOrder(EndpointEntry runner, WeightsTarget target) {
@@ -59,6 +60,11 @@
                 || current.weights().getOrDefault(target.model(), 0L) >= target.version();
     }
 
+    /** Returns whether an order is still to be sent: the runner is not known to load weights. */
+    boolean needsLease() {
+        return !loading && !finished;
+    }
+
     /**
      * Runs one step, unless a response is pending or the last report was requested too recently.
      */
@@ -109,7 +115,8 @@
             log(LogEvent.WEIGHTS_LOADED, "version=" + version + ages());
             return;
         }
-        if (!report.busy()) {
+        loading = report.busy();
+        if (!loading) {
             orderFor.apply(target, report.sequence())
                     .ifPresent(order -> sendOrder(order, runners, mayOrder));
         }
@@ -127,6 +134,8 @@
                                 log(LogEvent.ORDER_FAILED, failure.getMessage());
                             } else if (outcome != OrderOutcome.ACCEPTED) {
                                 log(LogEvent.ORDER_FAILED, outcome.toString());
+                            } else {
+                                loading = true;
                             }
                         });
     }
--- a/router/src/test/java/org/bronzelug/router/control/OneModelDecoder.java
+++ b/router/src/test/java/org/bronzelug/router/control/OneModelDecoder.java
@@ -9,7 +9,7 @@
 import org.bronzelug.router.store.StoredItem;
 
 /** Decodes the weights of one model only; their version is the object's revision. */
-final class OneModelDecoder implements ObjectDecoder {
+class OneModelDecoder implements ObjectDecoder {
     static final String WEIGHTS = "weights";
 
     @Override
