--- a/core/src/test/java/org/bronzelug/core/placement/GoalSeparationReplay.java
+++ b/core/src/test/java/org/bronzelug/core/placement/GoalSeparationReplay.java
@@ -65,6 +65,7 @@
     }
 
     static final long[] GOAL_MILLIS = {257, 1_015};
+    private static final int PREFIXES = 160;
     private static final double NANOS_PER_TOKEN = 1e6 / 74.8;
     private static final long MILLI = 1_000_000L;
     private static final long RUN_MILLIS = 22_000;
@@ -88,8 +89,9 @@
     private final List<String> names;
     private final CacheEstimate cacheEstimate = new CacheEstimate(256, 20_000 * MILLI, 0);
     private final List<PrefillWork> work = new ArrayList<>();
-    private final LateKnownLoads loads;
-    private final ReplayedPrompts prompts;
+    private final int[][] ownTokens;
+    private final int[][] ownStreams;
+    private final List<int[][][]> history = new ArrayList<>();
     private final PriorityQueue<Known> news =
             new PriorityQueue<>(Comparator.comparingLong(Known::millis));
     private final PlacementPolicy policy =
@@ -111,8 +113,8 @@
                         .toList();
         this.names =
                 IntStream.range(0, load.runners()).mapToObj(index -> "runner-" + index).toList();
-        this.loads = new LateKnownLoads(load.vms(), load.runners());
-        this.prompts = new ReplayedPrompts(random);
+        this.ownTokens = new int[load.vms()][load.runners()];
+        this.ownStreams = new int[load.vms()][load.runners()];
         for (int vm = 0; vm < load.vms(); vm++) {
             work.add(new PrefillWork(0));
         }
@@ -135,13 +137,13 @@
             arrive(false, shortBegun ? 160 * scale * (shortBurst ? 1.8 : 1) : 0, millis);
             for (int index = 0; index < runners.size(); index++) {
                 for (ReplayedRunner.Job job : runners.get(index).step(millis)) {
-                    loads.add(job.vm, index, -job.estimatedMissing, 0);
+                    ownTokens[job.vm][index] -= job.estimatedMissing;
                     int kind = job.isLong ? 1 : 0;
                     double taken = millis + 1 - job.arrivedMillis + FIXED_MILLIS;
                     inTime[kind] += taken <= GOAL_MILLIS[kind] ? 1 : 0;
                     int runner = index;
                     long end = millis + (job.isLong ? 44 : 237);
-                    news.add(new Known(end, () -> loads.add(job.vm, runner, 0, -1)));
+                    news.add(new Known(end, () -> ownStreams[job.vm][runner]--));
                 }
             }
         }
@@ -165,7 +167,24 @@
         while (!news.isEmpty() && news.peek().millis() <= millis) {
             news.poll().record().run();
         }
-        loads.step(millis);
+        if (millis % 50 == 0) {
+            int[][] tokens = new int[load.vms() + 1][];
+            int[][] streams = new int[load.vms() + 1][];
+            tokens[load.vms()] = new int[load.runners()];
+            streams[load.vms()] = new int[load.runners()];
+            for (int vm = 0; vm < load.vms(); vm++) {
+                tokens[vm] = ownTokens[vm].clone();
+                streams[vm] = ownStreams[vm].clone();
+                for (int index = 0; index < load.runners(); index++) {
+                    tokens[load.vms()][index] += tokens[vm][index];
+                    streams[load.vms()][index] += streams[vm][index];
+                }
+            }
+            history.add(new int[][][] {tokens, streams});
+            if (history.size() > KNOWN_LATE_MILLIS / 50 + 1) {
+                history.remove(0);
+            }
+        }
         for (int vm = 0; vm < load.vms(); vm++) {
             boolean silent = millis >= load.silentFromMillis();
             if (!silent && millis % REPORT_MILLIS == vm * REPORT_MILLIS / load.vms()) {
@@ -196,7 +215,7 @@
     }
 
     private void place(boolean isLong, long millis) {
-        PrefixChain chain = prompts.next(isLong);
+        PrefixChain chain = isLong ? longPrompt() : shortPrompt();
         int vm = random.nextInt(load.vms());
         GoalClass goalClass = isLong ? GoalClass.RELAXED : GoalClass.TIGHT;
         int kind = isLong ? 1 : 0;
@@ -210,7 +229,8 @@
         int missing = chain.tokens() - cached;
         longMissing += isLong ? runners.get(index).missing(chain) : 0;
         sent[kind]++;
-        loads.add(vm, index, missing, 1);
+        ownTokens[vm][index] += missing;
+        ownStreams[vm][index]++;
         work.get(vm).recordSent(goalClass, missing, millis * MILLI);
         runners.get(index).add(new ReplayedRunner.Job(isLong, vm, millis, missing, chain));
         long known = millis + KNOWN_LATE_MILLIS;
@@ -222,17 +242,30 @@
                                         names.get(index), incarnation, chain, known * MILLI)));
     }
 
+    private PrefixChain longPrompt() {
+        int prefix = random.nextInt(PREFIXES);
+        return PrefixChain.ofParts(
+                "model",
+                List.of(
+                        new PromptPart("root-" + prefix % 4, 2_520),
+                        new PromptPart("prefix-" + prefix, 3_780),
+                        new PromptPart("own-" + random.nextLong(), 2_890)));
+    }
+
+    private PrefixChain shortPrompt() {
+        return PrefixChain.ofParts(
+                "model",
+                List.of(
+                        new PromptPart("short-" + random.nextInt(20), 198),
+                        new PromptPart("own-" + random.nextLong(), 628)));
+    }
+
     private int choose(GoalClass goalClass, PrefixChain chain, int vm, long millis) {
         Map<String, RunnerLoad> available = new HashMap<>();
+        int[][][] past = history.get(0);
         for (int index = 0; index < load.runners(); index++) {
             if (!runners.get(index).loading) {
-                available.put(
-                        names.get(index),
-                        loads.load(
-                                vm,
-                                index,
-                                names.get(index),
-                                String.valueOf(runners.get(index).incarnation)));
+                available.put(names.get(index), load(index, vm, past));
             }
         }
         List<RunnerLoad> all = List.copyOf(available.values());
@@ -295,6 +328,16 @@
         return known.tokensPerSecond(goalClass, nowNanos) * NANOS_PER_TOKEN / 1e9;
     }
 
+    private RunnerLoad load(int index, int vm, int[][][] past) {
+        int peerTokens = past[0][load.vms()][index] - past[0][vm][index];
+        int peerStreams = past[1][load.vms()][index] - past[1][vm][index];
+        return new RunnerLoad(
+                names.get(index),
+                String.valueOf(runners.get(index).incarnation),
+                ownTokens[vm][index] + peerTokens,
+                ownStreams[vm][index] + peerStreams);
+    }
+
     private int index(Optional<Placement> best) {
         return names.indexOf(best.orElseThrow().runner());
     }
