--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -394,7 +394,6 @@
                         .addAllLimits(report.limits())
                         .addAllRollouts(report.rollouts())
                         .addAllAdaptivePools(report.adaptivePools())
-                        .addAllPoolWork(report.work())
                         .addAllQuarantines(
                                 PoisonMessages.encode(report.quarantines(), System.nanoTime()))
                         .addAllPublishedWeights(
--- a/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetUpdates.java
@@ -11,7 +11,6 @@
 import org.bronzelug.api.fleet.v1.EndpointLimitUse;
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.OrderUnderWay;
-import org.bronzelug.api.fleet.v1.PoolWork;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.TeamUse;
 import org.bronzelug.api.fleet.v1.VmState;
@@ -20,7 +19,6 @@
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.limit.PeerBucketUsage;
 import org.bronzelug.core.path.RelayPeer;
-import org.bronzelug.core.placement.GoalClass;
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.http.SocketSettings;
@@ -28,7 +26,6 @@
 import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.traffic.PeerEndpointUsage;
 import org.bronzelug.router.traffic.PeerLimitUsage;
-import org.bronzelug.router.traffic.PeerPoolWork;
 import org.bronzelug.router.traffic.PeerTeamUsage;
 import org.bronzelug.router.traffic.TrafficUpdate;
 
@@ -36,9 +33,9 @@
  * Builds the updates for the traffic thread from the platform's objects and the state of the other
  * VMs.
  *
- * <p>Invariant: the usage, the prefix reads and the work of a peer are in the first update after
- * its state update was received, and in no later one until the next is received. Confined to the
- * control thread.
+ * <p>Invariant: the usage and the prefix reads of a peer are in the first update after its state
+ * update was received, and in no later one until the next is received. Confined to the control
+ * thread.
  */
 final class FleetUpdates {
     /**
@@ -84,7 +81,6 @@
         Set<String> ordered = new HashSet<>(orders.orderedEndpoints());
         List<RelayPeer> relays = new ArrayList<>();
         Set<String> adaptivePools = new HashSet<>();
-        List<PeerPoolWork> work = new ArrayList<>();
         for (Member member : members.live(nowNanos)) {
             addUsage(member, usage, nowNanos);
             adaptivePools.addAll(member.state().getAdaptivePoolsList());
@@ -97,7 +93,6 @@
                         .getLimitsList()
                         .forEach(use -> limits.add(limitUsage(member, use, nowNanos)));
                 reads.addAll(member.state().getReadsList());
-                member.state().getPoolWorkList().forEach(one -> work.add(poolWork(member, one)));
             }
             member.state().getOrdersList().stream()
                     .map(OrderUnderWay::getEndpoint)
@@ -119,8 +114,7 @@
                 members.fleetSize(nowNanos),
                 relays,
                 propagationDelayNanos,
-                adaptivePools,
-                work);
+                adaptivePools);
     }
 
     /**
@@ -170,15 +164,6 @@
         return SpeedReports.of(use.getSpeedPercent(), sampleNanos, nowNanos);
     }
 
-    private static PeerPoolWork poolWork(Member member, PoolWork work) {
-        return new PeerPoolWork(
-                member.state().getVm(),
-                member.state().getIncarnation(),
-                work.getPool(),
-                work.getRelaxed() ? GoalClass.RELAXED : GoalClass.TIGHT,
-                work.getTokens());
-    }
-
     private static PeerLimitUsage limitUsage(Member member, EndpointLimitUse use, long nowNanos) {
         long observedNanos =
                 member.receivedNanos() - TimeUnit.MILLISECONDS.toNanos(use.getSeenAgeMillis());
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -9,7 +9,6 @@
 import org.bronzelug.api.fleet.v1.EndpointLimitUse;
 import org.bronzelug.api.fleet.v1.EndpointUse;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
-import org.bronzelug.api.fleet.v1.PoolWork;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.api.fleet.v1.RolloutUse;
 import org.bronzelug.api.fleet.v1.TeamUse;
@@ -43,7 +42,6 @@
  * @param streamOrigins number of streams whose origins this VM knows
  * @param quarantines the parts of prompts under quarantine
  * @param adaptivePools names of the pools in which decisions adapt to the measured load
- * @param work prefill work that this VM has sent to pools whose goals form two classes
  */
 record TrafficReport(
         List<TeamUse> teams,
@@ -61,14 +59,12 @@
         boolean versionsWatched,
         int streamOrigins,
         List<QuarantinedParts> quarantines,
-        Set<String> adaptivePools,
-        List<PoolWork> work) {
+        Set<String> adaptivePools) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
                 List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0, List.of(), Set.of(),
-                List.of());
+                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0, List.of(), Set.of());
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -132,8 +128,7 @@
                 state.origins().versions().isWatched(),
                 state.origins().size(),
                 state.poison().quarantines(),
-                state.endpoints().adaptivePools().names(),
-                state.goals().workToReport());
+                state.endpoints().adaptivePools().names());
     }
 
     private static List<TeamUse> teams(TrafficState state, long nowNanos) {
--- a/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PrefillProgress.java
@@ -42,17 +42,7 @@
         sentNanos = nowNanos;
         successful = false;
         queued = choice.isPresent();
-        choice.ifPresent(chosen -> recordSent(chosen, nowNanos));
-    }
-
-    private void recordSent(RunnerChoice chosen, long nowNanos) {
-        chosen.endpoint().load().recordSent(chosen.missingTokens());
-        state.goals()
-                .recordSent(
-                        chosen.endpoint().entry().pool(),
-                        admitted.route().goalMillis(),
-                        chosen.missingTokens(),
-                        nowNanos);
+        choice.ifPresent(chosen -> chosen.endpoint().load().recordSent(chosen.missingTokens()));
     }
 
     /** Returns the runner that the prompt was sent to last; empty for requests without a prompt. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -8,7 +8,6 @@
 import java.util.function.Predicate;
 import org.bronzelug.api.fleet.v1.PrefixRead;
 import org.bronzelug.core.placement.CacheEstimate;
-import org.bronzelug.core.placement.GoalSeparation;
 import org.bronzelug.core.placement.LeastLoad;
 import org.bronzelug.core.placement.Placement;
 import org.bronzelug.core.placement.PlacementPolicy;
@@ -28,9 +27,7 @@
  * PlacementPolicy}), which depends on the tokens queued at the runner and on how much of the prompt
  * its cache is estimated to hold. The estimate is built from the prompts that this VM and its peers
  * sent to each runner. Runners that are expected to reject requests, and suspect ones, are excluded
- * while there are others. In pools that {@link GoalSets} divides, a prompt goes to a runner of its
- * set unless that is expected to take too long. Endpoints that leave or have asked for a backoff
- * are always excluded.
+ * while there are others. Endpoints that leave or have asked for a backoff are always excluded.
  *
  * <p>Invariant: no prompt is sent to a runner with replaced weights unless it is expected to begin
  * there within the bound on them. Until then, replaced weights only add a penalty to the cost of
@@ -74,18 +71,12 @@
     private final PrefixReads prefixReads = new PrefixReads();
     private final WeightsAges weightsAges;
     private final SpeedPlacement speeds;
-    private final GoalSets goals;
 
-    EndpointChoice(
-            EndpointTable endpoints,
-            String availabilityZone,
-            WeightsAges weightsAges,
-            GoalSets goals) {
+    EndpointChoice(EndpointTable endpoints, String availabilityZone, WeightsAges weightsAges) {
         this.speeds = new SpeedPlacement(endpoints.adaptivePools(), availabilityZone);
         this.endpoints = endpoints;
         this.availabilityZone = availabilityZone;
         this.weightsAges = weightsAges;
-        this.goals = goals;
     }
 
     /** Returns the placement by measured speeds. */
@@ -136,35 +127,14 @@
             String cachePartition,
             Predicate<String> allowed,
             long nowNanos) {
-        List<EndpointState> available = endpoints.available(pool, nowNanos);
         List<EndpointState> usable =
-                available.stream()
+                endpoints.available(pool, nowNanos).stream()
                         .filter(state -> allowed.test(state.entry().id()))
                         .filter(state -> isBeginExpectedInTime(state, prompt, nowNanos))
                         .toList();
         usable = preferred(usable, nowNanos);
-        PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
-        List<EndpointState> inSet =
-                goals.preferred(pool, goalMillis, preferred(available, nowNanos), usable, nowNanos);
-        Optional<RunnerChoice> best = chooseAmong(inSet, pool, prompt, chain, goalMillis, nowNanos);
-        boolean overflows =
-                inSet.size() < usable.size()
-                        && best.filter(
-                                        choice ->
-                                                GoalSeparation.overflows(
-                                                        expectedNanos(choice), goalMillis))
-                                .isPresent();
-        return overflows ? chooseAmong(usable, pool, prompt, chain, goalMillis, nowNanos) : best;
-    }
-
-    private Optional<RunnerChoice> chooseAmong(
-            List<EndpointState> usable,
-            String pool,
-            PromptSpec prompt,
-            PrefixChain chain,
-            long goalMillis,
-            long nowNanos) {
         int considered = usable.size();
+        PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
         double remeasured = speeds.remeasureProbability(usable);
         List<RunnerLoad> loads =
                 usable.stream()
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -28,7 +28,6 @@
     private final TeamRates rates;
     private final WeightsAges weightsAges;
     private final WeightsExpiry weightsExpiry;
-    private final GoalSets goals;
     private final EndpointChoice choice;
     private final SpeedSamples speedSamples = new SpeedSamples();
     private final RolloutTable rollouts;
@@ -57,8 +56,7 @@
         long weightsNanos = bounds.weightsMillis() * NANOS_PER_MILLI;
         this.weightsAges = new WeightsAges(weightsNanos);
         this.weightsExpiry = new WeightsExpiry(traffic, endpoints, weightsAges);
-        this.goals = new GoalSets(endpoints);
-        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges, goals);
+        this.choice = new EndpointChoice(endpoints, availabilityZone, weightsAges);
     }
 
     /** Applies an update from the control thread. */
@@ -72,7 +70,6 @@
                 update.endpoints().values(),
                 update.listCurrent(),
                 configuration.map(RoutingConfiguration::resumableRoutes).orElse(List.of()));
-        goals.update(configuration, update.peerWork(), System.nanoTime());
         weightsAges.update(update.weights());
         choice.recordPeerReads(update.peerReads(), System.nanoTime());
         boolean adaptive = endpoints.adaptivePools().isAny();
@@ -122,11 +119,6 @@
         return endpoints;
     }
 
-    /** Returns the division of runners between prompts with shorter and longer goals. */
-    public GoalSets goals() {
-        return goals;
-    }
-
     public EndpointChoice choice() {
         return choice;
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficUpdate.java
@@ -11,9 +11,9 @@
 
 /**
  * An update from the control thread to the traffic thread. Each update replaces the previous one,
- * except for the peers' usage, reads and work ({@code peerTeams}, {@code peerLimits}, {@code
- * peerReads} and {@code peerWork}): an update holds only those received since the previous update,
- * and the traffic thread merges them into what it has. Immutable.
+ * except for the peers' usage and reads ({@code peerTeams}, {@code peerLimits} and {@code
+ * peerReads}): an update holds only those received since the previous update, and the traffic
+ * thread merges them into what it has. Immutable.
  *
  * @param configuration the configuration in force; empty until one is known
  * @param endpoints the listed endpoints by id
@@ -34,7 +34,6 @@
  * @param relayPeers the VMs that relay connections to endpoints
  * @param propagationDelayNanos the time until the usage of one VM is known to all VMs
  * @param adaptivePools pools that peers know to report how long work takes on their machines
- * @param peerWork prefill work that peers reported since the previous update
  */
 public record TrafficUpdate(
         Optional<RoutingConfiguration> configuration,
@@ -51,8 +50,7 @@
         int vmCount,
         List<RelayPeer> relayPeers,
         long propagationDelayNanos,
-        Set<String> adaptivePools,
-        List<PeerPoolWork> peerWork) {
+        Set<String> adaptivePools) {
     public TrafficUpdate {
         endpoints = Map.copyOf(endpoints);
         weights = Map.copyOf(weights);
@@ -64,6 +62,5 @@
         rollouts = Map.copyOf(rollouts);
         relayPeers = List.copyOf(relayPeers);
         adaptivePools = Set.copyOf(adaptivePools);
-        peerWork = List.copyOf(peerWork);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
@@ -95,8 +95,7 @@
                 1,
                 List.of(),
                 0,
-                Set.of(),
-                List.of());
+                Set.of());
     }
 
     private static AdmittedRequest request(int prompt) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointTableTest.java
@@ -75,8 +75,7 @@
                         1,
                         List.of(),
                         450_000_000L,
-                        Set.of(),
-                        List.of()));
+                        Set.of()));
     }
 
     @ParameterizedTest
--- a/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
@@ -32,7 +32,7 @@
     private final EventLoop traffic = group.next();
     private final EndpointTable table = new EndpointTable(traffic, new NoWireFormat());
     private final WeightsAges ages = new WeightsAges(BOUND_NANOS);
-    private final EndpointChoice choice = new EndpointChoice(table, "z", ages, new GoalSets(table));
+    private final EndpointChoice choice = new EndpointChoice(table, "z", ages);
 
     @AfterEach
     void stop() {
--- a/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/WeightsExpiryTest.java
@@ -54,8 +54,7 @@
                 1,
                 List.of(),
                 0,
-                Set.of(),
-                List.of());
+                Set.of());
     }
 
     /** The endpoint has two models; those of one may have expired before those of the other. */
