--- a/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
+++ b/core/src/main/java/org/bronzelug/core/routing/RoutingConfiguration.java
@@ -99,15 +99,6 @@
                 .toList();
     }
 
-    /** Returns the goals of the routes that the pool serves. */
-    public List<Long> goalsMillis(String pool) {
-        return routesByHost.values().stream()
-                .flatMap(List::stream)
-                .filter(route -> route.pools().stream().anyMatch(one -> one.pool().equals(pool)))
-                .map(Route::goalMillis)
-                .toList();
-    }
-
     public int routeCount() {
         return routesByHost.values().stream().mapToInt(List::size).sum();
     }
