Speeds are measured only where endpoints report how long work takes

Memory pressure made all pools adaptive, and with them the estimates of speed in a pool whose endpoints are alike.

--- a/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
@@ -35,6 +35,11 @@
         return all || pools.contains(pool);
     }
 
+    /** Returns whether endpoints of the pool report how long work takes on their machines. */
+    public boolean reportsWork(String pool) {
+        return pools.contains(pool);
+    }
+
     /** Returns whether any pool is adaptive. */
     public boolean isAny() {
         return all || !pools.isEmpty();
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
@@ -38,7 +38,7 @@
 
     /** Returns whether decisions about this endpoint adapt to the measured load. */
     boolean isAdaptive() {
-        return adaptivePools.contains(pool);
+        return adaptivePools.reportsWork(pool);
     }
 
     /** Records the load that the endpoint reports in a response. */
