Records that a VM uses at its start have written-out methods

Cause: the generated equals, hashCode and toString of records link method handles at the first use, which the class-data archive does not hold: 33 of the about 55 classes that a VM generated at its start came from EndpointEntry, RemovedEndpoints.Start, KeyDigest and Team (-Xlog:class+load+cause). Change: these methods are written out.

--- a/core/src/main/java/org/bronzelug/core/key/KeyDigest.java
+++ b/core/src/main/java/org/bronzelug/core/key/KeyDigest.java
@@ -41,6 +41,17 @@
         return KEY_PREFIX + HexFormat.of().formatHex(bytes);
     }
 
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof KeyDigest other && hex.equals(other.hex);
+    }
+
+    @Override
+    public int hashCode() {
+        return hex.hashCode();
+    }
+
     @Override
     public String toString() {
         return hex.substring(0, Math.min(8, hex.length())) + "…";
--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -48,4 +48,24 @@
                 + (" bornMillis=" + bornMillis)
                 + (" weights=" + weights);
     }
+
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof EndpointEntry other
+                && id.equals(other.id)
+                && pool.equals(other.pool)
+                && address.equals(other.address)
+                && availabilityZone.equals(other.availabilityZone)
+                && softwareVersion.equals(other.softwareVersion)
+                && slots == other.slots
+                && draining == other.draining
+                && bornMillis == other.bornMillis
+                && weights.equals(other.weights);
+    }
+
+    @Override
+    public int hashCode() {
+        return id.hashCode();
+    }
 }
--- a/core/src/main/java/org/bronzelug/core/routing/Team.java
+++ b/core/src/main/java/org/bronzelug/core/routing/Team.java
@@ -22,4 +22,34 @@
     public boolean isLimited() {
         return tokensPerSecond > 0;
     }
+
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public boolean equals(Object object) {
+        return object instanceof Team other
+                && name.equals(other.name)
+                && priority.equals(other.priority)
+                && tokensPerSecond == other.tokensPerSecond
+                && burstTokens == other.burstTokens
+                && plainTokens == other.plainTokens
+                && dedicated == other.dedicated;
+    }
+
+    @Override
+    public int hashCode() {
+        return name.hashCode();
+    }
+
+    /** Written out, since the generated method links several method handles at each start. */
+    @Override
+    public String toString() {
+        return "Team[name="
+                + name
+                + (", priority=" + priority)
+                + (", tokensPerSecond=" + tokensPerSecond)
+                + (", burstTokens=" + burstTokens)
+                + (", plainTokens=" + plainTokens)
+                + (", dedicated=" + dedicated)
+                + "]";
+    }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/RemovedEndpoints.java
@@ -25,6 +25,20 @@
         static Start of(EndpointEntry entry) {
             return new Start(entry.id(), entry.bornMillis(), entry.address());
         }
+
+        /** Written out, since the generated method links several method handles at each start. */
+        @Override
+        public boolean equals(Object object) {
+            return object instanceof Start other
+                    && id.equals(other.id)
+                    && bornMillis == other.bornMillis
+                    && address.equals(other.address);
+        }
+
+        @Override
+        public int hashCode() {
+            return id.hashCode();
+        }
     }
 
     void add(EndpointState state) {
