Ids of events are read from their bytes

Cause: for each event of a stream its whole text was decoded and split by a regular expression, which was compiled each time: 8.7 % of the samples of the traffic thread under load. Change: the bytes are compared, and only the id is decoded. EventSplitterTest and EventBoundaryTest unchanged and passed.

--- a/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
+++ b/router/src/main/java/org/bronzelug/router/stream/EventSplitter.java
@@ -20,7 +20,8 @@
 
     private static final String ID_FIELD = "id:";
 
-    private static final String LINE_ENDS = "[\r\n]+";
+    /** Ids with so many digits or more may exceed a long. */
+    private static final int MAXIMUM_ID_DIGITS = 18;
 
     private final EventBoundary boundary = new EventBoundary();
     private ByteBuf buffer = Unpooled.buffer();
@@ -107,20 +108,55 @@
         return end;
     }
 
+    /**
+     * Returns the id of an event: the number in its first id field. Compares bytes, since decoding
+     * and splitting the text of each event was a large part of the work for a stream.
+     */
     private static OptionalLong idOf(ByteBuf event) {
-        String text = event.toString(StandardCharsets.UTF_8);
-        for (String line : text.split(LINE_ENDS)) {
-            if (line.startsWith(ID_FIELD)) {
-                return parseId(line.substring(ID_FIELD.length()).strip());
+        int start = event.readerIndex();
+        int end = event.writerIndex();
+        while (start < end) {
+            int lineEnd = endOfLine(event, start, end);
+            if (isIdField(event, start, lineEnd)) {
+                int length = lineEnd - start - ID_FIELD.length();
+                String id =
+                        event.toString(start + ID_FIELD.length(), length, StandardCharsets.UTF_8);
+                return parseId(id.strip());
             }
+            start = lineEnd + 1;
         }
         return OptionalLong.empty();
     }
 
+    private static int endOfLine(ByteBuf event, int start, int end) {
+        int index = start;
+        while (index < end && event.getByte(index) != '\r' && event.getByte(index) != '\n') {
+            index++;
+        }
+        return index;
+    }
+
+    private static boolean isIdField(ByteBuf event, int start, int lineEnd) {
+        if (lineEnd - start < ID_FIELD.length()) {
+            return false;
+        }
+        for (int offset = 0; offset < ID_FIELD.length(); offset++) {
+            if (event.getByte(start + offset) != ID_FIELD.charAt(offset)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static OptionalLong parseId(String text) {
-        boolean digits = !text.isEmpty() && text.chars().allMatch(Character::isDigit);
-        return digits && text.length() < 18
-                ? OptionalLong.of(Long.parseLong(text))
-                : OptionalLong.empty();
+        if (text.isEmpty() || text.length() >= MAXIMUM_ID_DIGITS) {
+            return OptionalLong.empty();
+        }
+        for (int index = 0; index < text.length(); index++) {
+            if (!Character.isDigit(text.charAt(index))) {
+                return OptionalLong.empty();
+            }
+        }
+        return OptionalLong.of(Long.parseLong(text));
     }
 }
