Rates of teams are applied once for each configuration

Each control round compared and applied the rates of all teams again, 16 here and 2,600 in a large installation. They are now applied when the configuration changes. The buckets of a team are changed nowhere else.

--- a/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TeamRates.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import org.bronzelug.core.limit.FleetBucket;
+import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.core.routing.Team;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
@@ -47,6 +49,7 @@
     private final Map<String, ReportedUsage> reported = new HashMap<>();
     private final Map<String, FleetBucket> buckets = new HashMap<>();
     private final Map<String, Team> limitedTeams = new HashMap<>();
+    private Optional<RoutingConfiguration> appliedConfiguration = Optional.empty();
 
     /**
      * @param fleetStarts whether the whole fleet starts for the first time, rather than only this
@@ -64,7 +67,10 @@
      */
     void update(TrafficUpdate update, boolean adaptive, long nowNanos) {
         usesSlack = adaptive && slackTokens > 0;
-        update.configuration().ifPresent(present -> present.teams().forEach(this::applyRate));
+        if (!update.configuration().equals(appliedConfiguration)) {
+            appliedConfiguration = update.configuration();
+            appliedConfiguration.ifPresent(present -> present.teams().forEach(this::applyRate));
+        }
         for (PeerTeamUsage peer : update.peerTeams()) {
             FleetBucket bucket = buckets.get(peer.team());
             if (bucket != null) {
