Stored software versions are decoded once

Each control round decoded the JSON of the stored versions of each pool: 5 % of the samples of the control thread. The decoded versions are kept with the object they came from.

--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -38,6 +38,7 @@
 
     private final PoolObjects objects;
     private final Consumer<Map<String, Set<String>>> onRead;
+    private final Map<String, Decoded> decoded = new HashMap<>();
     private final long startNanos = System.nanoTime();
 
     /**
@@ -97,9 +98,21 @@
     }
 
     private Optional<Set<String>> stored(String pool) {
-        return objects.find(pool).map(StoredVersions::versions);
+        return objects.find(pool)
+                .map(
+                        item -> {
+                            Decoded known = decoded.get(pool);
+                            if (known == null || known.item != item) {
+                                known = new Decoded(item, versions(item));
+                                decoded.put(pool, known);
+                            }
+                            return known.versions;
+                        });
     }
 
+    /** What a stored object contains, so that it is not decoded in each round. Immutable. */
+    private record Decoded(StoredItem item, Set<String> versions) {}
+
     private Set<String> wanted(String pool, Set<String> recent, boolean watched) {
         Set<String> wanted = new TreeSet<>(recent);
         if (!watched) {
