--- a/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/ReplacedWeightsPlacementTest.java
@@ -65,8 +65,7 @@
                         1,
                         List.of(),
                         0,
-                        adaptive ? Set.of("pool") : Set.of(),
-                        List.of()));
+                        adaptive ? Set.of("pool") : Set.of()));
         ages.update(
                 Map.of(MODEL, WeightsTarget.first(MODEL, 2, System.nanoTime() - REPLACED_NANOS)));
     }
--- a/router/src/test/java/org/bronzelug/router/traffic/SpeedPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/SpeedPlacementTest.java
@@ -99,8 +99,7 @@
                 90,
                 List.of(),
                 450_000_000L,
-                Set.of(),
-                List.of());
+                Set.of());
     }
 
     private static EndpointResponse response(int running, OptionalInt workPercent) {
--- a/router/src/test/java/org/bronzelug/router/traffic/TeamRatesTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/TeamRatesTest.java
@@ -48,8 +48,7 @@
                 2,
                 List.of(),
                 900_000_000L,
-                Set.of(),
-                List.of());
+                Set.of());
     }
 
     @Test
