Decisions on requests that wait for an endpoint, and on teams beyond their share

Under overload a request is rejected at once today, with a random Retry-After, and the decision looks at no team.

--- a/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
+++ b/core/src/main/java/org/bronzelug/core/limit/FleetBucket.java
@@ -124,6 +124,11 @@
         return sum * NANOS_PER_SECOND / DEMAND_NANOS;
     }
 
+    /** Returns what this VM and its reachable peers have admitted, less refunds, per second. */
+    public double usageRate(long nowNanos) {
+        return demandRate(usage, nowNanos);
+    }
+
     /**
      * Returns the fraction of the requests to admit: what the bucket holds, divided by the peers'
      * expected demand until their usage arrives.
--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -80,6 +80,9 @@
     RETRY_BUDGET_USED_UP(
             607, "no retry is left for a pool; rejecting or delaying what would be retried"),
     RETRY_SHARE_CHANGED(608, "this VM's share of the fleet's retry slack changed"),
+    REQUEST_WAITING(609, "no endpoint accepts the request now; it waits for one"),
+    REQUEST_WAIT_ENDED(610, "request no longer waits for an endpoint"),
+    REQUEST_WAIT_REFUSED(611, "request does not wait for an endpoint; rejecting it"),
     TEAM_RATE_CHANGED(603, "rate or burst of a team changed"),
     SERVING(700, "this VM serves requests"),
     NOT_SERVING(701, "this VM serves no requests"),
--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.exchange;
 
+import java.util.OptionalLong;
 import org.bronzelug.core.poison.PartAdmission;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.traffic.TrafficState;
@@ -18,6 +19,7 @@
     private final AdmittedRequest admitted;
     private final EndpointSelection selection;
     private final Attempts attempts;
+    private final RequestWait wait;
     private final ResponseRelay relay;
     private final StreamResumer resumer;
     private final ExchangeOutcome outcome;
@@ -28,6 +30,7 @@
             AdmittedRequest admitted,
             EndpointSelection selection,
             Attempts attempts,
+            RequestWait wait,
             ResponseRelay relay,
             StreamResumer resumer,
             ExchangeOutcome outcome) {
@@ -36,23 +39,54 @@
         this.admitted = admitted;
         this.selection = selection;
         this.attempts = attempts;
+        this.wait = wait;
         this.relay = relay;
         this.resumer = resumer;
         this.outcome = outcome;
     }
 
-    /** Gives the request up because the last choice found no endpoint. */
-    void giveUpWithoutEndpoint(long nowNanos) {
+    /**
+     * Has the request wait because the last choice found no endpoint or rejected its prompt for
+     * overload, or gives it up.
+     *
+     * @param again tries to send the request
+     */
+    void waitForEndpoint(Runnable again, long nowNanos) {
+        OptionalLong overloadMillis = selection.retryAfterMillis();
+        if (overloadMillis.isPresent()) {
+            long queued = Math.round(selection.runner().orElseThrow().queuedTokens());
+            String reason = "runners are full, queued=" + queued;
+            if (!waits(reason, overloadMillis.getAsLong(), again)) {
+                rejectNotRun(reason, overloadMillis.getAsLong());
+            }
+            return;
+        }
         Unavailability cause = selection.unavailability(nowNanos);
-        cause.counter().ifPresent(metrics::count);
-        giveUp(cause.reason(), cause.retryAfterMillis());
+        // A cause without a counter states a usual time, not a known one.
+        long knownMillis = cause.counter().isPresent() ? cause.retryAfterMillis() : 0;
+        if (!waits(cause.reason(), knownMillis, again)) {
+            cause.counter().ifPresent(metrics::count);
+            giveUp(cause.reason(), cause.retryAfterMillis());
+        }
     }
 
-    /** Gives the request up because the last choice rejected its prompt for overload. */
-    void giveUpForOverload() {
-        long queued = Math.round(selection.runner().orElseThrow().queuedTokens());
-        rejectNotRun(
-                "runners are full, queued=" + queued, selection.retryAfterMillis().orElseThrow());
+    /**
+     * Has the request wait behind earlier ones of its team, or gives it up.
+     *
+     * @param again tries to send the request
+     */
+    void waitBehindOthers(Runnable again) {
+        String reason = "earlier requests of the team wait";
+        if (!waits(reason, 0, again)) {
+            giveUp(reason);
+        }
+    }
+
+    /** Returns whether the request waits; only one that has certainly not run does. */
+    private boolean waits(String reason, long knownMillis, Runnable again) {
+        return !relay.hasBegun()
+                && !attempts.mayHaveRun()
+                && wait.begin(reason, knownMillis, again, this::giveUp);
     }
 
     /** Gives the request up because its time is over. */
@@ -74,7 +108,8 @@
         } else if (attempts.mayHaveRun()) {
             outcome.fail(BAD_GATEWAY, EndpointCheck.QUARANTINED);
         } else {
-            rejectNotRun(EndpointCheck.QUARANTINED, PartGate.retryMillis(rejected));
+            refund();
+            outcome.rejectNotRun(EndpointCheck.QUARANTINED, PartGate.retryMillis(rejected));
         }
     }
 
@@ -95,7 +130,11 @@
 
     /** Rejects a request that has not run at any endpoint, and refunds its tokens. */
     private void rejectNotRun(String reason, long retryAfterMillis) {
+        refund();
+        outcome.rejectNotRun(reason, wait.returnMillis(retryAfterMillis));
+    }
+
+    private void refund() {
         admitted.team().ifPresent(team -> state.rates().refund(team, admitted.tokens()));
-        outcome.rejectNotRun(reason, retryAfterMillis);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
@@ -1,8 +1,11 @@
 package org.bronzelug.router.exchange;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.bronzelug.core.admission.AdmissionQueue;
+import org.bronzelug.core.placement.PromptPriority;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
@@ -72,6 +75,24 @@
         return team.filter(Team::dedicated).map(Team::name).orElse("");
     }
 
+    /** Returns the time that the caller gives the request, from its arrival. */
+    long callerMillis() {
+        return Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
+    }
+
+    /** Returns the rank of the request's team and route, where lower ranks are served first. */
+    int urgency() {
+        return PromptPriority.of(
+                team.map(Team::priority).orElse(OptionalInt.empty()), route.priority());
+    }
+
+    /** Returns the work that the request causes, in tokens; the same for all without a prompt. */
+    long work() {
+        return head.prompt()
+                .map(prompt -> Math.max(1L, prompt.totalTokens()))
+                .orElse(AdmissionQueue.QUANTUM);
+    }
+
     /** Returns how long a response is awaited after the arrival of the request. */
     long timeoutMillis() {
         OptionalLong deadline = head.deadlineMillis();
--- a/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -137,6 +137,22 @@
         call = Optional.empty();
     }
 
+    /** Cancels the attempt, if one is in progress. */
+    void abandon() {
+        cancelCall();
+        if (endpoint.isPresent()) {
+            end();
+        }
+    }
+
+    /** Cancels the attempt, since its endpoint has failed, and returns that endpoint. */
+    EndpointState fail() {
+        cancelCall();
+        EndpointState failed = end();
+        failed.recordFailure(System.nanoTime());
+        return failed;
+    }
+
     /** Ends the attempt and returns the endpoint that it was sent to. */
     EndpointState end() {
         EndpointState current = currentEndpoint();
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointRequestBuilder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointRequestBuilder.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import org.bronzelug.core.placement.PromptPriority;
 import org.bronzelug.core.routing.CacheStore;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.core.routing.Team;
@@ -84,7 +83,7 @@
                 admitted.head().id(),
                 endpoint.entry().id(),
                 admitted.team().map(Team::name),
-                runner.isPresent() ? OptionalInt.of(priority()) : OptionalInt.empty(),
+                runner.isPresent() ? OptionalInt.of(admitted.urgency()) : OptionalInt.empty(),
                 weightsVersion(runner),
                 runner.map(
                         choice -> "v" + choice.weightsVersion() + "/" + admitted.cachePartition()),
@@ -126,9 +125,4 @@
                 .map(choice -> OptionalLong.of(choice.weightsVersion()))
                 .orElseGet(OptionalLong::empty);
     }
-
-    private int priority() {
-        OptionalInt teamPriority = admitted.team().map(Team::priority).orElse(OptionalInt.empty());
-        return PromptPriority.of(teamPriority, admitted.route().priority());
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
+import org.bronzelug.core.admission.OverloadAdmission;
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.placement.PromptAdmission;
 import org.bronzelug.core.routing.EndpointEntry;
@@ -217,7 +218,7 @@
             return state.choice().leastLoadedEndpoint(pool.name(), allowed, nowNanos);
         }
         runner = chooseRunner(pool, prompt.get(), allowed, nowNanos);
-        retryAfterMillis = overloadRetryMillis();
+        retryAfterMillis = overloadRetryMillis(nowNanos);
         return runner.map(RunnerChoice::endpoint);
     }
 
@@ -298,15 +299,33 @@
         return retryAfterMillis.isPresent();
     }
 
-    private OptionalLong overloadRetryMillis() {
+    /**
+     * Returns the retry delay if the prompt is rejected for overload, else empty. In adaptive pools
+     * it is the time until the runner's queue is short enough for the prompt.
+     */
+    private OptionalLong overloadRetryMillis(long nowNanos) {
         boolean begun = sentBefore || admitted.head().lastEventId().isPresent();
         if (begun || runner.isEmpty()) {
             return OptionalLong.empty();
         }
+        boolean urgent = admitted.route().priority() == HIGHEST_PRIORITY;
+        double queuedNanos = state.choice().waitNanos(runner.get());
+        String pool = admitted.pool().orElseThrow().name();
+        if (state.endpoints().adaptivePools().contains(pool)) {
+            OptionalLong excess =
+                    OverloadAdmission.excessNanos(
+                            urgent,
+                            state.shares().isBeyondShare(pool, admitted.team(), nowNanos),
+                            admitted.route().goalMillis(),
+                            queuedNanos);
+            return excess.isEmpty()
+                    ? excess
+                    : OptionalLong.of(1 + excess.getAsLong() / NANOS_PER_MILLI);
+        }
         return PromptAdmission.retryAfterMillis(
-                admitted.route().priority() == HIGHEST_PRIORITY,
+                urgent,
                 admitted.route().goalMillis(),
-                state.choice().waitNanos(runner.get()),
+                queuedNanos,
                 ThreadLocalRandom.current().nextDouble());
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -63,6 +63,7 @@
     private final PartHold hold;
     private final EndpointCheck check;
     private final Abandonment abandonment;
+    private final RequestWait wait;
 
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
 
@@ -71,6 +72,7 @@
             TrafficState state,
             WireFormat wire,
             RouterMetrics metrics,
+            WaitingRequests waiting,
             FullHttpRequest request,
             CallerConnection caller,
             AdmittedRequest admitted,
@@ -101,9 +103,13 @@
                 new StreamResumer(
                         this, traffic, relay, attempts, selection, builder, outcome, metrics, log);
         this.check = new EndpointCheck(state, admitted, gate);
+        this.wait =
+                new RequestWait(
+                        waiting, state, request, admitted, attempts, selection, outcome, log);
         this.abandonment =
                 new Abandonment(
-                        state, metrics, admitted, selection, attempts, relay, resumer, outcome);
+                        state, metrics, admitted, selection, attempts, wait, relay, resumer,
+                        outcome);
         this.hold = new PartHold(outcome, traffic, gate, abandonment, metrics, log);
         this.conditions =
                 new MoveConditions(
@@ -120,29 +126,35 @@
                         traffic.schedule(
                                 this::onTimeout, admitted.timeoutMillis(), TimeUnit.MILLISECONDS));
         attempts.recordFirst();
+        wait.recordArrived();
         silence.start();
         dispatch();
     }
 
     private void dispatch() {
         long nowNanos = System.nanoTime();
-        if (builder.isExpired(nowNanos)) {
-            abandonment.giveUp(DEADLINE_PASSED);
+        if (!mayBeSent(this::dispatch, nowNanos)) {
             return;
         }
-        if (!hold.admits(this::dispatch, nowNanos)) {
+        if (wait.isBehindOthers()) {
+            abandonment.waitBehindOthers(this::dispatch);
             return;
         }
-        Optional<EndpointState> chosen = selection.choose(nowNanos);
+        Optional<EndpointState> chosen = wait.choose(nowNanos);
         if (chosen.isEmpty()) {
-            abandonment.giveUpWithoutEndpoint(nowNanos);
-            return;
+            abandonment.waitForEndpoint(this::dispatch, nowNanos);
+        } else {
+            send(chosen.get(), nowNanos);
         }
-        if (selection.retryAfterMillis().isPresent()) {
-            abandonment.giveUpForOverload();
-            return;
+    }
+
+    /** Returns whether the request may be sent now; if not, it is given up or continued later. */
+    private boolean mayBeSent(Runnable continuation, long nowNanos) {
+        if (builder.isExpired(nowNanos)) {
+            abandonment.giveUp(DEADLINE_PASSED);
+            return false;
         }
-        send(chosen.get(), nowNanos);
+        return hold.admits(continuation, nowNanos);
     }
 
     /** Starts an attempt at the chosen endpoint. */
@@ -151,6 +163,7 @@
         selection.recordTried(chosen);
         attempt.begin(chosen, selection.runner(), nowNanos);
         hold.recordSent(chosen);
+        wait.recordSent(nowNanos);
         Optional<RunnerChoice> runner = selection.runner();
         log.sent(chosen, runner, selection.limited());
         metrics.routed(nowNanos - admitted.arrivedNanos());
@@ -234,16 +247,13 @@
             Optional<EndpointState> other =
                     conditions.chooseOther(RetryKind.REQUIRED, System.nanoTime());
             if (other.isPresent()) {
-                attempt.cancelCall();
-                responding.recordFailure(System.nanoTime());
-                log.moved(attempt.end(), attempts.sends(), "answered " + head.status());
+                log.moved(attempt.fail(), attempts.sends(), "answered " + head.status());
                 send(other.get(), System.nanoTime());
                 return;
             }
         }
         if (notGenuine) {
-            attempt.cancelCall();
-            attempt.end().recordFailure(System.nanoTime());
+            attempt.fail();
             outcome.fail(BAD_GATEWAY, "the endpoint's answer is not genuine");
             return;
         }
@@ -257,9 +267,7 @@
      * response must not be forwarded: its end would look like the end of the stream.
      */
     private void onResumptionFailed(EndpointResponse head) {
-        attempt.cancelCall();
-        EndpointState failed = attempt.end();
-        failed.recordFailure(System.nanoTime());
+        EndpointState failed = attempt.fail();
         String cause = "answered " + head.status() + " in place of the rest of the stream";
         log.moved(failed, attempts.sends(), cause);
         resumer.resumeOrBreakOff(cause);
@@ -290,17 +298,13 @@
      */
     void retry(String reason) {
         long nowNanos = System.nanoTime();
-        if (builder.isExpired(nowNanos)) {
-            abandonment.giveUp(DEADLINE_PASSED);
-            return;
-        }
-        if (!hold.admits(() -> retry(reason), nowNanos)) {
+        if (!mayBeSent(() -> retry(reason), nowNanos)) {
             return;
         }
         Optional<EndpointState> next =
-                relay.hasBegun() ? resumer.choose(nowNanos) : selection.choose(nowNanos);
+                relay.hasBegun() ? resumer.choose(nowNanos) : wait.choose(nowNanos);
         if (next.isEmpty()) {
-            abandonment.giveUpWithoutEndpoint(nowNanos);
+            abandonment.waitForEndpoint(() -> retry(reason), nowNanos);
         } else if (attempts.reserveRetry(relay.retryKind())) {
             send(next.get(), nowNanos);
         } else {
@@ -328,8 +332,7 @@
             onBroken(relay.unusableCause());
             return;
         }
-        attempt.cancelCall();
-        attempt.end().recordFailure(System.nanoTime());
+        attempt.fail();
         resumer.resumeOrBreakOff(relay.unusableCause());
     }
 
@@ -459,15 +462,13 @@
         if (outcome.isDone()) {
             return;
         }
-        attempt.cancelCall();
-        attempt.endpoint().ifPresent(current -> attempt.end());
+        attempt.abandon();
         abandonment.timeOut();
     }
 
     @Override
     public void onCallerClosed() {
-        attempt.cancelCall();
-        attempt.endpoint().ifPresent(current -> attempt.end());
+        attempt.abandon();
         outcome.callerLeft();
     }
 
@@ -481,6 +482,7 @@
         attempts.releaseRetry();
         timeout.ifPresent(running -> running.cancel(false));
         silence.stop();
+        wait.end();
         request.release();
         relay.release();
         long elapsedNanos = System.nanoTime() - admitted.arrivedNanos();
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -78,6 +78,39 @@
                         + (" millis=" + millisTo(System.nanoTime())));
     }
 
+    /** Logs that the request waits for an endpoint that accepts it. */
+    void waiting(String reason) {
+        EventLog.info(
+                LogEvent.REQUEST_WAITING,
+                request() + waitReason(reason) + (" millis=" + millisTo(System.nanoTime())));
+    }
+
+    /** Logs that the request no longer waits. */
+    void waitEnded(String outcome, long sinceNanos) {
+        long nowNanos = System.nanoTime();
+        EventLog.info(
+                LogEvent.REQUEST_WAIT_ENDED,
+                request()
+                        + (" outcome=\"" + outcome + "\"")
+                        + (" waitedMillis=" + (nowNanos - sinceNanos) / NANOS_PER_MILLI)
+                        + (" millis=" + millisTo(nowNanos)));
+    }
+
+    /** Logs that the request does not wait, or no longer, and is rejected. */
+    void waitRefused(String reason, String cause) {
+        EventLog.info(
+                LogEvent.REQUEST_WAIT_REFUSED,
+                request()
+                        + waitReason(reason)
+                        + (" cause=" + cause)
+                        + (" millis=" + millisTo(System.nanoTime())));
+    }
+
+    private String waitReason(String reason) {
+        return (" team=" + admitted.team().map(Team::name).orElse("-"))
+                + (" reason=\"" + reason + "\"");
+    }
+
     /**
      * Logs that the request leaves an endpoint.
      *
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -61,6 +61,7 @@
     private final TrafficState state;
     private final WireFormat wire;
     private final RouterMetrics metrics;
+    private final WaitingRequests waiting;
     private boolean stopping;
 
     public Forwarder(
@@ -69,6 +70,8 @@
         this.state = state;
         this.wire = wire;
         this.metrics = metrics;
+        this.waiting = new WaitingRequests(traffic, state, metrics);
+        state.setUpdateListener(waiting::tryAgainSoon);
     }
 
     @Override
@@ -83,9 +86,14 @@
         return stopping;
     }
 
-    /** Makes all connections close after their next response. */
-    public void beginStop() {
+    /**
+     * Makes all connections close after their next response.
+     *
+     * @param waitMillis time for which requests may still wait for an endpoint
+     */
+    public void beginStop(long waitMillis) {
         stopping = true;
+        waiting.stopAfter(waitMillis);
     }
 
     @Override
@@ -186,7 +194,8 @@
             AdmittedRequest admitted,
             StreamVersion version) {
         Exchange exchange =
-                new Exchange(traffic, state, wire, metrics, request, caller, admitted, version);
+                new Exchange(
+                        traffic, state, wire, metrics, waiting, request, caller, admitted, version);
         exchange.start();
         return exchange;
     }
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -28,6 +28,9 @@
     /** The end of the grace period that is reserved for shutting down. */
     private static final long SHUTDOWN_MARGIN_MILLIS = 700;
 
+    /** Time before that in which callers get the rejections of requests that still wait. */
+    private static final long REJECTION_MARGIN_MILLIS = 300;
+
     private static final long CHECK_MILLIS = 50;
 
     private final EventLoop traffic;
@@ -60,7 +63,8 @@
     public void run() {
         startNanos = System.nanoTime();
         control.beginStop();
-        traffic.execute(forwarder::beginStop);
+        long waitMillis = bounds.graceMillis() - SHUTDOWN_MARGIN_MILLIS - REJECTION_MARGIN_MILLIS;
+        traffic.execute(() -> forwarder.beginStop(waitMillis));
         traffic.schedule(this::closeListener, KEEP_LISTENING_MILLIS, TimeUnit.MILLISECONDS);
         traffic.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         try {
--- a/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/AdaptivePools.java
@@ -14,6 +14,7 @@
 public final class AdaptivePools {
     private final boolean all;
     private final Set<String> pools = new HashSet<>();
+    private final Set<String> rejecting = new HashSet<>();
 
     /**
      * @param all whether all pools are adaptive
@@ -27,8 +28,19 @@
         pools.add(pool);
     }
 
+    /** Records that an endpoint of the pool has rejected a request, as full ones do. */
+    void recordRejection(String pool) {
+        rejecting.add(pool);
+    }
+
+    /** Returns whether endpoints of the pool have rejected requests instead of queueing them. */
+    public boolean rejects(String pool) {
+        return rejecting.contains(pool);
+    }
+
     void retain(Collection<String> poolsWithEndpoints) {
         pools.retainAll(poolsWithEndpoints);
+        rejecting.retainAll(poolsWithEndpoints);
     }
 
     public boolean contains(String pool) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -256,6 +256,7 @@
         if (misdirected) {
             markWeightsUnknown(nowNanos);
         } else {
+            adaptivePools.recordRejection(entry.pool());
             recordFailure(nowNanos);
         }
     }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -34,6 +34,8 @@
     private final StreamOriginDirectory origins;
     private final PoisonDirectory poison;
     private final RetryBudgets retries;
+    private final PoolShares shares;
+    private Runnable updateListener = () -> {};
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
 
@@ -47,6 +49,7 @@
             LoadSettings load) {
         this.bounds = bounds;
         this.endpoints = new EndpointTable(traffic, wire, new AdaptivePools(load.memoryPressure()));
+        this.shares = new PoolShares(endpoints.adaptivePools());
         this.poison = new PoisonDirectory(traffic, this::withdrawQuarantined);
         endpoints.setCrashListener(this::recordCrash);
         this.rates = new TeamRates(fleetStarts, load.rateSlackTokens());
@@ -77,6 +80,13 @@
         shifting.forEach(this::drainCurrentVersion);
         weightsExpiry.update();
         updatePoison();
+        shares.retain(endpoints.adaptivePools().names());
+        updateListener.run();
+    }
+
+    /** Sets what to do after each update from the control thread, on the traffic thread. */
+    public void setUpdateListener(Runnable listener) {
+        updateListener = listener;
     }
 
     private void updatePoison() {
@@ -149,6 +159,11 @@
         return rates;
     }
 
+    /** Returns the teams' use of the adaptive pools. */
+    public PoolShares shares() {
+        return shares;
+    }
+
     public RetryBudgets retries() {
         return retries;
     }
