--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -15,6 +15,7 @@
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
+import org.bronzelug.router.traffic.TeamShares;
 import org.bronzelug.router.traffic.TrafficState;
 
 /**
@@ -315,7 +316,7 @@
             OptionalLong excess =
                     OverloadAdmission.excessNanos(
                             urgent,
-                            state.shares().isBeyondShare(pool, admitted.team(), nowNanos),
+                            isBeyondShare(nowNanos),
                             admitted.route().goalMillis(),
                             queuedNanos);
             return excess.isEmpty()
@@ -329,6 +330,10 @@
                 ThreadLocalRandom.current().nextDouble());
     }
 
+    private boolean isBeyondShare(long nowNanos) {
+        return state.shares().current(nowNanos).isBeyond(TeamShares.nameOf(admitted.team()));
+    }
+
     void recordTried(EndpointState endpoint) {
         state.rollouts().recordSent(endpoint.entry());
         tried.add(endpoint.entry().id());
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -103,9 +103,7 @@
                 new StreamResumer(
                         this, traffic, relay, attempts, selection, builder, outcome, metrics, log);
         this.check = new EndpointCheck(state, admitted, gate);
-        this.wait =
-                new RequestWait(
-                        waiting, state, request, admitted, attempts, selection, outcome, log);
+        this.wait = new RequestWait(waiting, request, admitted, attempts, selection, outcome, log);
         this.abandonment =
                 new Abandonment(
                         state, metrics, admitted, selection, attempts, wait, relay, resumer,
@@ -126,7 +124,6 @@
                         traffic.schedule(
                                 this::onTimeout, admitted.timeoutMillis(), TimeUnit.MILLISECONDS));
         attempts.recordFirst();
-        wait.recordArrived();
         silence.start();
         dispatch();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/RequestWait.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/RequestWait.java
@@ -8,8 +8,7 @@
 import org.bronzelug.core.admission.WaitingEntry;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.router.traffic.EndpointState;
-import org.bronzelug.router.traffic.PoolShares;
-import org.bronzelug.router.traffic.TrafficState;
+import org.bronzelug.router.traffic.TeamShares;
 
 /**
  * The wait of one request for an endpoint that accepts it. It has no effect in pools whose requests
@@ -31,7 +30,6 @@
     private static final long HEALTHY_ONLY_NANOS = 300_000_000L;
 
     private final WaitingRequests waiting;
-    private final TrafficState state;
     private final AdmittedRequest admitted;
     private final Attempts attempts;
     private final EndpointSelection selection;
@@ -47,7 +45,6 @@
 
     RequestWait(
             WaitingRequests waiting,
-            TrafficState state,
             FullHttpRequest request,
             AdmittedRequest admitted,
             Attempts attempts,
@@ -55,7 +52,6 @@
             ExchangeOutcome outcome,
             ExchangeLog log) {
         this.waiting = waiting;
-        this.state = state;
         this.admitted = admitted;
         this.attempts = attempts;
         this.selection = selection;
@@ -65,7 +61,7 @@
         this.entry =
                 new WaitingEntry<>(
                         this,
-                        PoolShares.nameOf(admitted.team()),
+                        TeamShares.nameOf(admitted.team()),
                         admitted.urgency(),
                         admitted.work(),
                         request.content().readableBytes() + OVERHEAD_BYTES,
@@ -78,24 +74,8 @@
         return admitted.pool().filter(waiting::appliesTo).map(EndpointPool::name);
     }
 
-    /** Records that the request has arrived. */
-    void recordArrived() {
-        admitted.pool()
-                .ifPresent(
-                        pool ->
-                                state.shares()
-                                        .recordRequested(
-                                                pool.name(),
-                                                admitted.team(),
-                                                entry.work(),
-                                                admitted.arrivedNanos()));
-    }
-
     /** Records that the request is sent to an endpoint. */
     void recordSent(long nowNanos) {
-        admitted.pool()
-                .ifPresent(
-                        pool -> state.shares().recordAccepted(pool.name(), entry.work(), nowNanos));
         pool().ifPresent(
                         name ->
                                 waiting.admission(name)
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -34,7 +34,7 @@
     private final StreamOriginDirectory origins;
     private final PoisonDirectory poison;
     private final RetryBudgets retries;
-    private final PoolShares shares;
+    private final TeamShares shares;
     private Runnable updateListener = () -> {};
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
@@ -49,10 +49,10 @@
             LoadSettings load) {
         this.bounds = bounds;
         this.endpoints = new EndpointTable(traffic, wire, new AdaptivePools(load.memoryPressure()));
-        this.shares = new PoolShares(endpoints.adaptivePools());
         this.poison = new PoisonDirectory(traffic, this::withdrawQuarantined);
         endpoints.setCrashListener(this::recordCrash);
         this.rates = new TeamRates(fleetStarts, load.rateSlackTokens());
+        this.shares = new TeamShares(rates);
         this.retries = new RetryBudgets(bounds, metrics, fleetStarts);
         this.origins = new StreamOriginDirectory(traffic);
         this.rollouts = new RolloutTable(bounds.exposureShare());
@@ -80,7 +80,6 @@
         shifting.forEach(this::drainCurrentVersion);
         weightsExpiry.update();
         updatePoison();
-        shares.retain(endpoints.adaptivePools().names());
         updateListener.run();
     }
 
@@ -159,8 +158,8 @@
         return rates;
     }
 
-    /** Returns the teams' use of the adaptive pools. */
-    public PoolShares shares() {
+    /** Returns the teams' fair shares of the work that the fleet accepts. */
+    public TeamShares shares() {
         return shares;
     }
 
