Teams within their share keep their prompts under overload

The admission of prompts looked at no team, and 90 VMs that know of each other's requests half a second late sent several times what a queue as last reported had room for. The shares come now from what all VMs report of the teams' rates (one VM sees too few prompts to compare teams: a trial with each VM's own sample gave no gain), are bounded by what the runners can prefill, and the teams beyond their share are sent the fraction for which there is room (ShareCredit). A rejected request waits for a healthy endpoint after each rejection, not only after the first one; otherwise its three sends were used up within a tenth of a second. WaitingRequestTest (6), StreamResumeTest (11) and RetryReservationTest (8) pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -8,14 +8,11 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
-import org.bronzelug.core.admission.OverloadAdmission;
 import org.bronzelug.core.limit.EndpointLimit;
-import org.bronzelug.core.placement.PromptAdmission;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
-import org.bronzelug.router.traffic.TeamShares;
 import org.bronzelug.router.traffic.TrafficState;
 
 /**
@@ -32,9 +29,6 @@
  * version than the one that it is bound to. Confined to the traffic thread.
  */
 final class EndpointSelection {
-    /** Priority of the most urgent routes. */
-    private static final int HIGHEST_PRIORITY = 0;
-
     /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 250;
 
@@ -45,6 +39,7 @@
     private final StreamVersion streamVersion;
     private final PartGate gate;
     private final EligibleEndpoints eligible;
+    private final OverloadCheck overload;
     private final Set<String> tried = new HashSet<>();
     private final Set<EndpointState> limited = new HashSet<>();
     private final Set<EndpointState> fragile = new HashSet<>();
@@ -63,6 +58,7 @@
         this.admitted = admitted;
         this.streamVersion = streamVersion;
         this.gate = gate;
+        this.overload = new OverloadCheck(state, admitted);
         this.eligible = new EligibleEndpoints(state, admitted, streamVersion);
     }
 
@@ -219,7 +215,7 @@
             return state.choice().leastLoadedEndpoint(pool.name(), allowed, nowNanos);
         }
         runner = chooseRunner(pool, prompt.get(), allowed, nowNanos);
-        retryAfterMillis = overloadRetryMillis(nowNanos);
+        retryAfterMillis = overloadRetryMillis(pool, nowNanos);
         return runner.map(RunnerChoice::endpoint);
     }
 
@@ -300,42 +296,16 @@
         return retryAfterMillis.isPresent();
     }
 
-    /**
-     * Returns the retry delay if the prompt is rejected for overload, else empty. In adaptive pools
-     * it is the time until the runner's queue is short enough for the prompt.
-     */
-    private OptionalLong overloadRetryMillis(long nowNanos) {
+    private OptionalLong overloadRetryMillis(EndpointPool pool, long nowNanos) {
         boolean begun = sentBefore || admitted.head().lastEventId().isPresent();
-        if (begun || runner.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        boolean urgent = admitted.route().priority() == HIGHEST_PRIORITY;
-        double queuedNanos = state.choice().waitNanos(runner.get());
-        String pool = admitted.pool().orElseThrow().name();
-        if (state.endpoints().adaptivePools().contains(pool)) {
-            OptionalLong excess =
-                    OverloadAdmission.excessNanos(
-                            urgent,
-                            isBeyondShare(nowNanos),
-                            admitted.route().goalMillis(),
-                            queuedNanos);
-            return excess.isEmpty()
-                    ? excess
-                    : OptionalLong.of(1 + excess.getAsLong() / NANOS_PER_MILLI);
-        }
-        return PromptAdmission.retryAfterMillis(
-                urgent,
-                admitted.route().goalMillis(),
-                queuedNanos,
-                ThreadLocalRandom.current().nextDouble());
-    }
-
-    private boolean isBeyondShare(long nowNanos) {
-        return state.shares().current(nowNanos).isBeyond(TeamShares.nameOf(admitted.team()));
+        return begun || runner.isEmpty()
+                ? OptionalLong.empty()
+                : overload.retryAfterMillis(pool, runner.get(), nowNanos);
     }
 
     void recordTried(EndpointState endpoint) {
         state.rollouts().recordSent(endpoint.entry());
+        runner.ifPresent(choice -> overload.recordSent(choice, System.nanoTime()));
         tried.add(endpoint.entry().id());
         sentBefore = true;
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/RequestWait.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/RequestWait.java
@@ -40,6 +40,8 @@
     private Consumer<String> rejection = reason -> {};
     private String reason = "";
     private long sinceNanos;
+    private long blockedNanos;
+    private int sendsAtBlock;
     private boolean inQueue;
     private boolean blocked;
 
@@ -88,7 +90,7 @@
      */
     Optional<EndpointState> choose(long nowNanos) {
         boolean healthyOnly =
-                inQueue && attempts.sends() > 0 && nowNanos - sinceNanos < HEALTHY_ONLY_NANOS;
+                inQueue && attempts.sends() > 0 && nowNanos - blockedNanos < HEALTHY_ONLY_NANOS;
         Optional<EndpointState> chosen =
                 healthyOnly ? selection.chooseHealthy(nowNanos) : selection.choose(nowNanos);
         return selection.retryAfterMillis().isPresent() ? Optional.empty() : chosen;
@@ -127,6 +129,10 @@
         rejection = reject;
         reason = cause;
         selection.clearTried();
+        if (!inQueue || attempts.sends() != sendsAtBlock) {
+            blockedNanos = nowNanos;
+            sendsAtBlock = attempts.sends();
+        }
         if (inQueue) {
             blocked = true;
             return true;
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -52,7 +52,7 @@
         this.poison = new PoisonDirectory(traffic, this::withdrawQuarantined);
         endpoints.setCrashListener(this::recordCrash);
         this.rates = new TeamRates(fleetStarts, load.rateSlackTokens());
-        this.shares = new TeamShares(rates);
+        this.shares = new TeamShares(rates, endpoints);
         this.retries = new RetryBudgets(bounds, metrics, fleetStarts);
         this.origins = new StreamOriginDirectory(traffic);
         this.rollouts = new RolloutTable(bounds.exposureShare());
