--- a/core/src/main/java/org/bronzelug/core/admission/OverloadAdmission.java
+++ b/core/src/main/java/org/bronzelug/core/admission/OverloadAdmission.java
@@ -21,8 +21,14 @@
     /** Queue at which a runner may soon be idle. */
     private static final double SHORT_QUEUE_FRACTION = 0.05;
 
-    /** Longest queue for teams beyond their share; prompts behind it are late. */
-    private static final double LONG_QUEUE_FRACTION = 1;
+    /**
+     * Longest queue for teams beyond their share. With the whole goal, runners that are slowed down
+     * had queues of several times the goal, and teams within their share lost more prompts.
+     */
+    private static final double LONG_QUEUE_FRACTION = 0.6;
+
+    /** The same for urgent prompts, whose goals are short; prompts behind it are late. */
+    private static final double URGENT_QUEUE_FRACTION = 1;
 
     /** Longest queue for teams within their share. */
     private static final double LONGEST_QUEUE_FRACTION = 2;
@@ -59,7 +65,7 @@
 
     private static double fraction(boolean urgent, boolean beyondShare, boolean credit) {
         if (urgent) {
-            return beyondShare ? LONG_QUEUE_FRACTION : Double.POSITIVE_INFINITY;
+            return beyondShare ? URGENT_QUEUE_FRACTION : Double.POSITIVE_INFINITY;
         }
         if (!beyondShare) {
             return LONGEST_QUEUE_FRACTION;
--- a/core/src/main/java/org/bronzelug/core/admission/ReturnSchedule.java
+++ b/core/src/main/java/org/bronzelug/core/admission/ReturnSchedule.java
@@ -9,8 +9,8 @@
  *
  * <p>Invariants: a delay is at most a third of the caller's remaining time, beyond which callers do
  * not wait. Delays of requests that are rejected at the same time with the same remaining time
- * increase in the order of the rejections, up to a resolution of one millisecond. Not thread-safe:
- * guarded by its owner.
+ * increase in the order of the rejections, up to a resolution of one millisecond, until the
+ * reserved time reaches {@link #HORIZON_NANOS}. Not thread-safe: guarded by its owner.
  */
 public final class ReturnSchedule {
     private static final double NANOS_PER_MILLI = 1e6;
@@ -23,7 +23,10 @@
 
     private static final double MAXIMUM_GAP_NANOS = 2.5e8;
 
-    /** Returns are reserved no further ahead: the estimate does not hold for longer. */
+    /**
+     * Returns are reserved no further ahead, since the estimate does not hold for longer; then they
+     * are reserved from the beginning again.
+     */
     private static final double HORIZON_NANOS = 1e10;
 
     private long lastReturnNanos = Long.MIN_VALUE;
@@ -42,22 +45,25 @@
         double gap = Math.clamp(work / ratePerNano, MINIMUM_GAP_NANOS, MAXIMUM_GAP_NANOS);
         double ahead =
                 lastReturnNanos == Long.MIN_VALUE ? 0 : Math.max(0, lastReturnNanos - nowNanos);
-        double delay = Math.min(HORIZON_NANOS, Math.max(ahead, waitNanos) + gap);
+        double delay = Math.max(ahead, waitNanos) + gap;
+        if (delay > HORIZON_NANOS) {
+            delay = Math.min(HORIZON_NANOS, waitNanos + gap);
+        }
         lastReturnNanos = nowNanos + (long) delay;
         double bounded = bounded(delay, Math.max(0, remainingNanos) * REMAINING_FRACTION);
         return Math.max(1, (long) (bounded / NANOS_PER_MILLI));
     }
 
     /**
-     * Maps a delay to one below the bound and keeps the order: the upper half of the range is for
-     * all delays that are longer than half of the bound.
+     * Maps a delay up to the horizon to one up to the bound and keeps the order: the lower half of
+     * the range is for delays that are not changed, the upper half for all that are longer.
      */
     private static double bounded(double delay, double bound) {
         double half = bound / 2;
         if (delay <= half || half <= 0) {
             return Math.min(delay, bound);
         }
-        double beyond = delay - half;
-        return half + half * beyond / (beyond + half);
+        double position = Math.sqrt((delay - half) / (HORIZON_NANOS - half));
+        return half + half * Math.min(1, position);
     }
 }
