Late requests are looked for every 50 ms only

Each round of tries looked at the work ahead of every waiting request, up to 200 times a second with 256 of them. The rounds between the checks only try now. WaitingRequestTest (6), StoppedVmTest (1) and SuspectedPartPlacementTest (5) pass; processor time was not measured.

--- a/router/src/main/java/org/bronzelug/router/exchange/WaitingRequests.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/WaitingRequests.java
@@ -148,6 +148,10 @@
 
     private void check() {
         checking = false;
+        for (PoolAdmission<RequestWait> pool : pools.values()) {
+            pool.removeTooLate(System.nanoTime())
+                    .forEach(refused -> refuse(refused.entry(), nameOf(refused.cause())));
+        }
         tryAll();
         scheduleCheck();
     }
@@ -159,8 +163,6 @@
     }
 
     private void tryPool(PoolAdmission<RequestWait> pool) {
-        pool.removeTooLate(System.nanoTime())
-                .forEach(refused -> refuse(refused.entry(), nameOf(refused.cause())));
         Set<WaitingEntry<RequestWait>> tried = new HashSet<>();
         Map<String, Integer> failedOfTeam = new HashMap<>();
         int failed = 0;
--- a/router/src/main/java/org/bronzelug/router/traffic/TeamShares.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TeamShares.java
@@ -60,7 +60,7 @@
      *
      * @param missing tokens that the runner has to prefill
      */
-    public void recordSent(String pool, double tokens, double missing) {
+    public void recordSent(String pool, long tokens, long missing) {
         PoolShares known = pool(pool);
         known.tokens = EARLIER_WEIGHT * known.tokens + tokens;
         known.missingTokens = EARLIER_WEIGHT * known.missingTokens + missing;
