--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
@@ -41,6 +41,11 @@
         return adaptivePools.reportsWork(pool);
     }
 
+    /** Records that the endpoint has rejected a request, as full ones do. */
+    void recordRejection() {
+        adaptivePools.recordRejection(pool);
+    }
+
     /** Records the load that the endpoint reports in a response. */
     void recordLoad(EndpointLoad load, int ownRequests, long nowNanos) {
         load.workPercent()
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -256,7 +256,7 @@
         if (misdirected) {
             markWeightsUnknown(nowNanos);
         } else {
-            adaptivePools.recordRejection(entry.pool());
+            capacity.recordRejection();
             recordFailure(nowNanos);
         }
     }
