Prompts are placed without measured speeds and reported load

The VMs' prompts met at the fast runners, where decoding slows beside prefill. Requests without a prompt keep the choice by speed.

--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -135,10 +135,9 @@
         usable = preferred(usable, nowNanos);
         int considered = usable.size();
         PrefixChain chain = PrefixChain.ofParts(cachePartition + prompt.model(), prompt.parts());
-        double remeasured = speeds.remeasureProbability(usable);
         List<RunnerLoad> loads =
                 usable.stream()
-                        .map(state -> load(state, prompt.model(), goalMillis, remeasured, nowNanos))
+                        .map(state -> load(state, prompt.model(), goalMillis, nowNanos))
                         .toList();
         Optional<Placement> placement = policy(pool).choose(chain, loads, cacheEstimate, nowNanos);
         return placement.flatMap(
@@ -255,7 +254,7 @@
     private boolean isBeginExpectedInTime(EndpointState state, PromptSpec prompt, long nowNanos) {
         double tokens =
                 state.load().ownTokens()
-                        + state.capacity().peers(nowNanos).queuedPrefillTokens()
+                        + state.peerUsage().queuedPrefillTokens()
                         + prompt.inputTokens();
         double waitNanos = WAIT_ESTIMATE_MULTIPLE * tokens * state.prefillRate().nanosPerToken();
         return weightsAges.mayWait(
@@ -265,28 +264,26 @@
                 nowNanos);
     }
 
-    private RunnerLoad load(
-            EndpointState state, String model, long goalMillis, double remeasured, long nowNanos) {
-        PeerEndpointUsage peers = state.capacity().peers(nowNanos);
+    private RunnerLoad load(EndpointState state, String model, long goalMillis, long nowNanos) {
+        PeerEndpointUsage peers = state.peerUsage();
         RunnerLoad own = state.load().load(state.entry().id(), state.cacheIncarnation(model));
         return new RunnerLoad(
                 own.name(),
                 own.incarnation(),
                 own.queuedPrefillTokens()
                         + peers.queuedPrefillTokens()
-                        + slotWaitTokens(state, nowNanos)
+                        + slotWaitTokens(state)
                         + replacedWeightsPenaltyTokens(state, model, goalMillis, nowNanos),
                 own.runningStreams() + peers.requests(),
-                speeds.speed(state, remeasured, nowNanos));
+                1);
     }
 
     /** Returns the wait for a free slot in an adaptive pool, as tokens added to the queue. */
-    private int slotWaitTokens(EndpointState state, long nowNanos) {
+    private int slotWaitTokens(EndpointState state) {
         if (!endpoints.adaptivePools().contains(state.entry().pool())) {
             return 0;
         }
-        int requests = state.ownRequests() + state.capacity().peers(nowNanos).requests();
-        double waitNanos = SlotWait.nanos(requests, state.entry().slots());
+        double waitNanos = SlotWait.nanos(state.requests(), state.entry().slots());
         return (int) (waitNanos / state.prefillRate().nanosPerToken());
     }
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -162,6 +162,11 @@
         return ownRequests.size();
     }
 
+    /** Returns the load by the other VMs, as they last reported it. */
+    PeerEndpointUsage peerUsage() {
+        return peerUsage;
+    }
+
     /** Returns the number of requests in flight from the other VMs, as they last reported it. */
     public int peerRequests() {
         return peerUsage.requests();
