--- a/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/bronzelug/core/placement/PlacementPolicy.java
@@ -10,8 +10,8 @@
  * approximates the time to the first token.
  *
  * <p>The cost of a runner is the time to prefill the tokens queued there and the prompt's tokens
- * that are missing from its cache, at the runner's speed, plus the slowdown by the streams that it
- * is generating. A missing token has a higher weight than a queued one.
+ * that are missing from its cache, plus the slowdown by the streams that it is generating. A
+ * missing token has a higher weight than a queued one.
  *
  * <p>Cached tokens are taken from a {@link CacheEstimate}. If it has no runner with the prompt's
  * deepest shared level, the runner that rendezvous hashing selects for that level is assumed to
@@ -101,7 +101,7 @@
         int assumedTokens = assumeCached ? chain.deepestSharedLevel().tokens() : 0;
         int missing = chain.tokens() - Math.max(cached, assumedTokens);
         double weighted = runner.queuedPrefillTokens() + missing * missingTokenWeight;
-        double prefill = weighted * settings.nanosPerPrefillToken() / runner.speed();
+        double prefill = weighted * settings.nanosPerPrefillToken();
         double decode = runner.runningStreams() * settings.nanosPerRunningStream();
         return new Placement(
                 runner.name(),
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointCapacity.java
@@ -4,7 +4,6 @@
 import org.bronzelug.core.capacity.ConcurrencyKnee;
 import org.bronzelug.core.capacity.EndpointSpeed;
 import org.bronzelug.core.capacity.Remeasurement;
-import org.bronzelug.core.capacity.ReportedLoad;
 import org.bronzelug.core.capacity.SmoothedCount;
 import org.bronzelug.router.endpoint.EndpointLoad;
 
@@ -16,20 +15,14 @@
  * that they reported, and nothing is measured. Confined to the traffic thread.
  */
 public final class EndpointCapacity {
-    /** The scaled queue of the other VMs is at most this multiple of what they reported. */
-    private static final double MAXIMUM_QUEUE_MULTIPLE = 2;
-
     private static final double PERCENT = 100;
 
     private final AdaptivePools adaptivePools;
     private final String pool;
     private final EndpointSpeed speed = new EndpointSpeed();
-    private final ReportedLoad reported = new ReportedLoad();
     private final ConcurrencyKnee knee = new ConcurrencyKnee();
     private final SmoothedCount smoothed = new SmoothedCount();
-    private PeerEndpointUsage peers = PeerEndpointUsage.NONE;
     private Optional<EndpointLoad> latestLoad = Optional.empty();
-    private long peerDelayNanos;
 
     EndpointCapacity(AdaptivePools adaptivePools, String pool) {
         this.adaptivePools = adaptivePools;
@@ -47,7 +40,7 @@
     }
 
     /** Records the load that the endpoint reports in a response. */
-    void recordLoad(EndpointLoad load, int ownRequests, long nowNanos) {
+    void recordLoad(EndpointLoad load, long nowNanos) {
         load.workPercent()
                 .ifPresent(
                         percent -> {
@@ -55,7 +48,6 @@
                             speed.recordWork(percent, nowNanos);
                         });
         latestLoad = Optional.of(load);
-        reported.record(load.running(), load.waiting(), ownRequests, nowNanos);
     }
 
     /** Records the speed that a response shows, as a range. */
@@ -95,16 +87,10 @@
 
     /** Records what the other VMs report. */
     void setPeers(PeerEndpointUsage usage, long nowNanos) {
-        peers = usage;
         smoothed.record(usage.requests(), nowNanos);
         speed.setPeers(usage.speeds(), nowNanos);
     }
 
-    /** Sets the time until the usage of one VM is known to this one. */
-    void setPeerDelay(long nanos) {
-        peerDelayNanos = nanos;
-    }
-
     /** Returns the endpoint's speed relative to its pool. */
     double speed(long nowNanos) {
         return isAdaptive() ? speed.speed(nowNanos) : 1;
@@ -124,17 +110,4 @@
     double meanPeerRequests() {
         return smoothed.mean();
     }
-
-    /** Returns the other VMs' usage of the endpoint, by the more recent of the reports. */
-    PeerEndpointUsage peers(long nowNanos) {
-        if (!isAdaptive() || !reported.isFresher(peerDelayNanos, nowNanos)) {
-            return peers;
-        }
-        double multiple =
-                Math.min(
-                        MAXIMUM_QUEUE_MULTIPLE,
-                        (double) reported.otherRequests() / Math.max(1, peers.requests()));
-        return new PeerEndpointUsage(
-                (int) (peers.queuedPrefillTokens() * multiple), reported.otherRequests());
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointChoice.java
@@ -274,8 +274,7 @@
                         + peers.queuedPrefillTokens()
                         + slotWaitTokens(state)
                         + replacedWeightsPenaltyTokens(state, model, goalMillis, nowNanos),
-                own.runningStreams() + peers.requests(),
-                1);
+                own.runningStreams() + peers.requests());
     }
 
     /** Returns the wait for a free slot in an adaptive pool, as tokens added to the queue. */
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -307,8 +307,7 @@
         long nowNanos = System.nanoTime();
         advertisements.recordResponse(response, nowNanos);
         rejectionRisk.recordResponse(response, nowNanos);
-        response.load()
-                .ifPresent(reported -> capacity.recordLoad(reported, ownRequests.size(), nowNanos));
+        response.load().ifPresent(reported -> capacity.recordLoad(reported, nowNanos));
         if (isLeaving()) {
             connections.retire();
         }
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -91,7 +91,6 @@
             if (state.update(entry, usage, loadOrdered)) {
                 draining.add(state);
             }
-            state.capacity().setPeerDelay(update.propagationDelayNanos());
         }
         updateLimits(update);
         checkSilentPaths();
--- a/router/src/main/java/org/bronzelug/router/traffic/SpeedPlacement.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/SpeedPlacement.java
@@ -12,7 +12,8 @@
 import org.bronzelug.core.placement.LeastLoad;
 
 /**
- * Placement by the measured speeds of endpoints, in adaptive pools. Confined to the traffic thread.
+ * Placement of requests without a prompt by the measured speeds of endpoints, in adaptive pools.
+ * Confined to the traffic thread.
  */
 public final class SpeedPlacement {
     private final AdaptivePools adaptivePools;
@@ -67,8 +68,8 @@
                 state.capacity().speed(nowNanos));
     }
 
-    /** Returns the probability with which a prompt ignores that an endpoint appeared slow. */
-    double remeasureProbability(Collection<EndpointState> usable) {
+    /** Returns the probability with which a request measures an endpoint that appeared slow. */
+    private double remeasureProbability(Collection<EndpointState> usable) {
         Optional<EndpointState> first = usable.stream().findAny();
         if (first.isEmpty() || !first.get().capacity().isAdaptive()) {
             return 0;
@@ -81,16 +82,4 @@
         UsualTime duration = durations.get(first.get().entry().pool());
         return duration == null ? 0 : Remeasurement.probability(requests, duration.duration());
     }
-
-    /**
-     * Returns the speed by which the endpoint is compared for a prompt.
-     *
-     * @param probability see {@link #remeasureProbability}
-     */
-    double speed(EndpointState state, double probability, long nowNanos) {
-        double draw = probability > 0 ? ThreadLocalRandom.current().nextDouble() : 1;
-        return state.capacity().isRemeasured(probability, draw, nowNanos)
-                ? 1
-                : state.capacity().speed(nowNanos);
-    }
 }
