--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -282,14 +282,18 @@
 
         /** Creates or replaces an object's spec, as the operator or a runner does. */
         synchronized ObjectNode put(String kind, String name, JsonNode spec) {
-            ObjectNode known = kinds.computeIfAbsent(kind, k -> new TreeMap<>()).get(name);
-            if (known != null && known.get("spec").equals(spec)) {
-                return known;
-            }
-            return write(kind, name, spec, known);
+            return write(
+                    kind,
+                    name,
+                    spec,
+                    kinds.computeIfAbsent(kind, k -> new TreeMap<>()).get(name));
         }
 
+        /** Writes a spec; one that changes nothing gives no event and no new revision. */
         private ObjectNode write(String kind, String name, JsonNode spec, ObjectNode known) {
+            if (known != null && known.get("spec").equals(spec)) {
+                return known;
+            }
             revision++;
             ObjectNode object = JSON.createObjectNode();
             ObjectNode metadata = object.putObject("metadata");
@@ -400,10 +404,6 @@
                 } else if (request.method().equals("DELETE")) {
                     remove(kind, name);
                     result = known;
-                } else if (path.length > 4 && path[4].equals("status")) {
-                    ObjectNode written = write(kind, name, known.get("spec"), known);
-                    written.set("status", sent.get("status"));
-                    result = written;
                 } else {
                     result = write(kind, name, sent.get("spec"), known);
                 }
