Review, case 2: the disruption is a planned restart of a machine

A cut of the watches might count as an impairment of the store, after which a confirmation does not bind. It stays as a second mode of the script.

--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -568,6 +568,7 @@
         private final Path settings;
         private final List<String> command;
         private Process process;
+        private volatile double startedSeconds;
 
         Machine(String name, String ip, Path directory, Store store, Ports ports, boolean starts)
                 throws IOException {
@@ -626,11 +627,13 @@
                     ProcessBuilder.Redirect.appendTo(
                             directory.resolve(name + ".log").toFile()));
             process = builder.start();
+            startedSeconds = seconds();
             log("machine %s starts, process %d", name, process.pid());
         }
 
-        long pid() {
-            return process.pid();
+        /** Returns when the process was last started. */
+        double startedSeconds() {
+            return startedSeconds;
         }
 
         boolean isAlive() {
--- a/review/src/LeavingRunner.java
+++ b/review/src/LeavingRunner.java
@@ -36,14 +36,14 @@
     public static void main(String[] arguments) throws Exception {
         Path folder = Path.of(arguments[0]);
         boolean trouble = !arguments[1].equals("0");
-        boolean blind = arguments.length > 2 && arguments[2].equals("blind");
+        String mode = arguments.length > 2 ? arguments[2] : "restart";
         Harness.openRecord(folder.resolve("record.txt"));
         Path directory = Files.createTempDirectory("leaving-runner");
         List<Harness.Machine> machines = new CopyOnWriteArrayList<>();
         Harness.guard(machines, 110_000);
         int result = 2;
         try {
-            result = run(trouble, blind, directory, machines);
+            result = run(trouble, mode, directory, machines);
         } catch (IOException | RuntimeException failed) {
             Harness.log("could not run: %s", failed);
         } finally {
@@ -55,10 +55,12 @@
     }
 
     /**
-     * @param blind whether the runner reports some time after the cut, whatever the machines read
+     * @param mode "restart": a machine is stopped and started again, and reads the list at its
+     *     start; "cut": the store cuts the waiting watches, after which all machines read it;
+     *     "blind": the same, and the runner reports some time later, whatever the machines read
      */
     private static int run(
-            boolean trouble, boolean blind, Path directory, List<Harness.Machine> machines)
+            boolean trouble, String mode, Path directory, List<Harness.Machine> machines)
             throws IOException {
         Harness.Store store = new Harness.Store("127.0.0.1");
         List<Harness.Runner> runners = new ArrayList<>();
@@ -115,14 +117,18 @@
                     (kind, caller, after) -> {
                         if (kind.equals("servers")) {
                             Harness.log("store sent a page of servers to %s after '%s'", caller, after);
-                            if (after.isEmpty() && !blind) {
+                            if (after.isEmpty() && !mode.equals("blind")) {
                                 drain.run();
                             }
                         }
                     };
-            Harness.log("store cuts the watches that wait");
-            store.cutWatches();
-            Harness.sleep(blind ? BLIND_MILLIS : 2_000);
+            if (mode.equals("restart")) {
+                restart(machines.get(0), store, ports);
+            } else {
+                Harness.log("store cuts the watches that wait");
+                store.cutWatches();
+                Harness.sleep(mode.equals("blind") ? BLIND_MILLIS : 2_000);
+            }
         }
         drain.run();
         double left = confirmed[0] + SERVES_MILLIS / 1e3;
@@ -138,13 +144,39 @@
         return judge(confirmed[0], leaver, calls, machines);
     }
 
+    /** Stops a machine by SIGTERM and starts it again when its process has ended. */
+    private static void restart(Harness.Machine machine, Harness.Store store, Harness.Ports ports)
+            throws IOException {
+        machine.terminate();
+        while (machine.isAlive()) {
+            Harness.sleep(50);
+        }
+        Harness.log("machine %s has ended with status %d", machine.name, machine.exitValue());
+        machine.writeSettings(store, ports, false);
+        machine.start();
+        machine.awaitReady(10_000);
+    }
+
     private static void callUntil(
-            AtomicBoolean stop, Harness.Machine machine, String prefix, List<Call> calls)
+            AtomicBoolean stop, Harness.Machine machine, String prefix, List<Call> calls) {
+        AtomicInteger number = new AtomicInteger();
+        while (!stop.get()) {
+            try {
+                callOnConnection(stop, machine, prefix, number, calls);
+            } catch (IOException refused) {
+                // The machine is stopped; a requester would use another one meanwhile.
+                Harness.sleep(100);
+            }
+        }
+    }
+
+    private static void callOnConnection(
+            AtomicBoolean stop, Harness.Machine machine, String prefix, AtomicInteger numbers,
+            List<Call> calls)
             throws IOException {
-        int number = 0;
         Harness.Connection connection = new Harness.Connection(machine.ip, machine.frontPort);
-        while (!stop.get()) {
-            number++;
+        while (!stop.get() && !connection.closing.get()) {
+            int number = numbers.incrementAndGet();
             String method = number % 4 == 0 ? "GET" : "POST";
             String id = prefix + "-" + number;
             double sent = Harness.seconds();
@@ -156,10 +188,6 @@
             if (answer.status() != 200) {
                 Harness.log("requester: %s %s answered %d", method, id, answer.status());
             }
-            if (connection.closing.get()) {
-                connection.close();
-                connection = new Harness.Connection(machine.ip, machine.frontPort);
-            }
             Harness.sleep(40);
         }
         connection.close();
@@ -170,10 +198,13 @@
             List<Harness.Machine> machines) {
         double bound = confirmed + DRAIN_MILLIS / 1e3;
         Map<String, Integer> lateOf = Harness.map();
-        for (Harness.Run run : leaver.runs) {
-            if (run.atSeconds() > bound) {
-                String machine = run.requestId().substring(0, "front-1".length());
-                lateOf.merge(machine, 1, Integer::sum);
+        for (Harness.Machine machine : machines) {
+            double inTouch = machine.startedSeconds() + CONTACT_MILLIS / 1e3;
+            for (Harness.Run run : leaver.runs) {
+                if (run.requestId().startsWith(machine.name) && run.atSeconds() > bound
+                        && run.atSeconds() > inTouch) {
+                    lateOf.merge(machine.name, 1, Integer::sum);
+                }
             }
         }
         AtomicInteger lost = new AtomicInteger();
@@ -187,7 +218,8 @@
         int late = lateOf.values().stream().mapToInt(Integer::intValue).sum();
         Harness.log("requests sent: %d, machines alive: %d of 3", calls.size(), alive);
         Harness.log(
-                "requests that reached %s later than drainMs (%d ms) after the confirmation: %d %s",
+                "requests that reached %s later than drainMs (%d ms) after the confirmation, from"
+                        + " machines in touch: %d %s",
                 leaver.id, DRAIN_MILLIS, late, lateOf);
         Harness.log("unsafe requests that ran at %s and got no result: %d", leaver.id, lost.get());
         return late > 0 ? 1 : 0;
