--- a/review/src/ForeignEntry.java
+++ b/review/src/ForeignEntry.java
@@ -122,6 +122,8 @@
             // The modulus of an RSA key of 4,096 bits has 1,233 digits.
             case "number" -> key.put("modulus", BigInteger.ONE.shiftLeft(4_095).add(BigInteger.TWO));
             case "small" -> key.put("modulus", 15);
+            // A letter in ISO 8859-1, as another writer may have sent it.
+            case "bytes" -> key.put("owner", "wien-s" + Harness.Store.UNREADABLE + "d");
             default -> throw new IllegalArgumentException("no such variant: " + variant);
         }
         store.put("servers", "other-writer", entry);
--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -244,6 +244,9 @@
 
     /** The platform's store: objects by kind and name, one revision counter, lists and watches. */
     static final class Store {
+        /** Stands for a byte, in what a writer has stored, that is not valid UTF-8. */
+        static final String UNREADABLE = "\ue000";
+
         private static final int PAGE_OBJECTS = 500;
         private static final int PAGE_BYTES = 1_048_576;
         private static final long CALL_MILLIS = 4;
@@ -482,7 +485,19 @@
                     out,
                     status,
                     "Content-Type: application/json\r\n",
-                    JSON.writeValueAsBytes(body));
+                    unreadable(JSON.writeValueAsBytes(body)));
+        }
+
+        /** Returns the bytes with one that is no UTF-8 in place of each {@link #UNREADABLE}. */
+        private static byte[] unreadable(byte[] json) {
+            String text = new String(json, StandardCharsets.ISO_8859_1);
+            String mark =
+                    new String(
+                            UNREADABLE.getBytes(StandardCharsets.UTF_8),
+                            StandardCharsets.ISO_8859_1);
+            return text.contains(mark)
+                    ? text.replace(mark, "\u00fc").getBytes(StandardCharsets.ISO_8859_1)
+                    : json;
         }
     }
 
