--- a/review/src/Harness.java
+++ b/review/src/Harness.java
@@ -247,7 +247,9 @@
         /** Stands for a byte, in what a writer has stored, that is not valid UTF-8. */
         static final String UNREADABLE = "\ue000";
 
-        private static final int PAGE_OBJECTS = 500;
+        /** As in the site file hak-faqbau: {@code page = 50}. The pages say 500 at most. */
+        private static final int PAGE_OBJECTS = 50;
+
         private static final int PAGE_BYTES = 1_048_576;
         private static final long CALL_MILLIS = 4;
 
--- a/review/src/LeavingRunner.java
+++ b/review/src/LeavingRunner.java
@@ -21,7 +21,7 @@
     /** How long the runner serves after the store has accepted its report. */
     private static final int SERVES_MILLIS = 9_000;
 
-    private static final int VALUE_BYTES = 1_048_576;
+    private static final int FOREIGN_ENTRIES = 50;
     private static final int WORK_MILLIS = 80;
     private static final int CLIENTS = 6;
 
@@ -72,10 +72,12 @@
             store.put("servers", runner.id, runner.entry("ready"));
         }
         Harness.Runner leaver = runners.get(0);
-        // An entry of another writer without the fields of a runner, as large as the store allows.
-        ObjectNode foreign = Harness.JSON.createObjectNode();
-        foreign.put("note", "x".repeat(VALUE_BYTES - 100));
-        store.put("servers", "z-note", foreign);
+        // Entries of another writer without the fields of a runner: the list has two pages.
+        for (int number = 1; number <= FOREIGN_ENTRIES; number++) {
+            ObjectNode foreign = Harness.JSON.createObjectNode();
+            foreign.put("note", number);
+            store.put("servers", String.format("z-note-%02d", number), foreign);
+        }
         store.put("config", "main", Harness.manifest(7, SERVICE, 100));
         Harness.Ports ports = Harness.Ports.free("127.0.0.1");
         for (int number = 1; number <= 3; number++) {
