Lists are read page by page in the router; logs say at which revisions

No log line told apart a list that misses the change, an event lost on the watch, and a current mirror with an old decision: nothing said how many pages a list had or when they were read.

Change: ObjectStore reads one page; PagedList in the router joins the pages, with the revision of the last page as before, and logs the revisions at the first and the last page (212). RUNNER_UP and RUNNER_DOWN name the revision of the mirror. No decision changes.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -25,6 +25,7 @@
     PEER_FOLLOWED(210, "polling a peer for changes of the platform's objects"),
     PEER_READ_FAILED(
             211, "read of the platform's objects from a peer failed; using another source"),
+    LISTED_IN_PAGES(212, "list of a kind read in several pages"),
     FRESHNESS_LOST(300, "configuration not confirmed as current for too long; rejecting requests"),
     FRESHNESS_REGAINED(301, "configuration confirmed as current again"),
     PEER_UNREACHABLE(302, "peer unreachable"),
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -136,19 +136,23 @@
         }
         Map<String, EndpointEntry> previous = endpoints.entries();
         endpoints.update(listed, System.nanoTime());
-        logEndpointChanges(previous, endpoints.entries());
+        logEndpointChanges(
+                previous, endpoints.entries(), mirror(decoder.endpointKind()).revision());
     }
 
     private static void logEndpointChanges(
-            Map<String, EndpointEntry> previous, Map<String, EndpointEntry> current) {
+            Map<String, EndpointEntry> previous,
+            Map<String, EndpointEntry> current,
+            long revision) {
+        String suffix = " revision=" + revision;
         for (EndpointEntry entry : current.values()) {
             if (!entry.equals(previous.get(entry.id()))) {
-                EventLog.info(LogEvent.RUNNER_UP, "endpoint=" + entry);
+                EventLog.info(LogEvent.RUNNER_UP, "endpoint=" + entry + suffix);
             }
         }
         for (EndpointEntry entry : previous.values()) {
             if (!current.containsKey(entry.id())) {
-                EventLog.info(LogEvent.RUNNER_DOWN, "endpoint=" + entry);
+                EventLog.info(LogEvent.RUNNER_DOWN, "endpoint=" + entry + suffix);
             }
         }
     }
--- a/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.store;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -8,8 +9,17 @@
  * Thread-safe.
  */
 public interface ObjectStore {
-    /** Lists all current objects of a kind. */
-    CompletableFuture<ItemList> list(String kind);
+    /** Lists all objects of a kind, page by page. */
+    default CompletableFuture<ItemList> list(String kind) {
+        return new PagedList(this, kind).read();
+    }
+
+    /**
+     * Reads one page of the list of a kind's objects.
+     *
+     * @param after name after which the page begins; empty for the first page
+     */
+    CompletableFuture<ItemPage> page(String kind, Optional<String> after);
 
     /**
      * Waits a limited time for changes after a revision; if there are none, the result is empty and
--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -29,6 +29,7 @@
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ItemChanges;
 import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ItemPage;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoredItem;
 import org.junit.jupiter.api.AfterEach;
@@ -231,7 +232,7 @@
         }
 
         @Override
-        public CompletableFuture<ItemList> list(String kind) {
+        public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
             return new CompletableFuture<>();
         }
 
--- a/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/KindWatchTest.java
@@ -5,13 +5,14 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.bronzelug.router.store.ItemChanges;
-import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ItemPage;
 import org.bronzelug.router.store.ObjectMirror;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoreException;
@@ -146,8 +147,8 @@
         private volatile boolean changed = true;
 
         @Override
-        public CompletableFuture<ItemList> list(String kind) {
-            return CompletableFuture.completedFuture(new ItemList(List.of(), 5));
+        public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
+            return CompletableFuture.completedFuture(new ItemPage(List.of(), false, 5));
         }
 
         @Override
@@ -200,8 +201,8 @@
         private final AtomicInteger watches = new AtomicInteger();
 
         @Override
-        public CompletableFuture<ItemList> list(String kind) {
-            return CompletableFuture.completedFuture(new ItemList(List.of(), 1));
+        public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
+            return CompletableFuture.completedFuture(new ItemPage(List.of(), false, 1));
         }
 
         @Override
@@ -222,12 +223,13 @@
         private int lists;
 
         @Override
-        public CompletableFuture<ItemList> list(String kind) {
+        public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
             lists++;
             long revision = lists == 1 ? 5 : 7;
             StoredItem item = new StoredItem("main", revision, new byte[0]);
             long listRevision = lists == 1 ? 8 : 10;
-            return CompletableFuture.completedFuture(new ItemList(List.of(item), listRevision));
+            return CompletableFuture.completedFuture(
+                    new ItemPage(List.of(item), false, listRevision));
         }
 
         @Override
--- a/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
@@ -4,10 +4,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import org.bronzelug.router.store.ItemChanges;
-import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ItemPage;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoreException;
 import org.bronzelug.router.store.StoredItem;
@@ -24,10 +25,10 @@
     }
 
     @Override
-    public CompletableFuture<ItemList> list(String kind) {
+    public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
         calls.add("list");
         return CompletableFuture.completedFuture(
-                new ItemList(List.copyOf(items.values()), revision));
+                new ItemPage(List.copyOf(items.values()), false, revision));
     }
 
     @Override
