A peer whose revision lies between two reads of a VM gets all objects

Cause: a list, and what another peer returns, show only the outcome of the changes since the VM's revision. An endpoint that joined and left meanwhile is in neither, so the VM's change log did not name it. A peer that knew this endpoint from elsewhere, and asked for the changes since a revision in between, was given the later revision without its removal, and kept sending it requests until its next list. The same with a watch that reports only the removal, which the mirror took for no change.

Change: ChangeLog, split off ObjectMirror, records the revisions that were crossed by a list or a peer's changes; a peer strictly in between gets all objects, one at the former revision or before it the changes, as before. Removals are logged whether or not the object was known.

--- a/router/src/main/java/org/bronzelug/router/control/PeerReader.java
+++ b/router/src/main/java/org/bronzelug/router/control/PeerReader.java
@@ -119,7 +119,7 @@
             StoredItem removed = new StoredItem(name, kind.getRevision(), new byte[0]);
             changes.add(new ItemChanges.ItemChange(removed, true));
         }
-        return mirror.apply(new ItemChanges(changes, kind.getRevision()));
+        return mirror.applyOutcome(new ItemChanges(changes, kind.getRevision()));
     }
 
     private static StoredItem item(StoredObject object) {
--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -1,12 +1,9 @@
 package org.bronzelug.router.store;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -21,14 +18,10 @@
  * valid again. Confined to the control thread.
  */
 public final class ObjectMirror {
-    /** Covers some minutes of a large fleet's changes; a peer that lacks more gets all objects. */
-    private static final int MAXIMUM_LOGGED_CHANGES = 2_048;
-
     private static final byte[] NO_CONTENT = new byte[0];
 
     private final Map<String, StoredItem> items = new HashMap<>();
-    private final Deque<LoggedChange> changeLog = new ArrayDeque<>();
-    private long logStartRevision;
+    private final ChangeLog changeLog = new ChangeLog();
     private long revision;
     private long firstListRevision;
 
@@ -48,12 +41,14 @@
         Set<String> changed = changedNames(listed);
         items.clear();
         items.putAll(listed);
-        revision = list.revision();
-        if (firstListRevision == 0) {
-            firstListRevision = revision;
-            logStartRevision = revision;
+        if (isKnown()) {
+            changeLog.addGap(revision, list.revision());
+        } else {
+            firstListRevision = list.revision();
+            changeLog.start(list.revision());
         }
-        changed.forEach(this::logChange);
+        revision = list.revision();
+        changed.forEach(name -> changeLog.add(name, revision));
         return !changed.isEmpty();
     }
 
@@ -69,35 +64,40 @@
         revision = changes.revision();
         boolean changed = false;
         for (ItemChanges.ItemChange change : changes.changes()) {
-            if (apply(change)) {
+            // A peer may know an object that was created and removed without this VM's knowledge.
+            if (apply(change) || change.removed()) {
                 changed = true;
-                logChange(change.item().name());
+                changeLog.add(change.item().name(), revision);
             }
         }
         return changed;
     }
 
-    private void logChange(String name) {
-        changeLog.addLast(new LoggedChange(revision, name));
-        if (changeLog.size() > MAXIMUM_LOGGED_CHANGES) {
-            logStartRevision = changeLog.pollFirst().revision();
+    /**
+     * Applies changes of a peer, which are known by their outcome only: an object that was created
+     * and removed between both revisions is not among them.
+     *
+     * @return whether any object has changed
+     */
+    public boolean applyOutcome(ItemChanges changes) {
+        if (changes.revision() > revision) {
+            changeLog.addGap(revision, changes.revision());
         }
+        return apply(changes);
     }
 
     /**
-     * Returns the changes after a revision; empty if they are no longer in the log, so that all
-     * objects must be sent.
+     * Returns the changes after a revision; empty if they are not known, so that all objects must
+     * be sent.
      */
     public Optional<ItemChanges> changesSince(long sinceRevision) {
-        if (firstListRevision == 0 || sinceRevision < logStartRevision) {
+        if (!isKnown()) {
             return Optional.empty();
         }
-        Set<String> names = new LinkedHashSet<>();
-        for (LoggedChange change : changeLog) {
-            if (change.revision() > sinceRevision) {
-                names.add(change.name());
-            }
-        }
+        return changeLog.namesAfter(sinceRevision).map(this::changesOf);
+    }
+
+    private ItemChanges changesOf(Set<String> names) {
         List<ItemChanges.ItemChange> changes = new ArrayList<>();
         for (String name : names) {
             StoredItem item = items.get(name);
@@ -106,7 +106,7 @@
                     new ItemChanges.ItemChange(
                             removed ? new StoredItem(name, revision, NO_CONTENT) : item, removed));
         }
-        return Optional.of(new ItemChanges(changes, revision));
+        return new ItemChanges(changes, revision);
     }
 
     private boolean apply(ItemChanges.ItemChange change) {
@@ -133,9 +133,6 @@
         return changed;
     }
 
-    /** A change or removal of one object, with the kind's revision after it. */
-    private record LoggedChange(long revision, String name) {}
-
     public Collection<StoredItem> items() {
         return items.values();
     }
--- a/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
+++ b/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
@@ -89,6 +89,32 @@
         assertThat(mirror.changesSince(5).orElseThrow().changes()).isEmpty();
     }
 
+    /**
+     * Guards against an endpoint that stays in use at a peer after it has left: it joined and left
+     * between two lists of this VM, and the peer knows it from another VM.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, true", "2, false", "9, false", "10, true"})
+    void peerBetweenTwoListsNeedsAllObjects(long peerRevision, boolean changesAreEnough) {
+        ObjectMirror listed = new ObjectMirror();
+        listed.replaceAll(new ItemList(List.of(item("a", 1)), 1));
+        listed.replaceAll(new ItemList(List.of(item("a", 1)), 10));
+        ObjectMirror copied = new ObjectMirror();
+        copied.replaceAll(new ItemList(List.of(item("a", 1)), 1));
+        copied.applyOutcome(new ItemChanges(List.of(), 10));
+        assertThat(listed.changesSince(peerRevision).isPresent()).isEqualTo(changesAreEnough);
+        assertThat(copied.changesSince(peerRevision).isPresent()).isEqualTo(changesAreEnough);
+    }
+
+    /** The same, if the watch reports only that the endpoint has left. */
+    @Test
+    void removalOfAnUnknownObjectReachesAPeerThatKnowsIt() {
+        ObjectMirror mirror = new ObjectMirror();
+        mirror.replaceAll(new ItemList(List.of(item("a", 1)), 1));
+        mirror.apply(changes(new ItemChange(item("b", 5), true), 8));
+        assertThat(mirror.changesSince(6).orElseThrow().changes()).hasSize(1);
+    }
+
     private static ItemChanges changes(ItemChange change, long revision) {
         return new ItemChanges(List.of(change), revision);
     }
