A change between two pages of a list reaches the VM

Callers' unsafe requests ended without a result: a VM that read the list of endpoints while one of them reported draining sent it requests until it exited, 7 s longer than allowed, and nothing mended it.

A change after the first page was read, to an entry of that page, has an earlier revision: it is in no page, and no watch from there returns it. WatchCheck and copies from peers compare revisions, so both found nothing to do. All kinds are read this way; entries that leave, join or are replaced between two pages were missed as well.

Event loss on the watch and an old decision are ruled out: VMs whose list began after the change used the same watch and the same decisions, and sent nothing.

Change: a list has the revision at which its first page was read, and the one of its last. The mirror takes the first, keeps objects that are later than what it is given, and a removal no longer removes an object that was created after it. The changes between the pages are read at once.

Why it is right: each object was read at the mirror's revision or later, and every change after that revision is read before the mirror claims a later one.

Measured: ChangeBetweenPagesTest (a running VM; the endpoint drains, leaves, is replaced, joins): 4 of 4 failed with the revision of the last page, 0 of 4 now.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.store.ItemChanges;
@@ -20,6 +21,9 @@
  * <p>Invariant: at most one list or watch is current. A restart, a pause and a lost watch begin a
  * new generation; a response that belongs to an earlier generation is ignored.
  *
+ * <p>After a list in several pages, the changes made between its pages are read at once, so that
+ * the mirror becomes a snapshot.
+ *
  * <p>After a failed watch the mirror resynchronizes by a list instead of another watch from the
  * last revision. Without this, a change can be missed: the platform loses the change's event, an
  * empty watch returns a later revision, and the next watch starts there, so the VM keeps an older
@@ -219,36 +223,63 @@
         if (mirror.replaceAll(list)) {
             listener.onChange(kind);
         }
-        watch(list.revision());
+        if (mirror.isSnapshot()) {
+            watch(list.revision());
+        } else {
+            readChangesDuringList(list.revision());
+        }
+    }
+
+    /**
+     * Reads the changes made between the pages of a list without waiting for one: if there are none
+     * of this kind, a watch would wait, and peers could not read the mirror until then.
+     */
+    private void readChangesDuringList(long revision) {
+        recordCallStart();
+        onResponse(
+                store.changes(kind, revision),
+                revision,
+                changes -> {
+                    applyChanges(changes);
+                    watch(changes.revision());
+                });
     }
 
     private void watch(long revision) {
-        int startGeneration = generation;
         watchStartNanos = System.nanoTime();
         recordCallStart();
-        store.watch(kind, revision)
-                .whenComplete(
-                        (changes, failure) -> {
-                            if (paused || startGeneration != generation) {
-                                return;
-                            }
-                            callInFlight = false;
-                            if (failure != null) {
-                                onWatchFailure(failure, revision);
-                            } else {
-                                onWatchResponse(changes);
-                            }
-                        });
+        onResponse(store.watch(kind, revision), revision, this::onWatchResponse);
+    }
+
+    private void onResponse(
+            CompletableFuture<ItemChanges> call, long revision, Consumer<ItemChanges> onChanges) {
+        int startGeneration = generation;
+        call.whenComplete(
+                (changes, failure) -> {
+                    if (paused || startGeneration != generation) {
+                        return;
+                    }
+                    callInFlight = false;
+                    if (failure != null) {
+                        onWatchFailure(failure, revision);
+                    } else {
+                        onChanges.accept(changes);
+                    }
+                });
     }
 
     private void onWatchResponse(ItemChanges changes) {
+        applyChanges(changes);
+        boolean successive = System.nanoTime() - watchStartNanos < SUCCESSIVE_CHANGE_NANOS;
+        batchMillis = successive ? Math.min(MAXIMUM_BATCH_MILLIS, batchMillis * 2) : BATCH_MILLIS;
+        scheduleStep(() -> watch(changes.revision()), batchMillis);
+    }
+
+    private void applyChanges(ItemChanges changes) {
         recordReachable();
         if (mirror.apply(changes)) {
             listener.onChange(kind);
         }
-        boolean successive = System.nanoTime() - watchStartNanos < SUCCESSIVE_CHANGE_NANOS;
-        batchMillis = successive ? Math.min(MAXIMUM_BATCH_MILLIS, batchMillis * 2) : BATCH_MILLIS;
-        scheduleStep(() -> watch(changes.revision()), batchMillis);
     }
 
     private void onWatchFailure(Throwable failure, long revision) {
--- a/router/src/main/java/org/bronzelug/router/control/PeerFeed.java
+++ b/router/src/main/java/org/bronzelug/router/control/PeerFeed.java
@@ -110,22 +110,29 @@
                                         .recoveryAgeMillis(System.nanoTime())
                                         .orElse(NO_RECENT_RECOVERY));
         for (String kind : state.kinds()) {
-            ObjectMirror mirror = state.mirror(kind);
-            if (mirror.isKnown()) {
-                changes.addKinds(changes(kind, mirror, poll.knownRevisions.getOrDefault(kind, 0L)));
-            }
+            long knownRevision = poll.knownRevisions.getOrDefault(kind, 0L);
+            changes(kind, state.mirror(kind), knownRevision).ifPresent(changes::addKinds);
         }
         poll.response.complete(
                 new SmallResponse(
                         SUCCESS, "application/x-protobuf", changes.build().toByteArray()));
     }
 
-    private static KindChanges changes(String kind, ObjectMirror mirror, long sinceRevision) {
+    /**
+     * Returns what a peer at a revision lacks of a kind; empty while the mirror is no snapshot.
+     * Without this, a peer takes over the mirror's revision but not the changes up to it that a
+     * list in several pages has missed.
+     */
+    static Optional<KindChanges> changes(String kind, ObjectMirror mirror, long sinceRevision) {
+        if (!mirror.isSnapshot()) {
+            return Optional.empty();
+        }
         KindChanges.Builder changes =
                 KindChanges.newBuilder().setKind(kind).setRevision(mirror.revision());
         Optional<ItemChanges> since = mirror.changesSince(sinceRevision);
         if (since.isEmpty()) {
-            return changes.setWhole(true).addAllObjects(objects(mirror.items())).build();
+            return Optional.of(
+                    changes.setWhole(true).addAllObjects(objects(mirror.items())).build());
         }
         for (ItemChanges.ItemChange change : since.get().changes()) {
             if (change.removed()) {
@@ -134,7 +141,7 @@
                 changes.addObjects(object(change.item()));
             }
         }
-        return changes.build();
+        return Optional.of(changes.build());
     }
 
     private static List<StoredObject> objects(Collection<StoredItem> items) {
@@ -166,7 +173,7 @@
         private boolean lacks(String kind) {
             ObjectMirror mirror = state.mirror(kind);
             long revision = knownRevisions.getOrDefault(kind, 0L);
-            return mirror.isKnown()
+            return mirror.isSnapshot()
                     && mirror.revision() > revision
                     && mirror.changesSince(revision)
                             .map(changes -> !changes.changes().isEmpty())
--- a/router/src/main/java/org/bronzelug/router/control/PeerReader.java
+++ b/router/src/main/java/org/bronzelug/router/control/PeerReader.java
@@ -72,7 +72,7 @@
         StringBuilder path = new StringBuilder(PeerFeed.PATH);
         path.append('?').append(PeerFeed.WAIT_PARAMETER).append('=').append(waitMillis);
         for (String kind : state.kinds()) {
-            path.append('&').append(kind).append('=').append(state.mirror(kind).revision());
+            path.append('&').append(kind).append('=').append(state.mirror(kind).snapshotRevision());
         }
         return peer.call(
                         HttpMethod.GET,
@@ -108,7 +108,12 @@
         return CompletableFuture.completedFuture(null);
     }
 
-    private static boolean apply(ObjectMirror mirror, KindChanges kind) {
+    /**
+     * Applies what a peer has returned of a kind.
+     *
+     * @return whether the mirror has changed
+     */
+    static boolean apply(ObjectMirror mirror, KindChanges kind) {
         List<StoredItem> objects = kind.getObjectsList().stream().map(PeerReader::item).toList();
         if (kind.getWhole()) {
             return mirror.replaceAll(new ItemList(objects, kind.getRevision()));
--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -13,9 +13,12 @@
  * This VM's copy of one kind's objects, filled from the platform or from a peer, and a bounded log
  * of changes for peers that read from this VM.
  *
- * <p>Invariant: the revision never decreases, and a change never replaces an object by an older
+ * <p>Invariants: the revision never decreases, and a change never replaces an object by an older
  * revision of it. Without this, a VM that reads an older copy from a peer makes a withdrawn key
- * valid again. Confined to the control thread.
+ * valid again. Each object, and the absence of each other one, is as at the mirror's revision or
+ * later. After a list in several pages some are later, until the changes up to the list's last page
+ * have been applied; only then the mirror is a snapshot, which peers may read. Confined to the
+ * control thread.
  */
 public final class ObjectMirror {
     private static final byte[] NO_CONTENT = new byte[0];
@@ -23,44 +26,58 @@
     private final Map<String, StoredItem> items = new HashMap<>();
     private final ChangeLog changeLog = new ChangeLog();
     private long revision;
+    private long lastReadRevision;
     private long firstListRevision;
 
     /**
-     * Replaces all objects by a list; ignores a list that is older than the known revision.
+     * Replaces all objects by a list, except those with a later revision than the list; ignores a
+     * list that is older than the known revision.
      *
-     * @return whether any object has changed
+     * @return whether any object has changed, or peers can read the mirror again
      */
     public boolean replaceAll(ItemList list) {
         if (list.revision() < revision) {
             return false;
         }
-        Map<String, StoredItem> listed = new HashMap<>();
+        boolean wasSnapshot = isSnapshot();
+        Map<String, StoredItem> replaced = new HashMap<>();
         for (StoredItem item : list.items()) {
-            listed.put(item.name(), item);
+            replaced.merge(item.name(), item, ObjectMirror::later);
         }
-        Set<String> changed = changedNames(listed);
+        for (StoredItem known : items.values()) {
+            if (known.revision() > list.revision()) {
+                replaced.merge(known.name(), known, ObjectMirror::later);
+            }
+        }
+        Set<String> changed = changedNames(replaced);
         items.clear();
-        items.putAll(listed);
+        items.putAll(replaced);
         if (isKnown()) {
-            changeLog.addGap(revision, list.revision());
+            changeLog.addGap(revision, list.lastRevision());
         } else {
             firstListRevision = list.revision();
-            changeLog.start(list.revision());
+            changeLog.start(list.lastRevision());
         }
         revision = list.revision();
-        changed.forEach(name -> changeLog.add(name, revision));
-        return !changed.isEmpty();
+        lastReadRevision = Math.max(lastReadRevision, list.lastRevision());
+        changed.forEach(name -> changeLog.add(name, list.lastRevision()));
+        return !changed.isEmpty() || !wasSnapshot && isSnapshot();
+    }
+
+    private static StoredItem later(StoredItem one, StoredItem other) {
+        return one.revision() >= other.revision() ? one : other;
     }
 
     /**
      * Applies changes; ignores those up to a revision that is older than the known one.
      *
-     * @return whether any object has changed
+     * @return whether any object has changed, or peers can read the mirror again
      */
     public boolean apply(ItemChanges changes) {
         if (changes.revision() < revision) {
             return false;
         }
+        boolean wasSnapshot = isSnapshot();
         revision = changes.revision();
         boolean changed = false;
         for (ItemChanges.ItemChange change : changes.changes()) {
@@ -70,14 +87,14 @@
                 changeLog.add(change.item().name(), revision);
             }
         }
-        return changed;
+        return changed || !wasSnapshot && isSnapshot();
     }
 
     /**
      * Applies changes of a peer, which are known by their outcome only: an object that was created
      * and removed between both revisions is not among them.
      *
-     * @return whether any object has changed
+     * @return whether any object has changed, or peers can read the mirror again
      */
     public boolean applyOutcome(ItemChanges changes) {
         if (changes.revision() > revision) {
@@ -112,7 +129,9 @@
     private boolean apply(ItemChanges.ItemChange change) {
         StoredItem known = items.get(change.item().name());
         if (change.removed()) {
-            return items.remove(change.item().name()) != null;
+            // An object with a later revision was created again after this removal.
+            boolean current = known != null && known.revision() <= revision;
+            return current && items.remove(change.item().name()) != null;
         }
         if (known != null && known.revision() >= change.item().revision()) {
             return false;
@@ -149,6 +168,20 @@
         return firstListRevision > 0 && itemRevision > firstListRevision;
     }
 
+    /** Returns whether all objects are as at the mirror's revision. */
+    public boolean isSnapshot() {
+        return isKnown() && revision >= lastReadRevision;
+    }
+
+    /**
+     * Returns the revision after which a peer's changes are enough to follow that peer; 0, for all
+     * objects, while this mirror is no snapshot. Without this, an object that was removed before
+     * the peer knew it remains here.
+     */
+    public long snapshotRevision() {
+        return isSnapshot() ? revision : 0;
+    }
+
     /** Returns whether a list has been applied. */
     public boolean isKnown() {
         return revision > 0;
--- a/router/src/main/java/org/bronzelug/router/store/PagedList.java
+++ b/router/src/main/java/org/bronzelug/router/store/PagedList.java
@@ -42,7 +42,8 @@
             return readAfter(Optional.of(items.get(items.size() - 1).name()));
         }
         logPages(page.revision());
-        return CompletableFuture.completedFuture(new ItemList(items, page.revision()));
+        return CompletableFuture.completedFuture(
+                new ItemList(items, firstRevision, page.revision()));
     }
 
     private void logPages(long lastRevision) {
