Lists are paced while the platform keeps too little history

Cause: a watch whose history is gone is followed by a list at once. If the history is shorter than a list takes, the next watch fails as well: lists without a pause, which take up the rate of calls that all VMs share. A list of several pages makes it likelier, as its watch begins at the revision of its first page.

Change: the first list after such a failure is made at once, as before; further ones wait for a random backoff (60 to 800 ms, RandomBackoff) until changes have been returned. Each list is applied, so the mirror gets newer each time.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -2,7 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bronzelug.log.EventLog;
@@ -70,7 +69,11 @@
     private final ObjectStore store;
     private final ObjectMirror mirror;
     private final Listener listener;
-    private long backoffMillis = INITIAL_BACKOFF_MILLIS;
+    private final RandomBackoff reconnectBackoff =
+            new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
+    private final RandomBackoff relistBackoff =
+            new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
+    private boolean relisted;
     private long batchMillis = BATCH_MILLIS;
     private long watchStartNanos;
     private boolean reachable = true;
@@ -277,6 +280,8 @@
 
     private void applyChanges(ItemChanges changes) {
         recordReachable();
+        relisted = false;
+        relistBackoff.reset();
         if (mirror.apply(changes)) {
             listener.onChange(kind);
         }
@@ -289,12 +294,26 @@
                         && store.problem() == StoreException.Problem.HISTORY_GONE;
         if (historyGone) {
             EventLog.info(LogEvent.HISTORY_GONE, "kind=" + kind + " revision=" + revision);
-            list();
+            listAgain();
         } else {
             retryWithBackoff(failure);
         }
     }
 
+    /**
+     * Lists again in place of a watch: at once the first time, then with a backoff until changes
+     * are returned. Without the backoff, a platform that keeps less history than a list takes is
+     * listed without a pause.
+     */
+    private void listAgain() {
+        if (relisted) {
+            scheduleStep(this::list, relistBackoff.nextMillis());
+        } else {
+            relisted = true;
+            list();
+        }
+    }
+
     private void retryWithBackoff(Throwable failure) {
         if (reachable) {
             reachable = false;
@@ -311,9 +330,7 @@
                             + cause(failure).getMessage()
                             + "\"");
         }
-        long delayMillis = backoffMillis / 2 + ThreadLocalRandom.current().nextLong(backoffMillis);
-        backoffMillis = Math.min(MAXIMUM_BACKOFF_MILLIS, backoffMillis * 2);
-        scheduleStep(this::list, delayMillis);
+        scheduleStep(this::list, reconnectBackoff.nextMillis());
     }
 
     /** Runs a step after a delay, unless this watch was paused or restarted in the meantime. */
@@ -330,7 +347,7 @@
     }
 
     private void recordReachable() {
-        backoffMillis = INITIAL_BACKOFF_MILLIS;
+        reconnectBackoff.reset();
         if (!reachable) {
             reachable = true;
             listener.onReachable(kind, true);
--- a/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
@@ -13,6 +13,7 @@
 import java.util.stream.LongStream;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -31,6 +32,9 @@
     private static final int VMS = 3;
     private static final int QUIET_ROUNDS = 60;
 
+    /** Two without a pause and those of a backoff that doubles from 60 ms, with a random half. */
+    private static final int MOST_LISTS_IN_A_SECOND = 8;
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
 
     @Provide
@@ -68,6 +72,27 @@
         }
     }
 
+    /**
+     * Guards against a VM that lists without a pause, and so takes up the platform's rate of calls
+     * of the whole fleet, while the platform keeps less history than a list takes.
+     */
+    @Example
+    void listsArePacedWhileHistoryIsShorterThanAList() {
+        channel.freezeTime();
+        PagedStore store = new PagedStore(1);
+        store.put("b");
+        Vm vm = new Vm(store);
+        vm.watch.start();
+        for (int millis = 0; millis < 1_000; millis++) {
+            store.put("a");
+            store.discardHistory();
+            answerAll(store);
+            advance(1);
+        }
+        assertThat(store.lists()).isAtMost(MOST_LISTS_IN_A_SECOND);
+        assertThat(vm.mirror.revision()).isAtLeast(store.revision() / 4);
+    }
+
     private void step(PagedStore store, List<Vm> vms, int kind, int argument) {
         String name = NAMES.get(argument % NAMES.size());
         Vm vm = vms.get(argument % VMS);
--- a/router/src/test/java/org/bronzelug/router/control/PagedStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedStore.java
@@ -28,6 +28,7 @@
     private final List<Change> history = new ArrayList<>();
     private final List<Call<?>> waiting = new ArrayList<>();
     private long historyStart;
+    private int lists;
 
     PagedStore(int pageSize) {
         this.pageSize = pageSize;
@@ -67,6 +68,11 @@
         historyStart = revision();
     }
 
+    /** Returns how many lists have been begun. */
+    int lists() {
+        return lists;
+    }
+
     int waitingCalls() {
         return waiting.size();
     }
@@ -83,6 +89,7 @@
 
     @Override
     public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
+        lists += after.isEmpty() ? 1 : 0;
         return call(() -> page(after));
     }
 
