A list that a peer has overtaken is read again

Cause: after a watch was cut, the list repairs what lost events have left out. If a peer moved the mirror on while the list was read, the list was older than the mirror and ignored, and the watch went on: what an event had lost stayed lost, until the next cut.

Measured: PagedListTest#listThatAPeerHasOvertakenIsReadAgain failed before (the older revision stayed), passes now; not seen in a run with real processes.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -223,6 +223,11 @@
 
     private void onListResponse(ItemList list) {
         recordReachable();
+        if (list.revision() < mirror.revision()) {
+            // A peer has moved the mirror on, so this list can't show what the mirror lacks.
+            listAgain();
+            return;
+        }
         if (mirror.replaceAll(list)) {
             listener.onChange(kind);
         }
--- a/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
@@ -19,6 +19,9 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemChanges.ItemChange;
+import org.bronzelug.router.store.ItemList;
 import org.bronzelug.router.store.ObjectMirror;
 import org.bronzelug.router.store.StoredItem;
 
@@ -93,6 +96,33 @@
         assertThat(vm.mirror.revision()).isAtLeast(store.revision() / 4);
     }
 
+    /**
+     * Guards against a change whose event was lost and that the list after it doesn't bring, since
+     * a peer has moved the mirror on while the list was read.
+     */
+    @Example
+    void listThatAPeerHasOvertakenIsReadAgain() {
+        channel.freezeTime();
+        PagedStore store = new PagedStore(50);
+        Vm vm = new Vm(store);
+        vm.mirror.replaceAll(new ItemList(List.of(item("a", 1)), 2));
+        store.put("a");
+        vm.watch.start();
+        ItemChange change = new ItemChange(item("b", 3), false);
+        vm.mirror.applyOutcome(new ItemChanges(List.of(change), 3));
+        answerAll(store);
+        store.put("b");
+        for (int round = 0; round < QUIET_ROUNDS; round++) {
+            advance(1_000);
+            answerAll(store);
+        }
+        assertThat(vm.objects()).isEqualTo(store.objectsAt(store.revision()));
+    }
+
+    private static StoredItem item(String name, long revision) {
+        return new StoredItem(name, revision, new byte[0]);
+    }
+
     private void step(PagedStore store, List<Vm> vms, int kind, int argument) {
         String name = NAMES.get(argument % NAMES.size());
         Vm vm = vms.get(argument % VMS);
