--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -42,11 +42,11 @@
         boolean wasSnapshot = isSnapshot();
         Map<String, StoredItem> replaced = new HashMap<>();
         for (StoredItem item : list.items()) {
-            replaced.merge(item.name(), item, ObjectMirror::later);
+            replaced.put(item.name(), item);
         }
         for (StoredItem known : items.values()) {
             if (known.revision() > list.revision()) {
-                replaced.merge(known.name(), known, ObjectMirror::later);
+                replaced.merge(known.name(), known, StoredItem::later);
             }
         }
         Set<String> changed = changedNames(replaced);
@@ -64,10 +64,6 @@
         return !changed.isEmpty() || !wasSnapshot && isSnapshot();
     }
 
-    private static StoredItem later(StoredItem one, StoredItem other) {
-        return one.revision() >= other.revision() ? one : other;
-    }
-
     /**
      * Applies changes; ignores those up to a revision that is older than the known one.
      *
--- a/router/src/main/java/org/bronzelug/router/store/StoredItem.java
+++ b/router/src/main/java/org/bronzelug/router/store/StoredItem.java
@@ -8,4 +8,9 @@
  * @param content content in the platform's encoding
  */
 @SuppressWarnings("ArrayRecordComponent")
-public record StoredItem(String name, long revision, byte[] content) {}
+public record StoredItem(String name, long revision, byte[] content) {
+    /** Returns the one of two states of an object that has the later revision. */
+    static StoredItem later(StoredItem one, StoredItem other) {
+        return one.revision >= other.revision ? one : other;
+    }
+}
