An object of a pool that was removed is created again

Cause: a VM replaces the object of a pool on the condition that it has the revision that the VM knows. If an operator has removed the object, the write fails and so does the read after it, which left the old revision in place: the write was tried twice a second for ever, and the pool's software versions or quarantines were not stored. Lists of these objects have no watch, so nothing else told the VM.

Change: a read that finds nothing forgets the object; the next write creates it.

Measured: PoolObjectsTest, failed before (no create within 10 s), passes now. Not seen in a run with real processes.

--- a/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
+++ b/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
@@ -16,6 +16,7 @@
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.store.StoreException;
 import org.bronzelug.router.store.StoredItem;
 
 /**
@@ -152,18 +153,26 @@
                 });
     }
 
-    /** Reads an object that another VM may have written. */
+    /** Reads an object that another VM may have written or an operator removed. */
     private void readAgain(String pool) {
         store.read(kind, pool)
                 .whenComplete(
                         (item, failure) -> {
                             if (failure == null) {
                                 stored.put(pool, item);
+                            } else if (isAbsent(failure)) {
+                                stored.remove(pool);
                             }
                             endCall();
                         });
     }
 
+    private static boolean isAbsent(Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        return cause instanceof StoreException store
+                && store.problem() == StoreException.Problem.ABSENT;
+    }
+
     private void endCall() {
         callInFlight = false;
         nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
--- a/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
@@ -44,6 +44,9 @@
     @Override
     public CompletableFuture<StoredItem> replace(String kind, StoredItem item) {
         calls.add("replace");
+        if (!items.containsKey(item.name())) {
+            return absent();
+        }
         return put(item.name(), item.content());
     }
 
@@ -55,10 +58,24 @@
 
     @Override
     public CompletableFuture<StoredItem> read(String kind, String name) {
+        if (!items.containsKey(name)) {
+            calls.add("read nothing");
+            return absent();
+        }
         calls.add("read " + new String(items.get(name).content(), StandardCharsets.UTF_8));
         return CompletableFuture.completedFuture(items.get(name));
     }
 
+    private static CompletableFuture<StoredItem> absent() {
+        return CompletableFuture.failedFuture(
+                new StoreException(StoreException.Problem.ABSENT, "absent"));
+    }
+
+    /** Removes an object, as an operator does. */
+    void remove(String name) {
+        items.remove(name);
+    }
+
     @Override
     public CompletableFuture<ItemChanges> watch(String kind, long sinceRevision) {
         throw new UnsupportedOperationException("watches nothing");
