KindWatch keeps to calls and the mirror

Change: PlatformContact holds whether the platform is reached, and its log lines; ChangeBatching the time between a change and the next watch; one method makes each call the current one; StoreException tells the problem of a failure. No decision changes.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -28,34 +28,10 @@
  * empty watch returns a later revision, and the next watch starts there, so the VM keeps an older
  * configuration until the next change. Events are lost just before watches are cut, so the list
  * after the cut contains what they missed.
- *
- * <p>While the platform fails, attempts are spaced by a random backoff that doubles up to about a
- * second, so that the VMs of a fleet that lost the platform at the same time do not all reconnect
- * at the same time.
  */
 final class KindWatch {
     private static final long INITIAL_BACKOFF_MILLIS = 60;
     private static final long MAXIMUM_BACKOFF_MILLIS = 800;
-
-    /**
-     * Time after a change before the next watch, in which further changes are batched: each call to
-     * the platform is charged for, and changes come in series, such as runners that load weights or
-     * versions in quick succession.
-     */
-    private static final long BATCH_MILLIS = 150;
-
-    /**
-     * While changes follow each other closely, the batching time doubles up to this: a seventh of
-     * the shortest time in which a change must be in force everywhere.
-     */
-    private static final long MAXIMUM_BATCH_MILLIS = 300;
-
-    /**
-     * A change that arrives within this time after the watch's start counts as following the
-     * previous change closely.
-     */
-    private static final long SUCCESSIVE_CHANGE_NANOS = 1_000_000_000L;
-
     private static final long NO_CALL = 0;
 
     /**
@@ -69,14 +45,11 @@
     private final ObjectStore store;
     private final ObjectMirror mirror;
     private final Listener listener;
-    private final RandomBackoff reconnectBackoff =
-            new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
+    private final PlatformContact contact;
     private final RandomBackoff relistBackoff =
             new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
+    private final ChangeBatching batching = new ChangeBatching();
     private boolean relisted;
-    private long batchMillis = BATCH_MILLIS;
-    private long watchStartNanos;
-    private boolean reachable = true;
     private boolean paused = true;
     private int generation;
     private boolean callInFlight;
@@ -93,6 +66,11 @@
         this.store = store;
         this.mirror = mirror;
         this.listener = listener;
+        this.contact =
+                new PlatformContact(
+                        kind,
+                        listener,
+                        new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS));
     }
 
     /**
@@ -108,7 +86,7 @@
     /** Begins to list and watch, until {@link #pause}. */
     void start() {
         paused = false;
-        reachable = true;
+        contact.reset();
         restart();
     }
 
@@ -120,7 +98,7 @@
     }
 
     boolean isReachable() {
-        return reachable;
+        return contact.isReachable();
     }
 
     /**
@@ -135,7 +113,7 @@
 
     /** Returns whether a watch is in flight, through which the platform reports the next change. */
     boolean isWatching() {
-        return !paused && reachable && callInFlight && mirror.isKnown();
+        return !paused && contact.isReachable() && callInFlight && mirror.isKnown();
     }
 
     /**
@@ -199,30 +177,31 @@
     }
 
     private void list() {
-        int startGeneration = generation;
-        recordCallStart();
-        store.list(kind)
-                .whenComplete(
-                        (list, failure) -> {
-                            if (paused || startGeneration != generation) {
-                                return;
-                            }
-                            callInFlight = false;
-                            if (failure != null) {
-                                retryWithBackoff(failure);
-                            } else {
-                                onListResponse(list);
-                            }
-                        });
+        call(store.list(kind), this::onListResponse, this::retryWithBackoff);
     }
 
-    private void recordCallStart() {
+    /** Makes a call the current one; a response is ignored if another one is current by then. */
+    private <T> void call(
+            CompletableFuture<T> call, Consumer<T> onSuccess, Consumer<Throwable> onFailure) {
+        int startGeneration = generation;
         callInFlight = true;
         callStartNanos = System.nanoTime();
+        call.whenComplete(
+                (response, failure) -> {
+                    if (paused || startGeneration != generation) {
+                        return;
+                    }
+                    callInFlight = false;
+                    if (failure != null) {
+                        onFailure.accept(failure);
+                    } else {
+                        onSuccess.accept(response);
+                    }
+                });
     }
 
     private void onListResponse(ItemList list) {
-        recordReachable();
+        contact.recordSuccess();
         if (list.revision() < mirror.revision()) {
             // A peer has moved the mirror on, so this list can't show what the mirror lacks.
             listAgain();
@@ -243,48 +222,30 @@
      * of this kind, a watch would wait, and peers could not read the mirror until then.
      */
     private void readChangesDuringList(long revision) {
-        recordCallStart();
-        onResponse(
+        call(
                 store.changes(kind, revision),
-                revision,
                 changes -> {
                     applyChanges(changes);
                     watch(changes.revision());
-                });
+                },
+                failure -> onWatchFailure(failure, revision));
     }
 
     private void watch(long revision) {
-        watchStartNanos = System.nanoTime();
-        recordCallStart();
-        onResponse(store.watch(kind, revision), revision, this::onWatchResponse);
-    }
-
-    private void onResponse(
-            CompletableFuture<ItemChanges> call, long revision, Consumer<ItemChanges> onChanges) {
-        int startGeneration = generation;
-        call.whenComplete(
-                (changes, failure) -> {
-                    if (paused || startGeneration != generation) {
-                        return;
-                    }
-                    callInFlight = false;
-                    if (failure != null) {
-                        onWatchFailure(failure, revision);
-                    } else {
-                        onChanges.accept(changes);
-                    }
-                });
+        batching.recordWatchStart(System.nanoTime());
+        call(
+                store.watch(kind, revision),
+                this::onWatchResponse,
+                failure -> onWatchFailure(failure, revision));
     }
 
     private void onWatchResponse(ItemChanges changes) {
         applyChanges(changes);
-        boolean successive = System.nanoTime() - watchStartNanos < SUCCESSIVE_CHANGE_NANOS;
-        batchMillis = successive ? Math.min(MAXIMUM_BATCH_MILLIS, batchMillis * 2) : BATCH_MILLIS;
-        scheduleStep(() -> watch(changes.revision()), batchMillis);
+        scheduleStep(() -> watch(changes.revision()), batching.delayMillis(System.nanoTime()));
     }
 
     private void applyChanges(ItemChanges changes) {
-        recordReachable();
+        contact.recordSuccess();
         relisted = false;
         relistBackoff.reset();
         if (mirror.apply(changes)) {
@@ -293,11 +254,7 @@
     }
 
     private void onWatchFailure(Throwable failure, long revision) {
-        Throwable cause = cause(failure);
-        boolean historyGone =
-                cause instanceof StoreException store
-                        && store.problem() == StoreException.Problem.HISTORY_GONE;
-        if (historyGone) {
+        if (StoreException.problem(failure) == StoreException.Problem.HISTORY_GONE) {
             EventLog.info(LogEvent.HISTORY_GONE, "kind=" + kind + " revision=" + revision);
             listAgain();
         } else {
@@ -320,22 +277,9 @@
     }
 
     private void retryWithBackoff(Throwable failure) {
-        if (reachable) {
-            reachable = false;
-            listener.onReachable(kind, false);
-            EventLog.warn(
-                    LogEvent.PLATFORM_LOST,
-                    "kind="
-                            + kind
-                            + " revision="
-                            + mirror.revision()
-                            + " unansweredMillis="
-                            + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos)
-                            + " cause=\""
-                            + cause(failure).getMessage()
-                            + "\"");
-        }
-        scheduleStep(this::list, reconnectBackoff.nextMillis());
+        long unansweredMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos);
+        long delayMillis = contact.recordFailure(failure, mirror.revision(), unansweredMillis);
+        scheduleStep(this::list, delayMillis);
     }
 
     /** Runs a step after a delay, unless this watch was paused or restarted in the meantime. */
@@ -350,17 +294,4 @@
                 millis,
                 TimeUnit.MILLISECONDS);
     }
-
-    private void recordReachable() {
-        reconnectBackoff.reset();
-        if (!reachable) {
-            reachable = true;
-            listener.onReachable(kind, true);
-            EventLog.info(LogEvent.PLATFORM_REACHED, "kind=" + kind);
-        }
-    }
-
-    private static Throwable cause(Throwable failure) {
-        return failure.getCause() == null ? failure : failure.getCause();
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
+++ b/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
@@ -160,19 +160,14 @@
                         (item, failure) -> {
                             if (failure == null) {
                                 stored.put(pool, item);
-                            } else if (isAbsent(failure)) {
+                            } else if (StoreException.problem(failure)
+                                    == StoreException.Problem.ABSENT) {
                                 stored.remove(pool);
                             }
                             endCall();
                         });
     }
 
-    private static boolean isAbsent(Throwable failure) {
-        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-        return cause instanceof StoreException store
-                && store.problem() == StoreException.Problem.ABSENT;
-    }
-
     private void endCall() {
         callInFlight = false;
         nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
--- a/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
+++ b/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
@@ -78,7 +78,8 @@
 
     private void onRegistered(Throwable failure) {
         boolean isRegistered =
-                failure == null || problem(failure) == StoreException.Problem.CONFLICT;
+                failure == null
+                        || StoreException.problem(failure) == StoreException.Problem.CONFLICT;
         if (!isRegistered) {
             EventLog.info(LogEvent.REGISTRATION_FAILED, "cause=\"" + failure.getMessage() + "\"");
             control.schedule(this::register, RETRY_MILLIS, TimeUnit.MILLISECONDS);
@@ -138,11 +139,4 @@
             return "";
         }
     }
-
-    private static StoreException.Problem problem(Throwable failure) {
-        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-        return cause instanceof StoreException store
-                ? store.problem()
-                : StoreException.Problem.UNAVAILABLE;
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/store/StoreException.java
+++ b/router/src/main/java/org/bronzelug/router/store/StoreException.java
@@ -15,6 +15,12 @@
         return problem;
     }
 
+    /** Returns the problem of a failed call; {@code UNAVAILABLE} if none is stated. */
+    public static Problem problem(Throwable failure) {
+        Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+        return cause instanceof StoreException store ? store.problem() : Problem.UNAVAILABLE;
+    }
+
     /** The kind of failure, which determines how to proceed. */
     public enum Problem {
         /** No response arrived, or it stated that nothing was done: retry later. */
