A list continues at the page that could not be read

Cause: after a rejected call or a lost response a list began anew at its first page. A list of n pages needs n responses in a row, so with many pages and few good calls it never ends, and a starting VM never serves.

Change: ListReader continues an unfinished list that began at most 5 s ago, after the backoff of a failed call. It is as good as one that was read at once, since its revision is that of its first page. A restart of the watch begins anew.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -8,6 +8,7 @@
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.store.ItemChanges;
 import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ListReader;
 import org.bronzelug.router.store.ObjectMirror;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoreException;
@@ -32,7 +33,6 @@
 final class KindWatch {
     private static final long INITIAL_BACKOFF_MILLIS = 60;
     private static final long MAXIMUM_BACKOFF_MILLIS = 800;
-    private static final long NO_CALL = 0;
 
     /**
      * Time in which a watch returns a change that a peer already has, if the platform received the
@@ -45,6 +45,7 @@
     private final ObjectStore store;
     private final ObjectMirror mirror;
     private final Listener listener;
+    private final ListReader lists;
     private final PlatformContact contact;
     private final RandomBackoff relistBackoff =
             new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
@@ -66,6 +67,7 @@
         this.store = store;
         this.mirror = mirror;
         this.listener = listener;
+        this.lists = new ListReader(store, kind);
         this.contact =
                 new PlatformContact(
                         kind,
@@ -102,13 +104,11 @@
     }
 
     /**
-     * Returns how long the call in flight has been waiting for a response. A watch waits for
-     * changes, so a long wait alone does not show that the platform is unreachable.
+     * Returns how long the call in flight has been waiting for a response; 0 if none is. A watch
+     * waits for changes, so a long wait alone does not show that the platform is unreachable.
      */
     long unansweredMillis() {
-        return callInFlight
-                ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos)
-                : NO_CALL;
+        return callInFlight ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos) : 0;
     }
 
     /** Returns whether a watch is in flight, through which the platform reports the next change. */
@@ -173,11 +173,12 @@
     /** Abandons the call in flight, which may hang on a silent connection, and lists again. */
     void restart() {
         generation++;
+        lists.reset();
         list();
     }
 
     private void list() {
-        call(store.list(kind), this::onListResponse, this::retryWithBackoff);
+        call(lists.read(System.nanoTime()), this::onListResponse, this::retryWithBackoff);
     }
 
     /** Makes a call the current one; a response is ignored if another one is current by then. */
--- a/router/src/main/java/org/bronzelug/router/store/PagedList.java
+++ b/router/src/main/java/org/bronzelug/router/store/PagedList.java
@@ -10,13 +10,15 @@
 
 /**
  * Reads all pages of one list, one after the other. Each page must have a name that no earlier one
- * had; without this, a page that the platform repeats is read for ever. Used once. Confined to the
- * thread on which the store's futures complete.
+ * had; without this, a page that the platform repeats is read for ever. Confined to the thread on
+ * which the store's futures complete.
  */
 final class PagedList {
     private final ObjectStore store;
     private final String kind;
     private final Map<String, StoredItem> items = new LinkedHashMap<>();
+    private Optional<String> lastName = Optional.empty();
+    private boolean continuable = true;
     private int pages;
     private long firstRevision;
 
@@ -25,13 +27,17 @@
         this.kind = kind;
     }
 
-    /** Reads the list. The future fails if any page can't be read. */
+    /**
+     * Reads the pages that have not been read. The future fails if one of them can't be read; a
+     * later call continues there.
+     */
     CompletableFuture<ItemList> read() {
-        return readAfter(Optional.empty());
+        return store.page(kind, lastName).thenCompose(this::add);
     }
 
-    private CompletableFuture<ItemList> readAfter(Optional<String> name) {
-        return store.page(kind, name).thenCompose(this::add);
+    /** Returns whether another page can be asked for. */
+    boolean isContinuable() {
+        return continuable;
     }
 
     private CompletableFuture<ItemList> add(ItemPage page) {
@@ -40,7 +46,6 @@
             firstRevision = page.revision();
         }
         int knownNames = items.size();
-        Optional<String> lastName = Optional.empty();
         for (StoredItem item : page.items()) {
             if (!item.name().isEmpty()) {
                 items.merge(item.name(), item, StoredItem::later);
@@ -48,7 +53,7 @@
             }
         }
         if (page.hasMore()) {
-            return items.size() > knownNames ? readAfter(lastName) : notAdvancing();
+            return items.size() > knownNames ? read() : notAdvancing();
         }
         logPages(page.revision());
         return CompletableFuture.completedFuture(
@@ -56,6 +61,7 @@
     }
 
     private CompletableFuture<ItemList> notAdvancing() {
+        continuable = false;
         return CompletableFuture.failedFuture(
                 new StoreException(
                         StoreException.Problem.UNAVAILABLE,
--- a/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedListTest.java
@@ -119,6 +119,28 @@
         assertThat(vm.objects()).isEqualTo(store.objectsAt(store.revision()));
     }
 
+    /**
+     * Guards against a list of many pages that never ends, so that a starting VM never serves,
+     * while the platform rejects most calls.
+     */
+    @Example
+    void listOfManyPagesEndsWhileMostCallsFail() {
+        channel.freezeTime();
+        PagedStore store = new PagedStore(1);
+        NAMES.forEach(store::put);
+        Vm vm = new Vm(store);
+        vm.watch.start();
+        for (int call = 0; call < NAMES.size() * 4; call++) {
+            if (call % 3 < 2) {
+                store.fail(0);
+            } else {
+                store.answer(0);
+            }
+            advance(2_000);
+        }
+        assertThat(vm.objects()).isEqualTo(store.objectsAt(store.revision()));
+    }
+
     private static StoredItem item(String name, long revision) {
         return new StoredItem(name, revision, new byte[0]);
     }
