--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -40,6 +40,7 @@
             return false;
         }
         boolean wasSnapshot = isSnapshot();
+        long newLastReadRevision = list.lastRevision();
         Map<String, StoredItem> replaced = new HashMap<>();
         for (StoredItem item : list.items()) {
             replaced.put(item.name(), item);
@@ -47,6 +48,7 @@
         for (StoredItem known : items.values()) {
             if (known.revision() > list.revision()) {
                 replaced.merge(known.name(), known, StoredItem::later);
+                newLastReadRevision = Math.max(newLastReadRevision, known.revision());
             }
         }
         Set<String> changed = changedNames(replaced);
@@ -59,7 +61,7 @@
             changeLog.start(list.lastRevision());
         }
         revision = list.revision();
-        lastReadRevision = Math.max(lastReadRevision, list.lastRevision());
+        lastReadRevision = newLastReadRevision;
         changed.forEach(name -> changeLog.add(name, list.lastRevision()));
         return !changed.isEmpty() || !wasSnapshot && isSnapshot();
     }
--- a/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
+++ b/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
@@ -115,6 +115,23 @@
         assertThat(mirror.changesSince(6).orElseThrow().changes()).hasSize(1);
     }
 
+    /**
+     * Guards against a VM that reads all objects of a peer again and again: its own list was read
+     * in several pages, and the peer's later revision is earlier than the last page.
+     *
+     * @param known revision of the object in the VM's list, which the peer lacks
+     */
+    @ParameterizedTest
+    @CsvSource({"9, 12, true", "15, 12, false", "15, 16, true"})
+    void allObjectsOfAPeerMakeASnapshotUnlessAnObjectIsLater(
+            long known, long peerRevision, boolean snapshot) {
+        ObjectMirror mirror = new ObjectMirror();
+        mirror.replaceAll(new ItemList(List.of(item("a", known)), 10, 20));
+        assertThat(mirror.isSnapshot()).isFalse();
+        mirror.replaceAll(new ItemList(List.of(), peerRevision));
+        assertThat(mirror.isSnapshot()).isEqualTo(snapshot);
+    }
+
     private static ItemChanges changes(ItemChange change, long revision) {
         return new ItemChanges(List.of(change), revision);
     }
