Comments: what a change log can't name, and what a peer's changes return

Cause: the comment of ChangeLog named lists only, not changes read from another VM, and 'neither' had no clear noun; that of PeerReader.apply left out when peers can read the mirror again.

Change: both comments; no code.

--- a/router/src/main/java/org/bronzelug/router/control/PeerReader.java
+++ b/router/src/main/java/org/bronzelug/router/control/PeerReader.java
@@ -111,7 +111,7 @@
     /**
      * Applies what a peer has returned of a kind.
      *
-     * @return whether the mirror has changed
+     * @return whether any object has changed, or peers can read the mirror again
      */
     static boolean apply(ObjectMirror mirror, KindChanges kind) {
         List<StoredItem> objects = kind.getObjectsList().stream().map(PeerReader::item).toList();
--- a/router/src/main/java/org/bronzelug/router/store/ChangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/store/ChangeLog.java
@@ -10,10 +10,10 @@
  * The names of a mirror's objects that have changed, bounded, for peers that know the objects as at
  * some revision.
  *
- * <p>Invariant: a peer to which names are returned lacks no change of any other object. A list
- * shows only what differs from the mirror before it: an object that was created and removed in
- * between is in neither, but may be known to a peer whose revision lies in between. Such a peer
- * gets no names. Confined to the control thread.
+ * <p>Invariant: a peer to which names are returned lacks no change of any other object. Lists, and
+ * changes read from another VM, show only the outcome since the mirror's former revision: an object
+ * that was created and removed since then is not among them, but a peer whose revision lies in
+ * between may know it. Such a peer gets no names. Confined to the control thread.
  */
 final class ChangeLog {
     /** Covers some minutes of a large fleet's changes. */
