A request under which three endpoints have ended is sent no more

Callers saw: a request that ends its runner was sent on, under new ids, at one VM after the other, each time at the cost of all requests of that runner. Cause: nothing identified a request across its attempts. Each attempt has its own id and its own counters, and only shared parts of prompts were watched. Change: a fingerprint of team, method, path, query, prompt and body, computed when an endpoint has ended under a request, and then for requests that may be the same. VMs report the fingerprints of what was in progress at a crash; three ends reject the request everywhere, before it is sent. A whole response clears it. Crashes of such a request no longer count against shared parts that were at these crashes only. The quarantine is stored like that of parts.

--- a/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
+++ b/core/src/main/java/org/bronzelug/core/poison/CrashLog.java
@@ -65,11 +65,15 @@
                                 merged.merge(part, involvement, Involvement::first);
                             }
                         });
-        if (known != null && merged.equals(known.suspects())) {
+        Set<PartKey> requests = new HashSet<>(reported.requests());
+        if (known != null) {
+            requests.addAll(known.requests());
+        }
+        if (known != null && merged.equals(known.suspects()) && requests.equals(known.requests())) {
             return false;
         }
         EndpointCrash first = known == null ? reported : known;
-        crashes.put(reported.start(), first.withSuspects(strongest(merged)));
+        crashes.put(reported.start(), first.withSuspects(strongest(merged)).withRequests(requests));
         if (crashes.size() > MAXIMUM_CRASHES) {
             crashes.pollFirstEntry();
         }
@@ -120,6 +124,32 @@
         }
     }
 
+    /** Returns what all VMs have reported of the crash of an endpoint. */
+    Optional<EndpointCrash> find(EndpointStart start) {
+        return Optional.ofNullable(crashes.get(start));
+    }
+
+    /**
+     * Attributes crashes to a request: the parts that were at these crashes only are no longer
+     * suspected.
+     */
+    void attribute(PartKey request) {
+        Set<PartKey> elsewhere = new HashSet<>();
+        for (EndpointCrash crash : crashes.values()) {
+            if (!crash.requests().contains(request)) {
+                elsewhere.addAll(crash.suspects().keySet());
+            }
+        }
+        for (EndpointCrash crash : List.copyOf(crashes.values())) {
+            if (crash.requests().contains(request)) {
+                Map<PartKey, Involvement> rest = new HashMap<>(crash.suspects());
+                rest.keySet().retainAll(elsewhere);
+                crashes.put(crash.start(), crash.withSuspects(rest));
+                suspects = Optional.empty();
+            }
+        }
+    }
+
     /** Removes the crashes that no longer count. */
     void expire(long nowNanos) {
         if (crashes.values().removeIf(crash -> nowNanos - crash.atNanos() > VALID_NANOS)) {
@@ -130,15 +160,15 @@
     /**
      * Returns the parts that explain several crashes, fewest parts for most crashes.
      *
-     * @param explained returns whether a set of parts is known to be a cause
+     * @param explained returns whether the cause of a crash is known
      * @param endpoints the number of endpoints by pool
      */
     List<Explanation> explain(
-            Predicate<Set<PartKey>> explained, Map<String, Integer> endpoints, long nowNanos) {
+            Predicate<EndpointCrash> explained, Map<String, Integer> endpoints, long nowNanos) {
         List<Explanation> explanations = new ArrayList<>();
         List<EndpointCrash> open =
                 crashes.values().stream()
-                        .filter(crash -> !explained.test(crash.suspects().keySet()))
+                        .filter(explained.negate())
                         .sorted(Comparator.comparingLong(EndpointCrash::atNanos))
                         .toList();
         Optional<Explanation> best = best(open, endpoints, nowNanos);
--- a/core/src/main/java/org/bronzelug/core/poison/EndpointCrash.java
+++ b/core/src/main/java/org/bronzelug/core/poison/EndpointCrash.java
@@ -13,15 +13,18 @@
  * @param softwareVersion the software version of the endpoint
  * @param atNanos when it crashed, by the local monotonic clock
  * @param suspects the parts that may have caused it; may be empty
+ * @param requests the requests that were in progress there; may be empty
  */
 public record EndpointCrash(
         EndpointStart start,
         String pool,
         String softwareVersion,
         long atNanos,
-        Map<PartKey, Involvement> suspects) {
+        Map<PartKey, Involvement> suspects,
+        Set<PartKey> requests) {
     public EndpointCrash {
         suspects = Map.copyOf(suspects);
+        requests = Set.copyOf(requests);
     }
 
     /** Returns the parts that had just begun. */
@@ -33,6 +36,10 @@
     }
 
     EndpointCrash withSuspects(Map<PartKey, Involvement> others) {
-        return new EndpointCrash(start, pool, softwareVersion, atNanos, others);
+        return new EndpointCrash(start, pool, softwareVersion, atNanos, others, requests);
+    }
+
+    EndpointCrash withRequests(Set<PartKey> others) {
+        return new EndpointCrash(start, pool, softwareVersion, atNanos, suspects, others);
     }
 }
--- a/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
+++ b/core/src/main/java/org/bronzelug/core/poison/EndpointRun.java
@@ -22,6 +22,9 @@
     /** An endpoint that lives for this long after the begin of a response has survived it. */
     static final long SURVIVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Time before a crash in which a request that was broken off may have caused it. */
+    private static final long BROKEN_OFF_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
     /** Time after which a request whose outcome was never seen is forgotten. */
     private static final long FORGET_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -29,6 +32,7 @@
     private final String pool;
     private final String softwareVersion;
     private final List<WatchedAttempt> attempts = new ArrayList<>();
+    private final Set<WatchedAttempt> unfinished = new HashSet<>();
     private OptionalLong lastActivityNanos = OptionalLong.empty();
     private OptionalLong lastConnectedNanos = OptionalLong.empty();
 
@@ -46,12 +50,22 @@
         return softwareVersion;
     }
 
+    /** Adds an attempt, whether or not it has parts that may crash the endpoint. */
     void add(WatchedAttempt watched) {
-        attempts.add(watched);
+        unfinished.add(watched);
+        if (!watched.parts().isEmpty()) {
+            attempts.add(watched);
+        }
+    }
+
+    /** Removes an attempt that the endpoint has responded to completely, or has not run. */
+    void removeUnfinished(WatchedAttempt watched) {
+        unfinished.remove(watched);
     }
 
-    List<WatchedAttempt> attempts() {
-        return attempts;
+    /** Returns whether no request here may show anything any more. */
+    boolean isIdle() {
+        return attempts.isEmpty() && unfinished.isEmpty();
     }
 
     /** Records that the endpoint has sent something. */
@@ -73,6 +87,7 @@
      * Passes on the parts that the endpoint has survived, and drops attempts that ended long ago.
      */
     void sweep(Consumer<PartKey> onSurvived, long nowNanos) {
+        unfinished.removeIf(watched -> watched.isEndedBefore(nowNanos - SURVIVAL_NANOS));
         attempts.removeIf(
                 watched -> {
                     if (isSurvived(watched)) {
@@ -91,7 +106,8 @@
     }
 
     /**
-     * Returns the crash of the endpoint, with the parts that may have caused it.
+     * Returns the crash of the endpoint, with the requests in progress there and the parts that may
+     * have caused it.
      *
      * @param harmless returns whether a part is known not to crash the endpoint
      * @param lostNanos when a connection to it was lost; empty if none was, so that it crashed at
@@ -108,8 +124,15 @@
                         .forEach(part -> suspects.merge(part, involvement, Involvement::first));
             }
         }
+        Set<PartKey> requests = new HashSet<>();
+        for (WatchedAttempt watched : unfinished) {
+            if (watched.isWritten() && !watched.isEndedBefore(crashNanos - BROKEN_OFF_NANOS)) {
+                requests.add(watched.request());
+            }
+        }
         attempts.clear();
-        return new EndpointCrash(start, pool, softwareVersion, crashNanos, suspects);
+        unfinished.clear();
+        return new EndpointCrash(start, pool, softwareVersion, crashNanos, suspects, requests);
     }
 
     private OptionalLong lastAliveNanos() {
--- a/core/src/main/java/org/bronzelug/core/poison/OwnRuns.java
+++ b/core/src/main/java/org/bronzelug/core/poison/OwnRuns.java
@@ -52,7 +52,7 @@
 
     void sweep(EndpointRun run, BiConsumer<PartKey, String> onSurvived, long nowNanos) {
         run.sweep(part -> onSurvived.accept(part, run.softwareVersion()), nowNanos);
-        if (run.attempts().isEmpty()) {
+        if (run.isIdle()) {
             runs.remove(run);
         }
     }
--- a/core/src/main/java/org/bronzelug/core/poison/PartKey.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartKey.java
@@ -6,20 +6,38 @@
 import java.util.HexFormat;
 
 /**
- * A part of prompts that are sent to one pool of endpoints. Immutable.
+ * What may crash the endpoints of one pool: a part of prompts, or a whole request. Immutable.
  *
  * @param pool the pool, since another pool may work on the same part without harm
- * @param id the part's id, or a hash of it if it is longer than {@link #MAXIMUM_ID_CHARACTERS}
+ * @param id the part's id, or a hash of it if it is longer than {@link #MAXIMUM_ID_CHARACTERS}; for
+ *     a request, its fingerprint after {@link #REQUEST_PREFIX}
  */
 public record PartKey(String pool, String id) {
     /** Bounds the memory and the messages that callers can make VMs use. */
     static final int MAXIMUM_ID_CHARACTERS = 64;
 
+    /** No part's id contains the colon. */
+    private static final String REQUEST_PREFIX = "request:";
+
     /** Returns the key of a part with an id that a caller chose. */
     public static PartKey of(String pool, String id) {
         return new PartKey(pool, id.length() <= MAXIMUM_ID_CHARACTERS ? id : hash(id));
     }
 
+    /**
+     * Returns the key of a whole request.
+     *
+     * @param fingerprint a hash of what all attempts of the request have in common
+     */
+    public static PartKey ofRequest(String pool, String fingerprint) {
+        return of(pool, REQUEST_PREFIX + fingerprint);
+    }
+
+    /** Returns whether this is the key of a whole request. */
+    public boolean isRequest() {
+        return id.startsWith(REQUEST_PREFIX);
+    }
+
     private static String hash(String id) {
         try {
             MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -19,7 +19,7 @@
  * quarantine in another pool.
  *
  * <p>Invariant: no quarantine contains a part that an endpoint of the same software version has
- * survived since. At most {@link #MAXIMUM_ENTRIES} are kept. Not thread-safe.
+ * survived since. At most a given number are kept. Not thread-safe.
  */
 final class PartQuarantine {
     static final long FIRST_NANOS = TimeUnit.MINUTES.toNanos(10);
@@ -29,8 +29,17 @@
 
     static final int MAXIMUM_ENTRIES = 64;
 
+    private final int maximumEntries;
     private final List<QuarantinedParts> entries = new ArrayList<>();
 
+    PartQuarantine() {
+        this(MAXIMUM_ENTRIES);
+    }
+
+    PartQuarantine(int maximumEntries) {
+        this.maximumEntries = maximumEntries;
+    }
+
     /** Puts parts under quarantine, for longer if they have been before. */
     QuarantinedParts add(Set<PartKey> parts, Set<String> softwareVersions, long nowNanos) {
         int times = 1 + find(parts).map(QuarantinedParts::times).orElse(0);
@@ -64,7 +73,7 @@
     private void put(QuarantinedParts entry) {
         entries.removeIf(known -> known.parts().equals(entry.parts()));
         entries.add(entry);
-        if (entries.size() > MAXIMUM_ENTRIES) {
+        if (entries.size() > maximumEntries) {
             entries.remove(0);
         }
     }
@@ -176,6 +185,13 @@
         return found;
     }
 
+    /** Removes the quarantine of exactly these parts; returns it if there was one. */
+    Optional<QuarantinedParts> remove(Set<PartKey> parts) {
+        Optional<QuarantinedParts> known = find(parts);
+        known.ifPresent(entries::remove);
+        return known;
+    }
+
     /** Removes the quarantines that have ended long ago. */
     void expire(long nowNanos) {
         entries.removeIf(
--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -1,5 +1,6 @@
 package org.bronzelug.core.poison;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
@@ -15,7 +16,8 @@
  *
  * <p>A part that had begun to run when an endpoint crashed is suspected until an endpoint survives
  * it. While a part is suspected, the VMs together have one request with it in progress at a time.
- * Parts that explain three crashes are put under quarantine: requests with them are rejected.
+ * Parts that explain three crashes are put under quarantine: requests with them are rejected. So is
+ * a single request under which three endpoints have ended, see {@link RequestQuarantine}.
  *
  * <p>Invariant: a part is not put under quarantine while a request with it has begun to run and the
  * endpoint may yet survive it. Not thread-safe.
@@ -29,6 +31,7 @@
     private final PartSurvivals survivals = new PartSurvivals();
     private final CrashLog crashes = new CrashLog();
     private final PartQuarantine quarantine = new PartQuarantine();
+    private final RequestQuarantine requests = new RequestQuarantine();
     private final OwnRuns runs;
     private final PartTrials trials;
     private final PendingReports pending = new PendingReports();
@@ -50,6 +53,25 @@
         endpoints = Map.copyOf(endpointsByPool);
     }
 
+    /** Returns whether a request may be sent to an endpoint now. */
+    public PartAdmission admit(RequestKeys keys, long nowNanos) {
+        return matchRequest(keys, nowNanos)
+                .<PartAdmission>map(
+                        match ->
+                                new PartAdmission.Rejected(
+                                        match.parts(), match.untilNanos() - nowNanos))
+                .orElseGet(() -> admit(keys.parts(), nowNanos));
+    }
+
+    private Optional<QuarantinedParts> matchRequest(RequestKeys keys, long nowNanos) {
+        return requests.isEmpty() ? Optional.empty() : requests.match(keys.request(), nowNanos);
+    }
+
+    /** Returns the number of endpoints that have ended under a request, as far as is known. */
+    public int ends(RequestKeys keys) {
+        return requests.isEmpty() ? 0 : requests.ends(keys.request());
+    }
+
     /** Returns whether a request with these parts may be sent to an endpoint now. */
     public PartAdmission admit(Collection<PartKey> parts, long nowNanos) {
         if (crashes.suspects().isEmpty() && quarantine.isEmpty()) {
@@ -68,12 +90,13 @@
         return ALLOWED;
     }
 
-    /** Returns whether an admitted request with these parts may not be sent after all. */
-    public boolean isQuarantined(Collection<PartKey> parts, long nowNanos) {
-        return quarantine
-                .match(parts, nowNanos)
-                .filter(entry -> !isOnTrial(entry, nowNanos))
-                .isPresent();
+    /** Returns whether an admitted request may not be sent after all. */
+    public boolean isQuarantined(RequestKeys keys, long nowNanos) {
+        return matchRequest(keys, nowNanos).isPresent()
+                || quarantine
+                        .match(keys.parts(), nowNanos)
+                        .filter(entry -> !isOnTrial(entry, nowNanos))
+                        .isPresent();
     }
 
     /** Returns whether requests are sent, one at a time, to see whether a quarantine is right. */
@@ -100,24 +123,22 @@
         return parts.stream().allMatch(part -> survivals.contains(part, softwareVersion, nowNanos));
     }
 
-    /** Records that a request with these parts is sent to an endpoint. */
-    public WatchedAttempt begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
+    /** Records that a request is sent to an endpoint. */
+    public WatchedAttempt begin(EndpointRun run, RequestKeys keys, long nowNanos) {
         Set<PartKey> uncertain = new HashSet<>();
-        for (PartKey part : parts) {
+        for (PartKey part : keys.parts()) {
             if (!survivals.isFresh(part, run.softwareVersion(), nowNanos)) {
                 uncertain.add(part);
             }
         }
-        WatchedAttempt watched = new WatchedAttempt(run, uncertain, nowNanos);
-        if (!uncertain.isEmpty()) {
-            run.add(watched);
-            runs.add(run);
-        }
+        WatchedAttempt watched = new WatchedAttempt(run, uncertain, keys, nowNanos);
+        run.add(watched);
+        runs.add(run);
         return watched;
     }
 
     /**
-     * Records that an endpoint has crashed, and returns the parts that may have caused it.
+     * Records that an endpoint has crashed, and returns what may have caused it.
      *
      * @param lostNanos when a connection to it was lost; empty if none was
      */
@@ -139,15 +160,58 @@
         if (crashes.record(crash, part -> survivals.contains(part, version, nowNanos))) {
             confirm(crash);
             followPrecedent(crash, nowNanos);
+            crashes.find(crash.start()).ifPresent(known -> recordRequests(known, nowNanos));
             changed = true;
         }
     }
 
+    /** Counts the crash for the requests that were there, unless parts are known as its cause. */
+    private void recordRequests(EndpointCrash crash, long nowNanos) {
+        if (quarantine.match(crash.suspects().keySet(), nowNanos).isPresent()) {
+            return;
+        }
+        for (PartKey request : crash.requests()) {
+            requests.record(request, crash, nowNanos)
+                    .ifPresent(
+                            added -> {
+                                pending.addQuarantine(added);
+                                listener.onQuarantined(added, "endpoints that ended under it");
+                            });
+            if (requests.match(request, nowNanos).isPresent()) {
+                crashes.attribute(request);
+            }
+        }
+    }
+
+    private boolean isExplained(EndpointCrash crash, long nowNanos) {
+        return quarantine.covers(crash.suspects().keySet())
+                || crash.suspects().isEmpty() && requests.explains(crash, nowNanos);
+    }
+
+    /**
+     * Records that an endpoint has responded to a request completely.
+     *
+     * @return whether the request was suspected, so that the other VMs are to be notified
+     */
+    public boolean recordComplete(RequestKeys keys, String softwareVersion) {
+        if (requests.isEmpty() || !requests.isKnown(keys.request())) {
+            return false;
+        }
+        clear(keys.request());
+        pending.addSeen(new PoisonReport.Survival(keys.request(), softwareVersion));
+        return true;
+    }
+
+    private void clear(PartKey request) {
+        requests.clear(request).ifPresent(known -> listener.onReleased(known, request));
+    }
+
     /** Looks for parts that endpoints have survived; to be called several times a second. */
     public void sweep(long nowNanos) {
         runs.sweep((part, version) -> recordOwnSurvival(part, version, nowNanos), nowNanos);
         quarantine.expire(nowNanos);
         crashes.expire(nowNanos);
+        requests.expire(nowNanos);
         evaluate(nowNanos);
     }
 
@@ -206,7 +270,7 @@
         }
         changed = false;
         for (CrashLog.Explanation found :
-                crashes.explain(quarantine::covers, endpoints, nowNanos)) {
+                crashes.explain(crash -> isExplained(crash, nowNanos), endpoints, nowNanos)) {
             if (found.parts().stream().anyMatch(part -> trials.isBegun(part, nowNanos))) {
                 changed = true;
             } else {
@@ -231,7 +295,11 @@
         trials.record(vm, report, nowNanos);
         for (PoisonReport.Survival survival : report.survivals()) {
             pending.recordHeard(survival, nowNanos);
-            recordSurvival(survival.part(), survival.softwareVersion(), nowNanos);
+            if (survival.part().isRequest()) {
+                clear(survival.part());
+            } else {
+                recordSurvival(survival.part(), survival.softwareVersion(), nowNanos);
+            }
         }
         for (EndpointCrash crash : report.crashes()) {
             record(crash, nowNanos);
@@ -251,6 +319,12 @@
      * is known to survive.
      */
     public void adopt(QuarantinedParts known, String source, long nowNanos) {
+        if (known.parts().stream().anyMatch(PartKey::isRequest)) {
+            if (requests.adopt(known, nowNanos)) {
+                listener.onQuarantined(known, source);
+            }
+            return;
+        }
         Set<PartKey> parts = new HashSet<>(known.parts());
         parts.removeAll(contradict(known.parts(), known.softwareVersions(), nowNanos));
         QuarantinedParts rest =
@@ -281,9 +355,11 @@
         return survived;
     }
 
-    /** Returns the parts under quarantine. */
+    /** Returns the parts and the requests under quarantine. */
     public List<QuarantinedParts> quarantines() {
-        return quarantine.entries();
+        List<QuarantinedParts> all = new ArrayList<>(quarantine.entries());
+        all.addAll(requests.entries());
+        return all;
     }
 
     /** Returns whether any part is suspected, so that the VMs tell each other of their requests. */
--- a/core/src/main/java/org/bronzelug/core/poison/WatchedAttempt.java
+++ b/core/src/main/java/org/bronzelug/core/poison/WatchedAttempt.java
@@ -17,6 +17,7 @@
 
     private final EndpointRun run;
     private final Set<PartKey> parts;
+    private final RequestKeys keys;
     private final long sentNanos;
     private OptionalLong beganNanos = OptionalLong.empty();
     private OptionalLong firstDataNanos = OptionalLong.empty();
@@ -25,9 +26,13 @@
     private boolean survived;
     private boolean complete;
 
-    WatchedAttempt(EndpointRun run, Set<PartKey> parts, long sentNanos) {
+    /**
+     * @param parts those of the request's parts that may crash the endpoint
+     */
+    WatchedAttempt(EndpointRun run, Set<PartKey> parts, RequestKeys keys, long sentNanos) {
         this.run = run;
         this.parts = Set.copyOf(parts);
+        this.keys = keys;
         this.sentNanos = sentNanos;
     }
 
@@ -35,6 +40,11 @@
         return parts;
     }
 
+    /** Returns the key of the request itself. */
+    PartKey request() {
+        return keys.request();
+    }
+
     /** Returns how far the request had come at a time. */
     Involvement involvement(long nanos) {
         if (beganNanos.isEmpty()) {
@@ -56,6 +66,7 @@
     /** Records that the endpoint stated that it did not run the request. */
     public void recordNotExecuted() {
         written = false;
+        run.removeUnfinished(this);
     }
 
     boolean isWritten() {
@@ -99,6 +110,7 @@
     /** Records that the whole response has arrived. */
     public void complete(long nowNanos) {
         complete = true;
+        run.removeUnfinished(this);
         end(nowNanos);
     }
 
@@ -110,6 +122,12 @@
     public void end(long nowNanos) {
         if (endedNanos.isEmpty()) {
             endedNanos = OptionalLong.of(nowNanos);
+            if (!written) {
+                run.removeUnfinished(this);
+            } else if (!complete) {
+                // Computes the key while the request can still be read.
+                keys.request();
+            }
         }
     }
 
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
@@ -63,6 +63,7 @@
     private final List<Endpoint> endpoints = new ArrayList<>();
     private long order;
     private long millis;
+    private int fingerprints;
     private int poisonCrashes;
     private int crashesAtQuarantine = -1;
     private long boundMillis = Long.MAX_VALUE;
@@ -341,6 +342,7 @@
         private final Vm vm;
         private final PoisonMonitor monitor;
         private final Set<PartKey> parts;
+        private final RequestKeys keys;
         private final boolean poison;
         private final long arrivedMillis = millis;
         private int attempts;
@@ -352,6 +354,9 @@
             this.vm = vm;
             this.monitor = vm.monitor;
             this.parts = parts;
+            String fingerprint = String.valueOf(++fingerprints);
+            this.keys =
+                    new RequestKeys(List.copyOf(parts), () -> PartKey.ofRequest(POOL, fingerprint));
             this.poison = poison;
         }
 
@@ -359,7 +364,7 @@
             if (vm.monitor != monitor || millis - arrivedMillis > CALLER_MILLIS) {
                 return;
             }
-            switch (monitor.admit(parts, nanos())) {
+            switch (monitor.admit(keys, nanos())) {
                 case PartAdmission.Rejected rejected -> soundRejected += poison ? 0 : 1;
                 case PartAdmission.Waiting waiting -> {
                     hold();
@@ -388,7 +393,7 @@
             if (poison && millis > boundMillis) {
                 sendsAfterBound++;
             }
-            watched = Optional.of(monitor.begin(chosen.run(vm), parts, nanos()));
+            watched = Optional.of(monitor.begin(chosen.run(vm), keys, nanos()));
             endpoint = Optional.of(chosen);
             chosen.requests.add(this);
             vm.sendUrgent();
@@ -427,6 +432,7 @@
                 endpoint.orElseThrow().requests.remove(this);
                 endpoint = Optional.empty();
                 sent.complete(nanos());
+                monitor.recordComplete(keys, VERSION);
                 vm.sendUrgent();
             }
         }
@@ -439,7 +445,8 @@
             watched.ifPresent(sent -> sent.end(nanos()));
             endpoint = Optional.empty();
             if (attempts < 2) {
-                boolean harmless = monitor.areHarmless(parts, VERSION, nanos());
+                boolean harmless =
+                        monitor.ends(keys) == 0 && monitor.areHarmless(parts, VERSION, nanos());
                 after(harmless ? 1 : VERIFY_MILLIS, this::attempt);
             }
         }
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonMonitorTest.java
@@ -31,6 +31,7 @@
     private final PoisonMonitor monitor = newMonitor();
     private long millis;
     private int starts;
+    private int requests;
 
     private PoisonMonitor newMonitor() {
         PoisonMonitor created =
@@ -67,8 +68,14 @@
         return new EndpointRun(new EndpointStart("endpoint", ++starts), pool, VERSION);
     }
 
+    /** Returns the keys of a request that no other one is like. */
+    private RequestKeys keys(PartKey... parts) {
+        String fingerprint = "request" + ++requests;
+        return new RequestKeys(List.of(parts), () -> PartKey.ofRequest(POOL, fingerprint));
+    }
+
     private WatchedAttempt send(EndpointRun run, PartKey... parts) {
-        WatchedAttempt watched = monitor.begin(run, List.of(parts), nanos());
+        WatchedAttempt watched = monitor.begin(run, keys(parts), nanos());
         watched.recordWritten();
         return watched;
     }
@@ -220,7 +227,7 @@
     void aRequestThatWasNeverWrittenIsNoSuspect() {
         for (int crash = 0; crash < SAFE_LOOPS; crash++) {
             EndpointRun run = newRun();
-            monitor.begin(run, List.of(RARE), nanos());
+            monitor.begin(run, keys(RARE), nanos());
             monitor.recordCrash(run, OptionalLong.of(nanos()), nanos());
             pass(500);
         }
--- a/router/src/main/java/org/bronzelug/router/control/PoisonMessages.java
+++ b/router/src/main/java/org/bronzelug/router/control/PoisonMessages.java
@@ -75,6 +75,9 @@
                                 message.addWaitingParts(id);
                             }
                         });
+        crash.requests().stream()
+                .limit(MAXIMUM_PARTS)
+                .forEach(request -> message.addRequests(request.id()));
         return message.build();
     }
 
@@ -121,12 +124,15 @@
         add(suspects, pool, message.getWaitingPartsList(), Involvement.WAITING);
         add(suspects, pool, message.getBegunPartsList(), Involvement.BEGUN);
         add(suspects, pool, message.getRespondingPartsList(), Involvement.RESPONDING);
+        Set<PartKey> requests = new HashSet<>();
+        message.getRequestsList().forEach(id -> requests.add(PartKey.of(pool, id)));
         return new EndpointCrash(
                 new EndpointStart(message.getEndpoint(), message.getBornMillis()),
                 pool,
                 message.getSoftwareVersion(),
                 nowNanos - nanos(message.getAgeMillis()),
-                suspects);
+                suspects,
+                requests);
     }
 
     private static void add(
--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -100,16 +100,17 @@
         }
     }
 
-    /** Gives the request up because parts of its prompt are under quarantine. */
+    /** Gives the request up because it, or parts of its prompt, are under quarantine. */
     void giveUpQuarantined(PartAdmission.Rejected rejected) {
+        String reason = PartGate.reason(rejected);
         metrics.count("requests_rejected_for_quarantined_parts");
         if (relay.hasBegun()) {
-            outcome.breakOff(EndpointCheck.QUARANTINED);
+            outcome.breakOff(reason);
         } else if (attempts.mayHaveRun()) {
-            outcome.fail(BAD_GATEWAY, EndpointCheck.QUARANTINED);
+            outcome.fail(BAD_GATEWAY, reason);
         } else {
             refund();
-            outcome.rejectNotRun(EndpointCheck.QUARANTINED, PartGate.retryMillis(rejected));
+            outcome.rejectNotRun(reason, PartGate.retryMillis(rejected));
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -98,6 +98,7 @@
     /** Records that the whole response has arrived. */
     void recordComplete(long nowNanos) {
         watched.ifPresent(present -> present.complete(nowNanos));
+        gate.recordComplete(currentEndpoint());
     }
 
     /**
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
@@ -13,6 +13,8 @@
 
     static final String QUARANTINED = "parts of the prompt crash endpoints";
 
+    static final String ENDS = "several endpoints have ended under this request";
+
     private final TrafficState state;
     private final AdmittedRequest admitted;
     private final PartGate gate;
@@ -29,7 +31,7 @@
             return Optional.of("endpoint accepts no more requests");
         }
         if (gate.isQuarantined(nowNanos)) {
-            return Optional.of(QUARANTINED);
+            return Optional.of("the request may crash endpoints");
         }
         return mayWaitAt(endpoint, nowNanos) ? Optional.empty() : Optional.of(WEIGHTS_EXPIRED);
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -84,14 +84,18 @@
         this.request = request;
         this.admitted = admitted;
         this.streamVersion = streamVersion;
-        PartGate gate = new PartGate(state, admitted);
+        PartGate gate =
+                new PartGate(
+                        state,
+                        admitted,
+                        () -> RequestFingerprint.of(admitted, request, caller.remoteHost()));
         this.selection = new EndpointSelection(state, admitted, streamVersion, gate);
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
         this.attempt = new CurrentAttempt(state, admitted, gate, this);
         this.outcome = new ExchangeOutcome(metrics, caller, this::release);
         this.silence = new SilenceWatch(traffic, admitted.route(), this::moveIfStalled);
-        this.log = new ExchangeLog(admitted);
+        this.log = new ExchangeLog(admitted, gate);
         this.responseStart = new ResponseStart(state, metrics, admitted);
         this.relay =
                 new ResponseRelay(
--- a/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ExchangeLog.java
@@ -24,10 +24,12 @@
     private static final int LOGGED_PART_CHARACTERS = 24;
 
     private final AdmittedRequest admitted;
+    private final PartGate gate;
     private ConnectionUse connection = ConnectionUse.NONE;
 
-    ExchangeLog(AdmittedRequest admitted) {
+    ExchangeLog(AdmittedRequest admitted, PartGate gate) {
         this.admitted = admitted;
+        this.gate = gate;
     }
 
     /**
@@ -46,6 +48,7 @@
                         + (" softwareVersion=" + endpoint.entry().softwareVersion())
                         + resumption()
                         + sharedParts()
+                        + ends()
                         + (" requests=" + endpoint.ownRequests())
                         + ("+" + endpoint.peerRequests())
                         + runner.map(RunnerChoice::describe).orElse("")
@@ -53,6 +56,11 @@
                         + (limited.isEmpty() ? "" : " limited=" + ids(limited)));
     }
 
+    private String ends() {
+        int ends = gate.ends();
+        return ends == 0 ? "" : " endsBefore=" + ends;
+    }
+
     /** Records on which connection the request was written, for the lines that follow. */
     void written(ConnectionUse use) {
         connection = use;
--- a/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
@@ -9,8 +9,8 @@
 import org.bronzelug.router.traffic.EndpointState;
 
 /**
- * Holds one request back while it is not known whether the parts of its prompt crash endpoints, and
- * gives it up if they do.
+ * Holds one request back while it is not known whether it or the parts of its prompt crash
+ * endpoints, and gives it up if they do.
  *
  * <p>Invariant: a continuation is not run after the exchange has ended. Confined to the traffic
  * thread.
@@ -30,6 +30,7 @@
     private final ExchangeLog log;
     private Optional<EndpointState> lastEndpoint = Optional.empty();
     private boolean logged;
+    private boolean verified;
 
     PartHold(
             ExchangeOutcome outcome,
@@ -53,7 +54,7 @@
      */
     boolean admits(Runnable continuation, long nowNanos) {
         return switch (gate.admit(nowNanos)) {
-            case PartAdmission.Allowed allowed -> true;
+            case PartAdmission.Allowed allowed -> isVerified(continuation);
             case PartAdmission.Waiting waiting -> {
                 hold(waiting.part(), continuation);
                 yield false;
@@ -65,6 +66,20 @@
         };
     }
 
+    /**
+     * Returns whether all ends under the request are known that were before now. If the next end is
+     * the last one allowed, the request is continued once reports of other VMs have arrived: its
+     * caller may have lost an endpoint at one of them just now.
+     */
+    private boolean isVerified(Runnable continuation) {
+        if (verified || !gate.mayBeLastSend()) {
+            return true;
+        }
+        verified = true;
+        schedule(continuation, VERIFICATION_MILLIS);
+        return false;
+    }
+
     private void hold(PartKey part, Runnable continuation) {
         if (!logged) {
             logged = true;
@@ -95,6 +110,7 @@
      */
     void afterVerification(Runnable continuation, long nowNanos) {
         if (lastEndpoint.filter(last -> gate.mayHaveCrashed(last, nowNanos)).isPresent()) {
+            verified = true;
             schedule(continuation, VERIFICATION_MILLIS);
         } else {
             continuation.run();
--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
@@ -79,6 +80,13 @@
         startTimer(handler.limits().idleTimeoutMillis(), this::close);
     }
 
+    /** Returns the host of the caller; empty if it is not known. */
+    public String remoteHost() {
+        return channel.remoteAddress() instanceof InetSocketAddress remote
+                ? remote.getHostString()
+                : "";
+    }
+
     /** Returns whether a request is in progress, or its response is not yet sent. */
     public boolean isBusy() {
         return busy || unsent.isPending();
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.bronzelug.core.poison.EndpointCrash;
@@ -17,13 +18,14 @@
 import org.bronzelug.core.poison.PoisonReport;
 import org.bronzelug.core.poison.QuarantineListener;
 import org.bronzelug.core.poison.QuarantinedParts;
+import org.bronzelug.core.poison.RequestKeys;
 import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 
 /**
- * Knows which parts of prompts crash endpoints, from this VM's own requests and from the reports of
- * the other VMs, and reports to the other VMs what this one has seen.
+ * Knows which parts of prompts and which requests crash endpoints, from this VM's own requests and
+ * from the reports of the other VMs, and reports to the other VMs what this one has seen.
  *
  * <p>Invariant: what may change the decisions of other VMs is sent to them at once, and again in
  * the next rounds. Confined to the traffic thread.
@@ -60,14 +62,19 @@
         peers = fleet;
     }
 
-    /** Returns whether a request with these parts may be sent to an endpoint now. */
-    public PartAdmission admit(Collection<PartKey> parts, long nowNanos) {
-        return monitor.admit(parts, nowNanos);
+    /** Returns whether a request may be sent to an endpoint now. */
+    public PartAdmission admit(RequestKeys keys, long nowNanos) {
+        return monitor.admit(keys, nowNanos);
     }
 
-    /** Returns whether an admitted request with these parts may not be sent after all. */
-    public boolean isQuarantined(Collection<PartKey> parts, long nowNanos) {
-        return monitor.isQuarantined(parts, nowNanos);
+    /** Returns whether an admitted request may not be sent after all. */
+    public boolean isQuarantined(RequestKeys keys, long nowNanos) {
+        return monitor.isQuarantined(keys, nowNanos);
+    }
+
+    /** Returns the number of endpoints that have ended under a request, as far as is known. */
+    public int ends(RequestKeys keys) {
+        return monitor.ends(keys);
     }
 
     /** Returns whether one of the parts may crash endpoints, as far as crashes have shown. */
@@ -80,13 +87,20 @@
         return monitor.areHarmless(parts, softwareVersion, nowNanos);
     }
 
-    /** Records that a request with these parts is sent to an endpoint. */
-    public WatchedAttempt begin(EndpointRun run, Collection<PartKey> parts, long nowNanos) {
-        WatchedAttempt watched = monitor.begin(run, parts, nowNanos);
+    /** Records that a request is sent to an endpoint. */
+    public WatchedAttempt begin(EndpointRun run, RequestKeys keys, long nowNanos) {
+        WatchedAttempt watched = monitor.begin(run, keys, nowNanos);
         recordChange(nowNanos);
         return watched;
     }
 
+    /** Records that an endpoint has responded to a request completely. */
+    public void recordComplete(RequestKeys keys, String softwareVersion) {
+        if (monitor.recordComplete(keys, softwareVersion)) {
+            monitor.urgentReport(System.nanoTime()).ifPresent(peers::send);
+        }
+    }
+
     /** Reports a request that has begun or ended to the other VMs, if they may wait for it. */
     public void recordChange(long nowNanos) {
         if (monitor.hasSuspects()) {
@@ -108,7 +122,8 @@
                         + (" softwareVersion=" + crash.softwareVersion())
                         + (" ageMillis="
                                 + TimeUnit.NANOSECONDS.toMillis(nowNanos - crash.atNanos()))
-                        + describe(crash));
+                        + describe(crash)
+                        + (" requests=" + describe(crash.requests())));
         monitor.urgentReport(nowNanos).ifPresent(peers::send);
         evaluateSoon();
     }
@@ -124,6 +139,10 @@
         monitor.urgentReport(nowNanos).ifPresent(peers::send);
     }
 
+    private static List<String> describe(Set<PartKey> requests) {
+        return requests.stream().limit(LOGGED_SUSPECTS).map(PartKey::id).toList();
+    }
+
     private static String describe(EndpointCrash crash) {
         StringBuilder text = new StringBuilder();
         for (Involvement involvement : Involvement.values()) {
--- a/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
+++ b/router/src/test/java/org/bronzelug/router/exchange/SuspectedPartPlacementTest.java
@@ -130,21 +130,21 @@
                 head, route, Optional.empty(), 0, Optional.of(POOL), 1, System.nanoTime());
     }
 
+    private PartGate gate(AdmittedRequest request) {
+        return new PartGate(state, request, () -> request.head().id());
+    }
+
     private String choose(AdmittedRequest request) {
         EndpointSelection selection =
                 new EndpointSelection(
-                        state,
-                        request,
-                        StreamVersion.unbound(begun -> {}),
-                        new PartGate(state, request));
+                        state, request, StreamVersion.unbound(begun -> {}), gate(request));
         return selection.choose(System.nanoTime()).orElseThrow().entry().id();
     }
 
     /** All prompts had begun at the runner that crashed, so that each is suspected. */
     private void crashUnderAllPrompts(EndpointState crashed) {
         for (int prompt = 0; prompt < PROMPTS; prompt++) {
-            WatchedAttempt attempt =
-                    new PartGate(state, request(prompt)).begin(crashed, System.nanoTime());
+            WatchedAttempt attempt = gate(request(prompt)).begin(crashed, System.nanoTime());
             attempt.recordWritten();
             attempt.recordHead(System.nanoTime());
             attempt.recordData(System.nanoTime());
