Origins of open streams are kept on the platform while versions coexist

Callers saw: after all VMs were killed while a pool had two software versions, no stream was resumed (503), although both versions served (LOST). Cause: the origins of streams were in the memory of VMs only, the one that began a stream and three others, which all died together.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -72,6 +72,10 @@
     PARTS_QUARANTINED(531, "parts of prompts crash endpoints; rejecting requests with them"),
     PARTS_RELEASED(532, "endpoint survived a part of prompts; accepting requests with it again"),
     QUARANTINE_STORED(533, "parts under quarantine sent to the platform"),
+    STREAM_ORIGINS_READ(534, "origins of streams that no VM knows read from the platform"),
+    STREAM_ORIGINS_NOT_STORED(
+            535, "origins of streams not taken by the platform; writing them again"),
+    STREAM_ORIGINS_REMOVED(536, "stored origins of streams that have ended removed"),
     REQUEST_HELD(606, "request waits for the outcome of another one that may crash its endpoint"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -73,6 +73,8 @@
     private final FleetUpdates updates;
     private final FleetStreamOrigins streamOrigins;
     private final FleetPoisonReports poisonReports;
+    private final StoredOrigins storedOrigins;
+    private final StoredOriginsCleanup originsCleanup;
     private final StoredVersions storedVersions;
     private final StoredQuarantines storedQuarantines;
     private final RoundPeriod period = new RoundPeriod();
@@ -117,10 +119,19 @@
         this.orders =
                 new OrderService(control, store, settings, incarnation, state, members, runners);
         this.rollouts = new RolloutService(store, decoder, settings, incarnation, state, members);
+        this.storedOrigins = new StoredOrigins(control, store, settings.vm());
+        this.originsCleanup = new StoredOriginsCleanup(store, settings.vm(), members);
         this.streamOrigins =
                 new FleetStreamOrigins(
-                        control, traffic, settings, members, gossip, trafficState.origins());
+                        control,
+                        traffic,
+                        settings,
+                        members,
+                        gossip,
+                        trafficState.origins(),
+                        storedOrigins);
         trafficState.origins().setPeers(streamOrigins);
+        trafficState.origins().setArchive(streamOrigins);
         this.poisonReports =
                 new FleetPoisonReports(
                         control, traffic, settings, members, gossip, trafficState.poison());
@@ -160,6 +171,7 @@
                 () -> {
                     registration.start();
                     reading.start();
+                    storedOrigins.start();
                     storedVersions.start();
                     storedQuarantines.start();
                 });
@@ -172,6 +184,7 @@
                 () -> {
                     stopped = true;
                     reading.stop();
+                    storedOrigins.stop();
                     storedVersions.stop();
                     storedQuarantines.stop();
                 });
@@ -184,6 +197,7 @@
     public void beginStop() {
         stopping = true;
         control.execute(this::runRoundSafely);
+        control.execute(storedOrigins::stop);
         traffic.execute(trafficState.origins()::shareAll);
     }
 
@@ -345,6 +359,8 @@
         orders.updateLoad(load);
         orders.updateUnreachable(newReport.lostPaths());
         rollouts.round(newReport.rollouts(), load);
+        storedOrigins.round(fleetSize());
+        originsCleanup.round(System.nanoTime());
         storedVersions.round(newReport.recentVersions(), newReport.versionsWatched());
         storedQuarantines.round(newReport.quarantines());
         newReport.weights().forEach(this::recordObservedWeights);
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.bronzelug.api.fleet.v1.ListedVersion;
 import org.bronzelug.api.fleet.v1.StreamOriginAnswer;
@@ -34,9 +35,10 @@
  * asked than keep a record, since VMs differ for a moment in who is live.
  *
  * <p>Invariant: messages of this class carry nothing else, so that they change no member's state.
- * Confined to the control thread, except for {@link #keep} and {@link #ask}.
+ * Confined to the control thread, except for {@link #keep}, {@link #ask} and {@link #find}.
  */
-final class FleetStreamOrigins implements StreamOriginDirectory.Peers {
+final class FleetStreamOrigins
+        implements StreamOriginDirectory.Peers, StreamOriginDirectory.Archive {
     /** With these and the VM that began the stream, two availability zones may be lost. */
     private static final int HOLDERS = 3;
 
@@ -51,6 +53,7 @@
     private final MemberTable members;
     private final FleetGossip gossip;
     private final StreamOriginDirectory directory;
+    private final StoredOrigins stored;
 
     FleetStreamOrigins(
             EventLoop control,
@@ -58,18 +61,30 @@
             VmSettings settings,
             MemberTable members,
             FleetGossip gossip,
-            StreamOriginDirectory directory) {
+            StreamOriginDirectory directory,
+            StoredOrigins stored) {
         this.control = control;
         this.traffic = traffic;
         this.settings = settings;
         this.members = members;
         this.gossip = gossip;
         this.directory = directory;
+        this.stored = stored;
     }
 
     @Override
     public void keep(List<StreamOrigin> begun) {
-        control.execute(() -> sendToHolders(begun));
+        control.execute(
+                () -> {
+                    sendToHolders(begun);
+                    stored.add(begun);
+                });
+    }
+
+    @Override
+    public void find(StreamKey key, Consumer<Optional<StreamOrigin>> onRead) {
+        control.execute(
+                () -> stored.find(key, origin -> traffic.execute(() -> onRead.accept(origin))));
     }
 
     private void sendToHolders(List<StreamOrigin> begun) {
--- a/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
@@ -42,6 +42,9 @@
      */
     CompletableFuture<StoredItem> replace(String kind, StoredItem item);
 
+    /** Removes an object if it has the item's revision; fails with {@code CONFLICT} if not. */
+    CompletableFuture<Void> remove(String kind, StoredItem item);
+
     /**
      * Replaces an object's status if the object has this revision; fails with {@code CONFLICT} if
      * it has another.
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.Route;
@@ -24,8 +25,8 @@
  * <p>The VM that forwards a stream's first event records its origin. While the pool's past leaves
  * open which version began a stream, it also has some other VMs keep the record, since a caller
  * resumes a stream at another VM mostly because the first one has died. A VM without the record
- * asks these VMs. If none has it, the version is known only if the pool has had a single one for as
- * long as a stream can last.
+ * asks these VMs. If none has it, the version is known if the pool has had a single one for as long
+ * as a stream can last, or if the platform keeps the record of a VM that has died.
  *
  * <p>Invariant: a version is never guessed. Confined to the traffic thread.
  */
@@ -44,6 +45,7 @@
     private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
     private final Map<StreamKey, List<OriginLookup>> lookups = new HashMap<>();
     private Peers peers = new NoPeers();
+    private Archive archive = (key, onRead) -> onRead.accept(Optional.empty());
 
     public StreamOriginDirectory(EventLoop traffic) {
         this.traffic = traffic;
@@ -58,6 +60,16 @@
         void ask(StreamKey key, String pool);
     }
 
+    /** The origins that the platform keeps, for VMs that have all restarted. Must not block. */
+    public interface Archive {
+        /**
+         * Looks up an origin; called on the traffic thread.
+         *
+         * @param onRead is called once on the traffic thread, with the origin if it is kept
+         */
+        void find(StreamKey key, Consumer<Optional<StreamOrigin>> onRead);
+    }
+
     /** Is notified once of the outcome of a lookup, on the traffic thread. */
     public interface Listener {
         /**
@@ -88,6 +100,10 @@
         peers = fleet;
     }
 
+    public void setArchive(Archive stored) {
+        archive = stored;
+    }
+
     /** Returns the number of streams whose origins this VM knows. */
     public int size() {
         return origins.size();
@@ -240,11 +256,28 @@
         if (known.isPresent()) {
             String source = recorded.isPresent() ? "record of a peer" : "sole version";
             lookup.listener().onFound(known.get(), source + ", " + answers);
+        } else if (lookup.key().isPresent()) {
+            StreamKey key = lookup.key().get();
+            archive.find(key, stored -> concludeStored(lookup, stored, answers));
         } else {
-            lookup.listener().onUnknown(answers, retryMillis(lookup.pool()));
+            reject(lookup, answers);
         }
     }
 
+    private void concludeStored(
+            OriginLookup lookup, Optional<StreamOrigin> stored, String answers) {
+        if (stored.isPresent()) {
+            origins.record(stored.get(), System.nanoTime());
+            lookup.listener().onFound(stored.get(), "platform, " + answers);
+        } else {
+            reject(lookup, answers);
+        }
+    }
+
+    private void reject(OriginLookup lookup, String answers) {
+        lookup.listener().onUnknown(answers, retryMillis(lookup.pool()));
+    }
+
     /** Returns the time until the pool's only version is known, if it has one, else a second. */
     private long retryMillis(Optional<String> pool) {
         boolean willBeKnown = pool.filter(name -> versions.recent(name).size() == 1).isPresent();
--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -251,6 +251,11 @@
             return new CompletableFuture<>();
         }
 
+        @Override
+        public CompletableFuture<Void> remove(String kind, StoredItem item) {
+            return new CompletableFuture<>();
+        }
+
         @Override
         public CompletableFuture<StoredItem> writeStatus(
                 String kind, String name, long revision, byte[] status) {
--- a/router/src/test/java/org/bronzelug/router/control/PagedStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedStore.java
@@ -153,6 +153,11 @@
         throw new UnsupportedOperationException("a watch writes nothing");
     }
 
+    @Override
+    public CompletableFuture<Void> remove(String kind, StoredItem item) {
+        throw new UnsupportedOperationException("a watch writes nothing");
+    }
+
     @Override
     public CompletableFuture<StoredItem> writeStatus(
             String kind, String name, long revision, byte[] status) {
--- a/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/RecordingStore.java
@@ -71,6 +71,13 @@
                 new StoreException(StoreException.Problem.ABSENT, "absent"));
     }
 
+    @Override
+    public CompletableFuture<Void> remove(String kind, StoredItem item) {
+        calls.add("remove");
+        items.remove(item.name());
+        return CompletableFuture.completedFuture(null);
+    }
+
     /** Removes an object, as an operator does. */
     void remove(String name) {
         items.remove(name);
--- a/router/src/test/java/org/bronzelug/router/store/ListContinuationTest.java
+++ b/router/src/test/java/org/bronzelug/router/store/ListContinuationTest.java
@@ -105,6 +105,11 @@
             throw new UnsupportedOperationException("lists only");
         }
 
+        @Override
+        public CompletableFuture<Void> remove(String kind, StoredItem item) {
+            throw new UnsupportedOperationException("lists only");
+        }
+
         @Override
         public CompletableFuture<StoredItem> writeStatus(
                 String kind, String name, long revision, byte[] status) {
