A stored set of versions that can't be read is not taken for an empty one

Cause: an object that can't be decoded gave an empty set, which was adopted as watched for the whole window. The only version listed then seemed to be the only one that there had been. Change: such an object counts as missing, so that nothing is concluded from it. A missing or malformed set is written again only by a VM that has watched the list for as long as a stream can last, or when the fleet starts for the first time.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -137,7 +137,13 @@
                         control, traffic, settings, members, gossip, trafficState.poison());
         trafficState.poison().setPeers(poisonReports);
         this.storedVersions =
-                new StoredVersions(control, store, settings.vm(), members, this::adoptVersions);
+                new StoredVersions(
+                        control,
+                        store,
+                        settings.vm(),
+                        members,
+                        settings.fleetStarts(),
+                        this::adoptVersions);
         this.storedQuarantines =
                 new StoredQuarantines(
                         control, store, settings.vm(), members, poisonReports::adoptStored);
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -25,8 +25,10 @@
  * A VM reads them once at its start. Without this, VMs that have all restarted at the same time
  * would not know the version of any stream that began before.
  *
- * <p>Invariant: a version is removed only by a VM that has watched the list of endpoints for as
- * long as a stream can last without seeing it. Confined to the control thread.
+ * <p>Invariants: a version is removed only by a VM that has watched the list of endpoints for as
+ * long as a stream can last without seeing it. An object that can't be read or is missing is
+ * written only by such a VM, or if the fleet starts for the first time. Confined to the control
+ * thread.
  */
 final class StoredVersions {
     static final String KIND = "pool-versions";
@@ -37,11 +39,13 @@
     private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final PoolObjects objects;
+    private final boolean fleetStarts;
     private final Consumer<Map<String, Set<String>>> onRead;
     private final Map<String, Decoded> decoded = new HashMap<>();
     private final long startNanos = System.nanoTime();
 
     /**
+     * @param fleetStarts whether the whole fleet starts for the first time
      * @param onRead receives the stored versions by pool, once
      */
     StoredVersions(
@@ -49,6 +53,7 @@
             ObjectStore store,
             String vm,
             MemberTable members,
+            boolean fleetStarts,
             Consumer<Map<String, Set<String>>> onRead) {
         this.objects =
                 new PoolObjects(
@@ -59,6 +64,7 @@
                         KIND,
                         LogEvent.POOL_VERSIONS_WRITTEN,
                         this::onListed);
+        this.fleetStarts = fleetStarts;
         this.onRead = onRead;
     }
 
@@ -72,7 +78,7 @@
 
     private void onListed(List<StoredItem> items) {
         Map<String, Set<String>> versions = new HashMap<>();
-        items.forEach(item -> versions.put(item.name(), versions(item)));
+        items.forEach(item -> versions(item).ifPresent(known -> versions.put(item.name(), known)));
         onRead.accept(versions);
     }
 
@@ -91,15 +97,21 @@
                     Set<String> wanted = wanted(pool, versions, watched);
                     if (stored(pool).equals(Optional.of(wanted))) {
                         objects.recordEqual(pool);
-                    } else {
+                    } else if (isComplete(pool, watched)) {
                         objects.writeIfDue(pool, () -> content(wanted), "versions=" + wanted);
                     }
                 });
     }
 
+    /** Returns whether this VM knows all recent versions of a pool, as a VM that starts assumes. */
+    private boolean isComplete(String pool, boolean watched) {
+        boolean first = fleetStarts && objects.find(pool).isEmpty();
+        return watched || first || stored(pool).isPresent();
+    }
+
     private Optional<Set<String>> stored(String pool) {
         return objects.find(pool)
-                .map(
+                .flatMap(
                         item -> {
                             Decoded known = decoded.get(pool);
                             if (known == null || known.item != item) {
@@ -111,7 +123,7 @@
     }
 
     /** What a stored object contains, so that it is not decoded in each round. Immutable. */
-    private record Decoded(StoredItem item, Set<String> versions) {}
+    private record Decoded(StoredItem item, Optional<Set<String>> versions) {}
 
     private Set<String> wanted(String pool, Set<String> recent, boolean watched) {
         Set<String> wanted = new TreeSet<>(recent);
@@ -127,14 +139,25 @@
         return content.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private static Set<String> versions(StoredItem item) {
+    /** Returns the versions of an object; empty if it can't be read. */
+    private static Optional<Set<String>> versions(StoredItem item) {
         Set<String> versions = new TreeSet<>();
         try {
-            JsonNode content = JSON.readTree(item.content());
-            content.path(VERSIONS_FIELD).forEach(version -> versions.add(version.asText()));
+            for (JsonNode version : JSON.readTree(item.content()).path(VERSIONS_FIELD)) {
+                if (!version.isTextual()) {
+                    throw new IOException("a version is not a text");
+                }
+                versions.add(version.asText());
+            }
+            if (versions.isEmpty()) {
+                throw new IOException("a pool has no version");
+            }
+            return Optional.of(versions);
         } catch (IOException malformed) {
-            EventLog.warn(LogEvent.CONFIGURATION_UNREADABLE, "kind=" + KIND + " " + item.name());
+            EventLog.warn(
+                    LogEvent.CONFIGURATION_UNREADABLE,
+                    "kind=" + KIND + " " + item.name() + " cause=" + malformed.getMessage());
+            return Optional.empty();
         }
-        return versions;
     }
 }
--- /dev/null
+++ b/router/src/test/java/org/bronzelug/router/control/StoredVersionsTest.java
@@ -0,0 +1,87 @@
+package org.bronzelug.router.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.DefaultEventLoop;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.bronzelug.router.fleet.MemberTable;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a set of versions on the platform that lacks one which streams have begun at. */
+class StoredVersionsTest {
+    private static final long TIMEOUT_SECONDS = 10;
+    private static final String READABLE = "{\"versions\":[\"v1\"]}";
+
+    private final RecordingStore store = new RecordingStore();
+    private final List<Map<String, Set<String>>> read = new ArrayList<>();
+
+    private StoredVersions start(boolean fleetStarts) {
+        StoredVersions stored =
+                new StoredVersions(
+                        new DefaultEventLoop(),
+                        store,
+                        "vm-1",
+                        new MemberTable("vm-1"),
+                        fleetStarts,
+                        read::add);
+        stored.start();
+        return stored;
+    }
+
+    private void put(String pool, String content) {
+        store.create(StoredVersions.KIND, pool, content.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String content(String pool) throws Exception {
+        byte[] content = store.read(StoredVersions.KIND, pool).get().content();
+        return new String(content, StandardCharsets.UTF_8);
+    }
+
+    /** Runs rounds until the object of a pool has a content. */
+    private void roundUntil(
+            StoredVersions stored, Map<String, Set<String>> recent, String pool, String expected)
+            throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!content(pool).equals(expected) && System.nanoTime() < end) {
+            stored.round(recent, false);
+        }
+        assertThat(content(pool)).isEqualTo(expected);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "[",
+                "{}",
+                "{\"versions\":\"v1\"}",
+                "{\"versions\":[1]}",
+                "{\"versions\":[]}"
+            })
+    void aMalformedSetIsNotUsedAndNotReplacedByAPartOfIt(String malformed) throws Exception {
+        put("malformed", malformed);
+        put("pool", READABLE);
+        StoredVersions stored = start(true);
+        assertThat(read).containsExactly(Map.of("pool", Set.of("v1")));
+        Map<String, Set<String>> recent = Map.of("malformed", Set.of("v2"), "pool", Set.of("v2"));
+        roundUntil(stored, recent, "pool", "{\"versions\":[\"v1\",\"v2\"]}");
+        assertThat(content("malformed")).isEqualTo(malformed);
+    }
+
+    @Test
+    void aMissingSetIsNotWrittenByAVmThatHasJustStarted() throws Exception {
+        put("pool", READABLE);
+        StoredVersions stored = start(false);
+        Map<String, Set<String>> recent = Map.of("missing", Set.of("v2"), "pool", Set.of("v2"));
+        roundUntil(stored, recent, "pool", "{\"versions\":[\"v1\",\"v2\"]}");
+        assertThat(store.calls()).doesNotContain("read nothing");
+        assertThat(store.read(StoredVersions.KIND, "missing").isCompletedExceptionally()).isTrue();
+    }
+}
