A lower time limit does not shorten the past that a stream may come from

Callers would have seen: streams joined from two versions after all VMs were killed, if the configuration had lowered timeoutMs while longer streams were open (ORDER). Cause: the window for which a pool's versions count as recent was the longest time limit of the routes now in force. A version that had begun longer streams was dropped from the stored set, and a set was believed to cover any window. Change: a window holds until that much time after it was last required (StreamWindow). The stored set names the window that it covers; VMs that start adopt that one, and a longer one is written only once all of it was watched.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.api.fleet.v1.EndpointWeights;
@@ -29,6 +28,7 @@
 import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.stream.RecentVersions;
 import org.bronzelug.router.traffic.TrafficState;
 import org.bronzelug.router.traffic.TrafficUpdate;
 
@@ -367,7 +367,7 @@
         rollouts.round(newReport.rollouts(), load);
         storedOrigins.round(fleetSize());
         originsCleanup.round(System.nanoTime());
-        storedVersions.round(newReport.recentVersions(), newReport.versionsWatched());
+        storedVersions.round(newReport.recentVersions());
         storedQuarantines.round(newReport.quarantines());
         newReport.weights().forEach(this::recordObservedWeights);
         newReport.runnersWithUnknownWeights().forEach(orders::queryWeights);
@@ -502,7 +502,7 @@
         return state.isComplete() && (reading.isReading() || 2 * reachable > fleetSize());
     }
 
-    private void adoptVersions(Map<String, Set<String>> stored) {
+    private void adoptVersions(RecentVersions stored) {
         traffic.execute(() -> trafficState.origins().versions().adopt(stored));
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -2,16 +2,17 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bronzelug.log.EventLog;
@@ -19,6 +20,7 @@
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoredItem;
+import org.bronzelug.router.stream.RecentVersions;
 
 /**
  * Keeps on the platform which software versions each pool has had for as long as a stream can last.
@@ -33,6 +35,7 @@
 final class StoredVersions {
     static final String KIND = "pool-versions";
     private static final String VERSIONS_FIELD = "versions";
+    private static final String WINDOW_FIELD = "windowMillis";
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** Time from the start in which this VM learns which other VMs are live. */
@@ -40,13 +43,13 @@
 
     private final PoolObjects objects;
     private final boolean fleetStarts;
-    private final Consumer<Map<String, Set<String>>> onRead;
+    private final Consumer<RecentVersions> onRead;
     private final Map<String, Decoded> decoded = new HashMap<>();
     private final long startNanos = System.nanoTime();
 
     /**
      * @param fleetStarts whether the whole fleet starts for the first time
-     * @param onRead receives the stored versions by pool, once
+     * @param onRead receives the stored versions, once
      */
     StoredVersions(
             EventLoop control,
@@ -54,7 +57,7 @@
             String vm,
             MemberTable members,
             boolean fleetStarts,
-            Consumer<Map<String, Set<String>>> onRead) {
+            Consumer<RecentVersions> onRead) {
         this.objects =
                 new PoolObjects(
                         control,
@@ -78,72 +81,91 @@
 
     private void onListed(List<StoredItem> items) {
         Map<String, Set<String>> versions = new HashMap<>();
-        items.forEach(item -> versions(item).ifPresent(known -> versions.put(item.name(), known)));
-        onRead.accept(versions);
+        long windowMillis = Long.MAX_VALUE;
+        for (StoredItem item : items) {
+            Optional<StoredSet> known = decode(item);
+            if (known.isPresent()) {
+                versions.put(item.name(), known.get().versions);
+                windowMillis = Math.min(windowMillis, known.get().windowMillis);
+            }
+        }
+        boolean any = !versions.isEmpty();
+        onRead.accept(new RecentVersions(versions, any ? windowMillis : 0, any));
     }
 
-    /**
-     * Writes what has changed, if it is this VM's turn.
-     *
-     * @param recent the versions that each pool has had for as long as a stream can last
-     * @param watched whether this VM has watched the list for as long
-     */
-    void round(Map<String, Set<String>> recent, boolean watched) {
+    /** Writes what has changed, if it is this VM's turn. */
+    void round(RecentVersions recent) {
         if (System.nanoTime() - startNanos < SETTLE_NANOS) {
             return;
         }
-        recent.forEach(
-                (pool, versions) -> {
-                    Set<String> wanted = wanted(pool, versions, watched);
-                    if (stored(pool).equals(Optional.of(wanted))) {
-                        objects.recordEqual(pool);
-                    } else if (isComplete(pool, watched)) {
-                        objects.writeIfDue(pool, () -> content(wanted), "versions=" + wanted);
-                    }
-                });
+        recent.byPool().forEach((pool, versions) -> update(pool, versions, recent));
     }
 
-    /** Returns whether this VM knows all recent versions of a pool, as a VM that starts assumes. */
-    private boolean isComplete(String pool, boolean watched) {
+    private void update(String pool, Set<String> versions, RecentVersions recent) {
+        Optional<StoredSet> stored = stored(pool);
         boolean first = fleetStarts && objects.find(pool).isEmpty();
-        return watched || first || stored(pool).isPresent();
+        boolean complete = recent.complete() || first;
+        if (!complete && stored.isEmpty()) {
+            // A VM that starts would take a part of the versions for all of them.
+            return;
+        }
+        StoredSet wanted =
+                complete
+                        ? new StoredSet(versions, recent.windowMillis())
+                        : stored.get().with(versions);
+        if (stored.equals(Optional.of(wanted))) {
+            objects.recordEqual(pool);
+        } else {
+            objects.writeIfDue(pool, wanted::encode, "versions=" + wanted.versions);
+        }
     }
 
-    private Optional<Set<String>> stored(String pool) {
+    private Optional<StoredSet> stored(String pool) {
         return objects.find(pool)
                 .flatMap(
                         item -> {
                             Decoded known = decoded.get(pool);
                             if (known == null || known.item != item) {
-                                known = new Decoded(item, versions(item));
+                                known = new Decoded(item, decode(item));
                                 decoded.put(pool, known);
                             }
-                            return known.versions;
+                            return known.set;
                         });
     }
 
     /** What a stored object contains, so that it is not decoded in each round. Immutable. */
-    private record Decoded(StoredItem item, Optional<Set<String>> versions) {}
+    private record Decoded(StoredItem item, Optional<StoredSet> set) {}
 
-    private Set<String> wanted(String pool, Set<String> recent, boolean watched) {
-        Set<String> wanted = new TreeSet<>(recent);
-        if (!watched) {
-            stored(pool).ifPresent(wanted::addAll);
+    /**
+     * All versions that a pool has had within a window. Immutable.
+     *
+     * @param windowMillis the window before the set was written
+     */
+    private record StoredSet(Set<String> versions, long windowMillis) {
+        StoredSet {
+            versions = Set.copyOf(versions);
         }
-        return wanted;
-    }
 
-    private static byte[] content(Set<String> versions) {
-        ObjectNode content = JSON.createObjectNode();
-        versions.forEach(content.putArray(VERSIONS_FIELD)::add);
-        return content.toString().getBytes(StandardCharsets.UTF_8);
+        StoredSet with(Set<String> others) {
+            Set<String> all = new HashSet<>(versions);
+            all.addAll(others);
+            return new StoredSet(all, windowMillis);
+        }
+
+        byte[] encode() {
+            ObjectNode content = JSON.createObjectNode().put(WINDOW_FIELD, windowMillis);
+            ArrayNode array = content.putArray(VERSIONS_FIELD);
+            versions.stream().sorted().forEach(array::add);
+            return content.toString().getBytes(StandardCharsets.UTF_8);
+        }
     }
 
-    /** Returns the versions of an object; empty if it can't be read. */
-    private static Optional<Set<String>> versions(StoredItem item) {
-        Set<String> versions = new TreeSet<>();
+    /** Returns what an object contains; empty if it can't be read. */
+    private static Optional<StoredSet> decode(StoredItem item) {
         try {
-            for (JsonNode version : JSON.readTree(item.content()).path(VERSIONS_FIELD)) {
+            JsonNode content = JSON.readTree(item.content());
+            Set<String> versions = new HashSet<>();
+            for (JsonNode version : content.path(VERSIONS_FIELD)) {
                 if (!version.isTextual()) {
                     throw new IOException("a version is not a text");
                 }
@@ -152,7 +174,7 @@
             if (versions.isEmpty()) {
                 throw new IOException("a pool has no version");
             }
-            return Optional.of(versions);
+            return Optional.of(new StoredSet(versions, content.path(WINDOW_FIELD).asLong()));
         } catch (IOException malformed) {
             EventLog.warn(
                     LogEvent.CONFIGURATION_UNREADABLE,
--- a/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
+++ b/router/src/main/java/org/bronzelug/router/control/TrafficReport.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
@@ -16,6 +15,7 @@
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.placement.RunnerLoad;
 import org.bronzelug.core.poison.QuarantinedParts;
+import org.bronzelug.router.stream.RecentVersions;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.TrafficState;
 
@@ -36,9 +36,7 @@
  *     report
  * @param lostPaths ids of the endpoints that this VM reaches through other VMs only
  * @param rollouts what this VM has seen of each rollout of a software version
- * @param recentVersions the software versions that each pool with resumable streams has had for as
- *     long as a stream can last
- * @param versionsWatched whether this VM has watched the list of endpoints for as long
+ * @param recentVersions the software versions that pools with resumable streams have had lately
  * @param streamOrigins number of streams whose origins this VM knows
  * @param quarantines the parts of prompts under quarantine
  * @param adaptivePools names of the pools in which decisions adapt to the measured load
@@ -55,16 +53,28 @@
         List<EndpointLimitUse> contendedLimits,
         Set<String> lostPaths,
         List<RolloutUse> rollouts,
-        Map<String, Set<String>> recentVersions,
-        boolean versionsWatched,
+        RecentVersions recentVersions,
         int streamOrigins,
         List<QuarantinedParts> quarantines,
         Set<String> adaptivePools) {
     /** Returns the report before the traffic thread has sent any. */
     static TrafficReport none() {
         return new TrafficReport(
-                List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), Set.of(),
-                List.of(), List.of(), Set.of(), List.of(), Map.of(), false, 0, List.of(), Set.of());
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(),
+                Set.of(),
+                List.of(),
+                Set.of(),
+                List.of(),
+                List.of(),
+                Set.of(),
+                List.of(),
+                RecentVersions.none(),
+                0,
+                List.of(),
+                Set.of());
     }
 
     /** Returns whether this VM has no requests and had none recently. */
@@ -125,7 +135,6 @@
                 state.endpoints().paths().lostEndpoints(),
                 state.rollouts().report(),
                 state.origins().versions().recent(),
-                state.origins().versions().isWatched(),
                 state.origins().size(),
                 state.poison().quarantines(),
                 state.endpoints().adaptivePools().names());
--- a/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
+++ b/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
@@ -22,15 +22,15 @@
     private final VersionHistory history = new VersionHistory();
     private final long graceNanos;
     private Set<String> pools = Set.of();
-    private Optional<Map<String, Set<String>>> stored = Optional.empty();
-    private long windowNanos;
+    private final StreamWindow window;
+    private Optional<RecentVersions> stored = Optional.empty();
 
     /**
      * @param graceMillis time for which a caller may resume a stream after its time limit
      */
     PoolVersions(long graceMillis) {
         graceNanos = TimeUnit.MILLISECONDS.toNanos(graceMillis);
-        windowNanos = graceNanos;
+        window = new StreamWindow(graceNanos, System.nanoTime());
     }
 
     /**
@@ -50,7 +50,7 @@
             longestMillis = Math.max(longestMillis, route.timeoutMillis());
             route.pools().forEach(pool -> versions.put(pool.pool(), new HashSet<>()));
         }
-        windowNanos = TimeUnit.MILLISECONDS.toNanos(longestMillis) + graceNanos;
+        window.require(TimeUnit.MILLISECONDS.toNanos(longestMillis) + graceNanos, nowNanos);
         for (EndpointEntry entry : endpoints) {
             Optional.ofNullable(versions.get(entry.pool()))
                     .ifPresent(listed -> listed.add(entry.softwareVersion()));
@@ -65,15 +65,18 @@
      *
      * @param versions all versions that each pool has had for as long as a stream can last
      */
-    public void adopt(Map<String, Set<String>> versions) {
+    public void adopt(RecentVersions versions) {
         stored = Optional.of(versions);
+        long nowNanos = System.nanoTime();
+        window.requireOnce(TimeUnit.MILLISECONDS.toNanos(versions.windowMillis()), nowNanos);
     }
 
     private void adoptStored(long nowNanos) {
         if (pools.isEmpty() || stored.isEmpty()) {
             return;
         }
-        Map<String, Set<String>> adopted = stored.get();
+        Map<String, Set<String>> adopted = stored.get().byPool();
+        long coveredNanos = TimeUnit.MILLISECONDS.toNanos(stored.get().windowMillis());
         stored = Optional.empty();
         // A pool without stored versions may have had any.
         if (!adopted.keySet().containsAll(pools)) {
@@ -87,11 +90,11 @@
                                         listed.add(
                                                 new VersionHistory.ListedVersion(
                                                         pool, version, 0))));
-        history.adopt(windowNanos, listed, nowNanos);
+        history.adopt(coveredNanos, listed, nowNanos);
     }
 
     /** Returns the recent versions of each pool that has had any. */
-    public Map<String, Set<String>> recent() {
+    public RecentVersions recent() {
         Map<String, Set<String>> recent = new HashMap<>();
         for (String pool : pools) {
             Set<String> versions = recent(pool);
@@ -99,28 +102,29 @@
                 recent.put(pool, versions);
             }
         }
-        return recent;
+        long windowMillis = TimeUnit.NANOSECONDS.toMillis(window.nanos());
+        return new RecentVersions(recent, windowMillis, isWatched());
     }
 
     /** Returns the recent versions of a pool, as far as they are known. */
     Set<String> recent(String pool) {
-        return history.versions(pool, windowNanos, System.nanoTime());
+        return history.versions(pool, window.nanos(), System.nanoTime());
     }
 
     /** Returns whether the recent versions are all that there were. */
     public boolean isWatched() {
-        return history.isWatched(windowNanos, System.nanoTime());
+        return history.isWatched(window.nanos(), System.nanoTime());
     }
 
     /** Returns the time until the recent versions are all that there were; 0 if they are. */
     long unwatchedMillis() {
         return TimeUnit.NANOSECONDS.toMillis(
-                history.unwatchedNanos(windowNanos, System.nanoTime()));
+                history.unwatchedNanos(window.nanos(), System.nanoTime()));
     }
 
     /** Returns whether a pool has had a single version, so that it has begun all streams. */
     boolean hasSole(String pool) {
-        return history.hasSoleVersion(pool, windowNanos, System.nanoTime());
+        return history.hasSoleVersion(pool, window.nanos(), System.nanoTime());
     }
 
     /** Returns what this VM has watched, for a VM that has just started. */
--- a/router/src/test/java/org/bronzelug/router/control/StoredVersionsTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/StoredVersionsTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.router.fleet.MemberTable;
+import org.bronzelug.router.stream.RecentVersions;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,10 +18,11 @@
 /** Guards against a set of versions on the platform that lacks one which streams have begun at. */
 class StoredVersionsTest {
     private static final long TIMEOUT_SECONDS = 10;
-    private static final String READABLE = "{\"versions\":[\"v1\"]}";
+    private static final String READABLE = "{\"windowMillis\":5000,\"versions\":[\"v1\"]}";
+    private static final String BOTH = "{\"windowMillis\":5000,\"versions\":[\"v1\",\"v2\"]}";
 
     private final RecordingStore store = new RecordingStore();
-    private final List<Map<String, Set<String>>> read = new ArrayList<>();
+    private final List<RecentVersions> read = new ArrayList<>();
 
     private StoredVersions start(boolean fleetStarts) {
         StoredVersions stored =
@@ -35,6 +37,10 @@
         return stored;
     }
 
+    private static RecentVersions recent(Map<String, Set<String>> byPool, boolean complete) {
+        return new RecentVersions(byPool, 20_000, complete);
+    }
+
     private void put(String pool, String content) {
         store.create(StoredVersions.KIND, pool, content.getBytes(StandardCharsets.UTF_8));
     }
@@ -46,11 +52,11 @@
 
     /** Runs rounds until the object of a pool has a content. */
     private void roundUntil(
-            StoredVersions stored, Map<String, Set<String>> recent, String pool, String expected)
+            StoredVersions stored, RecentVersions recent, String pool, String expected)
             throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (!content(pool).equals(expected) && System.nanoTime() < end) {
-            stored.round(recent, false);
+            stored.round(recent);
         }
         assertThat(content(pool)).isEqualTo(expected);
     }
@@ -69,9 +75,11 @@
         put("malformed", malformed);
         put("pool", READABLE);
         StoredVersions stored = start(true);
-        assertThat(read).containsExactly(Map.of("pool", Set.of("v1")));
-        Map<String, Set<String>> recent = Map.of("malformed", Set.of("v2"), "pool", Set.of("v2"));
-        roundUntil(stored, recent, "pool", "{\"versions\":[\"v1\",\"v2\"]}");
+        assertThat(read)
+                .containsExactly(new RecentVersions(Map.of("pool", Set.of("v1")), 5_000, true));
+        RecentVersions recent =
+                recent(Map.of("malformed", Set.of("v2"), "pool", Set.of("v2")), false);
+        roundUntil(stored, recent, "pool", BOTH);
         assertThat(content("malformed")).isEqualTo(malformed);
     }
 
@@ -79,9 +87,24 @@
     void aMissingSetIsNotWrittenByAVmThatHasJustStarted() throws Exception {
         put("pool", READABLE);
         StoredVersions stored = start(false);
-        Map<String, Set<String>> recent = Map.of("missing", Set.of("v2"), "pool", Set.of("v2"));
-        roundUntil(stored, recent, "pool", "{\"versions\":[\"v1\",\"v2\"]}");
+        RecentVersions recent =
+                recent(Map.of("missing", Set.of("v2"), "pool", Set.of("v2")), false);
+        roundUntil(stored, recent, "pool", BOTH);
         assertThat(store.calls()).doesNotContain("read nothing");
         assertThat(store.read(StoredVersions.KIND, "missing").isCompletedExceptionally()).isTrue();
     }
+
+    /** A longer window is claimed only once all of it was watched. */
+    @Test
+    void theWindowOfASetIsTheOneThatItCovers() throws Exception {
+        put("pool", READABLE);
+        StoredVersions stored = start(false);
+        Map<String, Set<String>> versions = Map.of("pool", Set.of("v2"));
+        roundUntil(stored, recent(versions, false), "pool", BOTH);
+        roundUntil(
+                stored,
+                recent(versions, true),
+                "pool",
+                "{\"windowMillis\":20000,\"versions\":[\"v2\"]}");
+    }
 }
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -54,6 +54,10 @@
                     2,
                     List.of(new WeightedPool(POOL, 1)));
 
+    /** What the platform keeps of a pool that had one version for longer than a stream lasts. */
+    private static final RecentVersions STORED =
+            new RecentVersions(Map.of(POOL, Set.of("v1")), 62_000, true);
+
     private final EventLoop traffic = new DefaultEventLoop();
 
     @AfterEach
@@ -246,7 +250,7 @@
                                 () -> {
                                     StreamOriginDirectory started =
                                             new StreamOriginDirectory(traffic);
-                                    started.versions().adopt(Map.of(POOL, Set.of("v1")));
+                                    started.versions().adopt(STORED);
                                     started.update(endpoints("v1"), true, List.of(ROUTE));
                                     return find(started, Optional.empty());
                                 })
@@ -262,7 +266,7 @@
                                 () -> {
                                     StreamOriginDirectory started =
                                             new StreamOriginDirectory(traffic);
-                                    started.versions().adopt(Map.of(POOL, Set.of("v1")));
+                                    started.versions().adopt(STORED);
                                     started.update(endpoints("v2"), true, List.of(ROUTE));
                                     return find(started, Optional.empty());
                                 })
