Origins are stored 200 ms apart; a stream that nobody knows is not retried

A resumption that is rejected (527) names a delay of a second, although no VM and not the platform has a record, so that its caller tries in vain. Change: writes 200 ms apart instead of 500, still 10 ms more for each VM above 20; streams that are complete are left out of them. If all VMs that were asked have answered and the platform was read, the rejection names a delay of as long as a stream can last.

--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -35,7 +35,8 @@
  * asked than keep a record, since VMs differ for a moment in who is live.
  *
  * <p>Invariant: messages of this class carry nothing else, so that they change no member's state.
- * Confined to the control thread, except for {@link #keep}, {@link #ask} and {@link #find}.
+ * Confined to the control thread, except for {@link #keep}, {@link #ask}, {@link #find} and {@link
+ * #forget}.
  */
 final class FleetStreamOrigins
         implements StreamOriginDirectory.Peers, StreamOriginDirectory.Archive {
@@ -82,11 +83,16 @@
     }
 
     @Override
-    public void find(StreamKey key, Consumer<Optional<StreamOrigin>> onRead) {
+    public void find(StreamKey key, Consumer<StreamOriginDirectory.ArchivedOrigin> onRead) {
         control.execute(
                 () -> stored.find(key, origin -> traffic.execute(() -> onRead.accept(origin))));
     }
 
+    @Override
+    public void forget(StreamKey key) {
+        control.execute(() -> stored.forget(key));
+    }
+
     private void sendToHolders(List<StreamOrigin> begun) {
         long nowNanos = System.nanoTime();
         Map<String, VmState.Builder> messages = new HashMap<>();
--- a/router/src/main/java/org/bronzelug/router/control/StoredOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredOrigins.java
@@ -20,6 +20,7 @@
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoreException;
 import org.bronzelug.router.store.StoredItem;
+import org.bronzelug.router.stream.StreamOriginDirectory.ArchivedOrigin;
 
 /**
  * Keeps on the platform where open streams began, in one object for each VM, while their pool may
@@ -36,7 +37,9 @@
     static final String KIND = "stream-origins";
 
     /** Least time between two writes of a VM. */
-    private static final long WRITE_MILLIS = 500;
+    private static final long WRITE_MILLIS = 200;
+
+    private static final long RETRY_MILLIS = 500;
 
     /** Added to the time between two writes for each VM, which bounds the writes of all. */
     private static final long WRITE_MILLIS_PER_VM = 10;
@@ -53,8 +56,10 @@
     private Optional<StoredItem> written = Optional.empty();
     private boolean ownRead;
     private boolean changed;
+    private boolean forgotten;
     private boolean writing;
     private boolean stopped;
+    private boolean lastReadSucceeded;
     private long nextWriteNanos = System.nanoTime();
     private long lastReadNanos = System.nanoTime() - READ_NANOS;
 
@@ -76,7 +81,7 @@
                             } else if (isAbsent(failure)) {
                                 ownRead = true;
                             } else if (!stopped) {
-                                control.schedule(this::start, WRITE_MILLIS, TimeUnit.MILLISECONDS);
+                                control.schedule(this::start, RETRY_MILLIS, TimeUnit.MILLISECONDS);
                             }
                         });
     }
@@ -94,6 +99,11 @@
         }
     }
 
+    /** Forgets the origin of a stream that is complete; the next write leaves it out. */
+    void forget(StreamKey key) {
+        forgotten |= own.remove(key) != null;
+    }
+
     /**
      * Writes what has changed, if the last write was long enough ago.
      *
@@ -104,11 +114,12 @@
         if (stopped || !ownRead || writing || nowNanos - nextWriteNanos < 0) {
             return;
         }
-        boolean expired = own.values().removeIf(origin -> isExpired(origin, nowNanos));
-        boolean obsolete = expired && own.isEmpty() && written.isPresent();
+        forgotten |= own.values().removeIf(origin -> isExpired(origin, nowNanos));
+        boolean obsolete = forgotten && own.isEmpty() && written.isPresent();
         if (!changed && !obsolete) {
             return;
         }
+        forgotten = false;
         long pauseMillis = Math.max(WRITE_MILLIS, vms * WRITE_MILLIS_PER_VM);
         nextWriteNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
         writing = true;
@@ -183,10 +194,10 @@
     /**
      * Looks up the origin of a stream in the objects of all VMs.
      *
-     * @param onRead receives the origin, or empty if it is not there or can't be read
+     * @param onRead receives the origin, if it is there
      */
-    void find(StreamKey key, Consumer<Optional<StreamOrigin>> onRead) {
-        Runnable answer = () -> onRead.accept(find(key));
+    void find(StreamKey key, Consumer<ArchivedOrigin> onRead) {
+        Runnable answer = () -> onRead.accept(new ArchivedOrigin(find(key), lastReadSucceeded));
         boolean reading = !waitingLookups.isEmpty();
         boolean readLately = System.nanoTime() - lastReadNanos < READ_NANOS;
         if (find(key).isPresent() || !reading && readLately) {
@@ -206,7 +217,8 @@
     }
 
     private void onListed(ItemList list, Throwable failure) {
-        if (failure == null) {
+        lastReadSucceeded = failure == null;
+        if (lastReadSucceeded) {
             known.clear();
             for (StoredItem item : list.items()) {
                 decode(item).forEach(origin -> known.put(origin.key(), origin));
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -356,6 +356,7 @@
             return;
         }
         relay.complete();
+        streamVersion.complete();
         outcome.complete(relay.status());
     }
 
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -164,8 +164,7 @@
                         configuration.version(),
                         arrivedNanos);
         if (!admitted.resumesStream()) {
-            StreamVersion version =
-                    StreamVersion.unbound(endpoint -> recordBegun(admitted, endpoint));
+            StreamVersion version = StreamVersion.unbound(new OriginRecorder(admitted));
             return forward(request, caller, admitted, version);
         }
         StreamResumption resumption =
@@ -179,13 +178,28 @@
         return resumption;
     }
 
-    private void recordBegun(AdmittedRequest admitted, EndpointEntry endpoint) {
-        state.origins()
-                .recordBegun(
-                        admitted.streamKey(),
-                        endpoint.pool(),
-                        endpoint.softwareVersion(),
-                        admitted.limitNanos());
+    /** Records the origin of a stream that this VM begins. Confined to the traffic thread. */
+    private final class OriginRecorder implements StreamVersion.Listener {
+        private final AdmittedRequest admitted;
+
+        private OriginRecorder(AdmittedRequest admitted) {
+            this.admitted = admitted;
+        }
+
+        @Override
+        public void onBegun(EndpointEntry endpoint) {
+            state.origins()
+                    .recordBegun(
+                            admitted.streamKey(),
+                            endpoint.pool(),
+                            endpoint.softwareVersion(),
+                            admitted.limitNanos());
+        }
+
+        @Override
+        public void onComplete() {
+            state.origins().recordComplete(admitted.streamKey());
+        }
     }
 
     private CallerListener forward(
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamVersion.java
@@ -1,7 +1,6 @@
 package org.bronzelug.router.exchange;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.bronzelug.core.routing.EndpointEntry;
 
 /**
@@ -13,20 +12,25 @@
  * <p>Invariant: once bound, the version does not change. Confined to the traffic thread.
  */
 final class StreamVersion {
-    private final Consumer<EndpointEntry> onBegun;
+    private final Listener listener;
     private Optional<String> version = Optional.empty();
 
-    private StreamVersion(Consumer<EndpointEntry> onBegun) {
-        this.onBegun = onBegun;
+    /** Is notified of a stream that this VM begins. */
+    interface Listener {
+        /** Called once the endpoint is known that generates the first event. */
+        void onBegun(EndpointEntry endpoint);
+
+        /** Called once the last event was forwarded. */
+        default void onComplete() {}
+    }
+
+    private StreamVersion(Listener listener) {
+        this.listener = listener;
     }
 
-    /**
-     * Returns the version of a stream that has no event yet.
-     *
-     * @param onBegun receives the endpoint that generates the first event
-     */
-    static StreamVersion unbound(Consumer<EndpointEntry> onBegun) {
-        return new StreamVersion(onBegun);
+    /** Returns the version of a stream that has no event yet. */
+    static StreamVersion unbound(Listener listener) {
+        return new StreamVersion(listener);
     }
 
     /** Returns the version of a stream that has begun earlier. */
@@ -40,7 +44,14 @@
     void bind(EndpointEntry endpoint) {
         if (version.isEmpty()) {
             version = Optional.of(endpoint.softwareVersion());
-            onBegun.accept(endpoint);
+            listener.onBegun(endpoint);
+        }
+    }
+
+    /** Records that the whole stream was forwarded. */
+    void complete() {
+        if (version.isPresent()) {
+            listener.onComplete();
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
+++ b/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
@@ -72,8 +72,12 @@
     }
 
     private boolean isComplete() {
-        boolean allAnswered = askedVms.isPresent() && answers() >= askedVms.getAsInt();
-        return evidence.origin().isPresent() || allAnswered;
+        return evidence.origin().isPresent() || haveAllAnswered();
+    }
+
+    /** Returns whether all VMs that were asked have answered. */
+    boolean haveAllAnswered() {
+        return askedVms.isPresent() && answers() >= askedVms.getAsInt();
     }
 
     /** Ends the lookup; returns false if it has ended already. */
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -45,7 +45,7 @@
     private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
     private final Map<StreamKey, List<OriginLookup>> lookups = new HashMap<>();
     private Peers peers = new NoPeers();
-    private Archive archive = (key, onRead) -> onRead.accept(Optional.empty());
+    private Archive archive = new NoArchive();
 
     public StreamOriginDirectory(EventLoop traffic) {
         this.traffic = traffic;
@@ -65,9 +65,33 @@
         /**
          * Looks up an origin; called on the traffic thread.
          *
-         * @param onRead is called once on the traffic thread, with the origin if it is kept
+         * @param onRead is called once on the traffic thread
          */
-        void find(StreamKey key, Consumer<Optional<StreamOrigin>> onRead);
+        void find(StreamKey key, Consumer<ArchivedOrigin> onRead);
+
+        /** Called on the traffic thread when a stream of this VM is complete. */
+        void forget(StreamKey key);
+    }
+
+    /**
+     * What the platform keeps of one stream. Immutable.
+     *
+     * @param origin the stream's origin; empty if it is not kept, or not known to be
+     * @param known whether the platform was read
+     */
+    public record ArchivedOrigin(Optional<StreamOrigin> origin, boolean known) {}
+
+    /** Nothing is kept. */
+    private static final class NoArchive implements Archive {
+        @Override
+        public void find(StreamKey key, Consumer<ArchivedOrigin> onRead) {
+            onRead.accept(new ArchivedOrigin(Optional.empty(), false));
+        }
+
+        @Override
+        public void forget(StreamKey key) {
+            // Nothing is kept.
+        }
     }
 
     /** Is notified once of the outcome of a lookup, on the traffic thread. */
@@ -165,6 +189,13 @@
         }
     }
 
+    /** Records that this VM has forwarded all events of a stream that it began. */
+    public void recordComplete(StreamKey key) {
+        origins.find(key, System.nanoTime())
+                .filter(origin -> !versions.hasSole(origin.pool()))
+                .ifPresent(origin -> archive.forget(key));
+    }
+
     /** Keeps the origin of a stream that another VM has begun. */
     public void keep(StreamOrigin begunByPeer) {
         origins.record(begunByPeer, System.nanoTime());
@@ -258,29 +289,38 @@
             lookup.listener().onFound(known.get(), source + ", " + answers);
         } else if (lookup.key().isPresent()) {
             StreamKey key = lookup.key().get();
-            archive.find(key, stored -> concludeStored(lookup, stored, answers));
+            archive.find(key, archived -> concludeArchived(lookup, archived, answers));
         } else {
-            reject(lookup, answers);
+            lookup.listener().onUnknown(answers, retryMillis(lookup, false));
         }
     }
 
-    private void concludeStored(
-            OriginLookup lookup, Optional<StreamOrigin> stored, String answers) {
-        if (stored.isPresent()) {
-            origins.record(stored.get(), System.nanoTime());
-            lookup.listener().onFound(stored.get(), "platform, " + answers);
+    private void concludeArchived(OriginLookup lookup, ArchivedOrigin archived, String answers) {
+        if (archived.origin().isPresent()) {
+            origins.record(archived.origin().get(), System.nanoTime());
+            lookup.listener().onFound(archived.origin().get(), "platform, " + answers);
         } else {
-            reject(lookup, answers);
+            boolean hopeless = archived.known() && lookup.haveAllAnswered();
+            lookup.listener()
+                    .onUnknown(
+                            answers + " platformRead=" + archived.known(),
+                            retryMillis(lookup, hopeless));
         }
     }
 
-    private void reject(OriginLookup lookup, String answers) {
-        lookup.listener().onUnknown(answers, retryMillis(lookup.pool()));
-    }
-
-    /** Returns the time until the pool's only version is known, if it has one, else a second. */
-    private long retryMillis(Optional<String> pool) {
-        boolean willBeKnown = pool.filter(name -> versions.recent(name).size() == 1).isPresent();
-        return willBeKnown ? 1 + versions.unwatchedMillis() : UNKNOWN_RETRY_MILLIS;
+    /**
+     * Returns the retry delay of a resumption that is rejected: until the pool's only version is
+     * known, if it has one.
+     *
+     * @param hopeless whether nobody has a record of the stream, so that it can't be resumed while
+     *     its caller waits
+     */
+    private long retryMillis(OriginLookup lookup, boolean hopeless) {
+        boolean willBeKnown =
+                lookup.pool().filter(name -> versions.recent(name).size() == 1).isPresent();
+        if (willBeKnown) {
+            return 1 + versions.unwatchedMillis();
+        }
+        return hopeless ? versions.recent().windowMillis() : UNKNOWN_RETRY_MILLIS;
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/StoredOriginsTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/StoredOriginsTest.java
@@ -114,6 +114,20 @@
         roundUntil("remove");
     }
 
+    @Test
+    void originsOfCompleteStreamsAreLeftOut() throws Exception {
+        StreamOrigin complete = origin("complete", "v1");
+        StreamOrigin open = origin("open", "v1");
+        stored.start();
+        stored.add(List.of(complete));
+        roundUntil("create");
+        stored.forget(complete.key());
+        stored.add(List.of(open));
+        roundUntil("replace");
+        assertThat(keys(store.read(StoredOrigins.KIND, VM).get().content()))
+                .containsExactly(open.key());
+    }
+
     @Test
     void severalLookupsReadTheObjectsOnce() {
         StreamOrigin kept = origin("kept", "v1");
@@ -124,7 +138,7 @@
         store.calls().clear();
         List<Boolean> found = new ArrayList<>();
         for (StreamKey key : List.of(kept.key(), kept.key(), origin("other", "v1").key())) {
-            stored.find(key, origin -> found.add(origin.isPresent()));
+            stored.find(key, archived -> found.add(archived.origin().isPresent()));
         }
         assertThat(found).containsExactly(true, true, false).inOrder();
         assertThat(store.calls()).containsExactly("list");
