Streams begin at a version that the platform keeps, if an endpoint of one accepts

Cause: a version's first endpoint began streams as soon as it was listed; the set was written in turns, and not at all while the platform rejected writes. VMs that started concluded that the former version had been the only one. Change: a stream that can be resumed begins at an endpoint of a stored version; at another one only if none accepts it, since callers lose more by a rejection. VMs that do not write read whether others have written, so that all know what is stored, and no longer write the same a second and third time (two of three calls were answered 409). A version that another VM has stored counts as just seen, so that it is not removed by a VM whose list is older.

--- a/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
@@ -109,6 +109,13 @@
         }
     }
 
+    /** Records versions of a pool that another VM has seen just now. */
+    public void recordListed(String pool, Set<String> versions, long nowNanos) {
+        Map<String, Long> lastListed =
+                lastListedNanos.computeIfAbsent(pool, name -> new HashMap<>());
+        versions.forEach(version -> lastListed.put(version, nowNanos));
+    }
+
     /** Returns how long the list has been watched without a gap. */
     public long watchedNanos(long nowNanos) {
         return watchedSinceNanos.isPresent() ? nowNanos - watchedSinceNanos.getAsLong() : 0;
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -28,7 +28,6 @@
 import org.bronzelug.router.rollout.RolloutService;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
-import org.bronzelug.router.stream.RecentVersions;
 import org.bronzelug.router.traffic.TrafficState;
 import org.bronzelug.router.traffic.TrafficUpdate;
 
@@ -143,7 +142,7 @@
                         settings.vm(),
                         members,
                         settings.fleetStarts(),
-                        this::adoptVersions);
+                        new StoredVersionsAdoption(traffic, trafficState.origins().versions()));
         this.storedQuarantines =
                 new StoredQuarantines(
                         control, store, settings.vm(), members, poisonReports::adoptStored);
@@ -502,10 +501,6 @@
         return state.isComplete() && (reading.isReading() || 2 * reachable > fleetSize());
     }
 
-    private void adoptVersions(RecentVersions stored) {
-        traffic.execute(() -> trafficState.origins().versions().adopt(stored));
-    }
-
     private int fleetSize() {
         return members.addresses().size();
     }
--- a/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
+++ b/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,8 +24,8 @@
  * The objects of one kind that the VMs keep on the platform, one for each pool. A VM lists them
  * once at its start.
  *
- * <p>Writing needs no lease: the first VMs of a pool's rendezvous order write one after the other,
- * conditionally on the object's revision, so usually one write is made for each change.
+ * <p>Writing needs no lease: the first VM of a pool's rendezvous order writes, conditionally on the
+ * object's revision. The others read whether it has, and the next ones write if it has not.
  *
  * <p>Invariant: nothing is written before the objects were listed, and one call at a time is in
  * progress. Confined to the control thread.
@@ -38,6 +39,9 @@
 
     private static final long RETRY_MILLIS = 500;
 
+    /** Time between two reads of a VM that does not write. */
+    private static final long READ_MILLIS = 2_000;
+
     private final EventLoop control;
     private final ObjectStore store;
     private final String vm;
@@ -47,6 +51,7 @@
     private final Consumer<List<StoredItem>> onListed;
     private final Map<String, StoredItem> stored = new HashMap<>();
     private final Map<String, Long> differsSinceNanos = new HashMap<>();
+    private final Set<String> readAgain = new HashSet<>();
     private boolean listed;
     private boolean callInFlight;
     private boolean stopped;
@@ -104,31 +109,41 @@
     /** Records that the object of a pool is as it should be. */
     void recordEqual(String pool) {
         differsSinceNanos.remove(pool);
+        readAgain.remove(pool);
     }
 
     /**
-     * Writes the object of a pool, which differs from what it should be, if it is this VM's turn.
+     * Writes the object of a pool, which differs from what it should be, or reads whether another
+     * VM has written it, if it is this VM's turn.
      *
      * @param description what is written, for the log
      */
     void writeIfDue(String pool, Supplier<byte[]> content, String description) {
         long nowNanos = System.nanoTime();
-        if (isDue(pool, nowNanos)) {
-            write(pool, content.get(), description);
-        }
-    }
-
-    private boolean isDue(String pool, long nowNanos) {
         long sinceNanos = differsSinceNanos.computeIfAbsent(pool, name -> nowNanos);
         boolean pausing = callInFlight || nowNanos - nextCallNanos < 0;
         if (!listed || stopped || pausing) {
-            return false;
+            return;
+        }
+        int rank = Math.min(rank(pool, nowNanos), WRITERS);
+        if (nowNanos - sinceNanos < rank * WAIT_PER_RANK_NANOS) {
+            return;
         }
+        boolean writes = rank == 0 || rank < WRITERS && readAgain.contains(pool);
+        if (writes) {
+            write(pool, content.get(), description);
+        } else {
+            callInFlight = true;
+            readAgain.add(pool);
+            read(pool, rank < WRITERS ? RETRY_MILLIS : READ_MILLIS);
+        }
+    }
+
+    private int rank(String pool, long nowNanos) {
         List<String> names = new ArrayList<>();
         names.add(vm);
         members.live(nowNanos).forEach(member -> names.add(member.state().getVm()));
-        int rank = Rendezvous.order(pool, names).indexOf(vm);
-        return rank < WRITERS && nowNanos - sinceNanos >= rank * WAIT_PER_RANK_NANOS;
+        return Rendezvous.order(pool, names).indexOf(vm);
     }
 
     private void write(String pool, byte[] content, String description) {
@@ -146,15 +161,19 @@
                             "pool=" + pool + " " + description + " outcome=\"" + outcome + "\"");
                     if (failure == null) {
                         stored.put(pool, item);
-                        endCall();
+                        endCall(RETRY_MILLIS);
                     } else {
-                        readAgain(pool);
+                        read(pool, RETRY_MILLIS);
                     }
                 });
     }
 
-    /** Reads an object that another VM may have written or an operator removed. */
-    private void readAgain(String pool) {
+    /**
+     * Reads an object that another VM may have written or an operator removed.
+     *
+     * @param pauseMillis time until the next call
+     */
+    private void read(String pool, long pauseMillis) {
         store.read(kind, pool)
                 .whenComplete(
                         (item, failure) -> {
@@ -164,12 +183,12 @@
                                     == StoreException.Problem.ABSENT) {
                                 stored.remove(pool);
                             }
-                            endCall();
+                            endCall(pauseMillis);
                         });
     }
 
-    private void endCall() {
+    private void endCall(long pauseMillis) {
         callInFlight = false;
-        nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
+        nextCallNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(pauseMillis);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -14,7 +14,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.fleet.MemberTable;
@@ -41,15 +40,29 @@
     /** Time from the start in which this VM learns which other VMs are live. */
     private static final long SETTLE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** Is notified of what is stored. Must not block. */
+    interface Listener {
+        /** Called once with what the fleet had stored when this VM started. */
+        void onRead(RecentVersions stored);
+
+        /**
+         * Called whenever other versions of a pool are stored than before.
+         *
+         * @param added those that were not stored before, as far as this VM knew
+         */
+        void onStored(String pool, Set<String> versions, Set<String> added);
+    }
+
     private final PoolObjects objects;
     private final boolean fleetStarts;
-    private final Consumer<RecentVersions> onRead;
+    private final Listener listener;
+    private final Map<String, Set<String>> written = new HashMap<>();
+    private final Map<String, Set<String>> unrecorded = new HashMap<>();
     private final Map<String, Decoded> decoded = new HashMap<>();
     private final long startNanos = System.nanoTime();
 
     /**
      * @param fleetStarts whether the whole fleet starts for the first time
-     * @param onRead receives the stored versions, once
      */
     StoredVersions(
             EventLoop control,
@@ -57,7 +70,7 @@
             String vm,
             MemberTable members,
             boolean fleetStarts,
-            Consumer<RecentVersions> onRead) {
+            Listener listener) {
         this.objects =
                 new PoolObjects(
                         control,
@@ -68,7 +81,7 @@
                         LogEvent.POOL_VERSIONS_WRITTEN,
                         this::onListed);
         this.fleetStarts = fleetStarts;
-        this.onRead = onRead;
+        this.listener = listener;
     }
 
     void start() {
@@ -90,7 +103,7 @@
             }
         }
         boolean any = !versions.isEmpty();
-        onRead.accept(new RecentVersions(versions, any ? windowMillis : 0, any));
+        listener.onRead(new RecentVersions(versions, any ? windowMillis : 0, any));
     }
 
     /** Writes what has changed, if it is this VM's turn. */
@@ -103,6 +116,8 @@
 
     private void update(String pool, Set<String> versions, RecentVersions recent) {
         Optional<StoredSet> stored = stored(pool);
+        stored.ifPresent(set -> notifyIfChanged(pool, set.versions));
+        Set<String> known = withUnrecorded(pool, versions);
         boolean first = fleetStarts && objects.find(pool).isEmpty();
         boolean complete = recent.complete() || first;
         if (!complete && stored.isEmpty()) {
@@ -110,9 +125,7 @@
             return;
         }
         StoredSet wanted =
-                complete
-                        ? new StoredSet(versions, recent.windowMillis())
-                        : stored.get().with(versions);
+                complete ? new StoredSet(known, recent.windowMillis()) : stored.get().with(known);
         if (stored.equals(Optional.of(wanted))) {
             objects.recordEqual(pool);
         } else {
@@ -120,6 +133,27 @@
         }
     }
 
+    private void notifyIfChanged(String pool, Set<String> versions) {
+        Set<String> before = written.put(pool, versions);
+        if (!versions.equals(before)) {
+            Set<String> added = new HashSet<>(versions);
+            if (before != null) {
+                added.removeAll(before);
+                unrecorded.computeIfAbsent(pool, any -> new HashSet<>()).addAll(added);
+            }
+            listener.onStored(pool, versions, added);
+        }
+    }
+
+    /** Adds the versions that other VMs have stored and this one has not recorded yet. */
+    private Set<String> withUnrecorded(String pool, Set<String> recorded) {
+        Set<String> others = unrecorded.computeIfAbsent(pool, any -> new HashSet<>());
+        others.removeAll(recorded);
+        Set<String> all = new HashSet<>(recorded);
+        all.addAll(others);
+        return all;
+    }
+
     private Optional<StoredSet> stored(String pool) {
         return objects.find(pool)
                 .flatMap(
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointSelection.java
@@ -11,6 +11,7 @@
 import org.bronzelug.core.limit.EndpointLimit;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.EndpointPool;
+import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.RunnerChoice;
 import org.bronzelug.router.traffic.TrafficState;
@@ -26,7 +27,8 @@
  *
  * <p>Invariants: an endpoint that was tried is not chosen again until {@link #clearTried}. A prompt
  * that was sent once is never rejected for overload. A stream continues at no other software
- * version than the one that it is bound to. Confined to the traffic thread.
+ * version than the one that it is bound to, and begins at one that the platform does not keep yet
+ * only if no other endpoint accepts it. Confined to the traffic thread.
  */
 final class EndpointSelection {
     /** Retry delay if no endpoint is available; a runner is back or replaced within a second. */
@@ -48,6 +50,7 @@
     private OptionalLong retryAfterMillis = OptionalLong.empty();
     private Optional<EndpointLimit> chargedLimit = Optional.empty();
     private boolean sentBefore;
+    private boolean storedVersionsOnly;
 
     EndpointSelection(
             TrafficState state,
@@ -194,6 +197,19 @@
                     ? Optional.empty()
                     : selectBest(pool, this::isAllowedForStream, nowNanos);
         }
+        boolean resumable = admitted.route().retryPolicy() == RetryPolicy.RESUMABLE;
+        if (resumable && state.origins().versions().hasUnstored(pool.name())) {
+            storedVersionsOnly = true;
+            Optional<EndpointState> best = selectByRollout(pool, nowNanos);
+            storedVersionsOnly = false;
+            if (best.isPresent() && !isRejected()) {
+                return best;
+            }
+        }
+        return selectByRollout(pool, nowNanos);
+    }
+
+    private Optional<EndpointState> selectByRollout(EndpointPool pool, long nowNanos) {
         return switch (state.rollouts().preference(pool.name(), !sentBefore)) {
             case ANY -> selectBest(pool, this::isAllowed, nowNanos);
             case CURRENT_ONLY -> selectBest(pool, this::isAllowedCurrent, nowNanos);
@@ -263,9 +279,14 @@
     private boolean isAllowed(String id) {
         return !tried.contains(id)
                 && !unhealthy.contains(id)
+                && (!storedVersionsOnly || entry(id).filter(this::isVersionStored).isPresent())
                 && limited.stream().noneMatch(endpoint -> endpoint.entry().id().equals(id));
     }
 
+    private boolean isVersionStored(EndpointEntry endpoint) {
+        return state.origins().versions().isStored(endpoint.pool(), endpoint.softwareVersion());
+    }
+
     private boolean isAllowedForStream(String id) {
         return isAllowed(id) && entry(id).filter(streamVersion::allows).isPresent();
     }
--- a/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
+++ b/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
@@ -23,6 +23,8 @@
     private final long graceNanos;
     private Set<String> pools = Set.of();
     private final StreamWindow window;
+    private final Map<String, Set<String>> storedByPool = new HashMap<>();
+    private final Set<String> unstoredPools = new HashSet<>();
     private Optional<RecentVersions> stored = Optional.empty();
 
     /**
@@ -58,6 +60,16 @@
         pools = Set.copyOf(versions.keySet());
         history.update(versions, listCurrent, nowNanos);
         adoptStored(nowNanos);
+        updateUnstored();
+    }
+
+    private void updateUnstored() {
+        unstoredPools.clear();
+        for (String pool : pools) {
+            if (!recent(pool).stream().allMatch(version -> isStored(pool, version))) {
+                unstoredPools.add(pool);
+            }
+        }
     }
 
     /**
@@ -71,6 +83,31 @@
         window.requireOnce(TimeUnit.MILLISECONDS.toNanos(versions.windowMillis()), nowNanos);
     }
 
+    /**
+     * Records which versions of a pool the platform keeps.
+     *
+     * @param added those that it did not keep before, as far as this VM knew
+     */
+    public void recordStored(String pool, Set<String> versions, Set<String> added) {
+        storedByPool.put(pool, Set.copyOf(versions));
+        history.recordListed(pool, added, System.nanoTime());
+        updateUnstored();
+    }
+
+    /**
+     * Returns whether VMs that all restart would know of the version; true if it is not known what
+     * the platform keeps.
+     */
+    public boolean isStored(String pool, String softwareVersion) {
+        Set<String> known = storedByPool.get(pool);
+        return known == null || known.contains(softwareVersion);
+    }
+
+    /** Returns whether the platform does not keep all recent versions of a pool yet. */
+    public boolean hasUnstored(String pool) {
+        return unstoredPools.contains(pool);
+    }
+
     private void adoptStored(long nowNanos) {
         if (pools.isEmpty() || stored.isEmpty()) {
             return;
--- a/router/src/test/java/org/bronzelug/router/control/StoredVersionsTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/StoredVersionsTest.java
@@ -24,6 +24,8 @@
     private final RecordingStore store = new RecordingStore();
     private final List<RecentVersions> read = new ArrayList<>();
 
+    private final List<String> storedSets = new ArrayList<>();
+
     private StoredVersions start(boolean fleetStarts) {
         StoredVersions stored =
                 new StoredVersions(
@@ -32,7 +34,18 @@
                         "vm-1",
                         new MemberTable("vm-1"),
                         fleetStarts,
-                        read::add);
+                        new StoredVersions.Listener() {
+                            @Override
+                            public void onRead(RecentVersions versions) {
+                                read.add(versions);
+                            }
+
+                            @Override
+                            public void onStored(
+                                    String pool, Set<String> versions, Set<String> added) {
+                                storedSets.add(pool + versions);
+                            }
+                        });
         stored.start();
         return stored;
     }
