What was reported of a request before it was served does not count again

Callers would have seen: a request that had been served is rejected for up to two minutes more. Found by reading the diff. Cause: a quarantine that a whole response ends at one VM came back with the next state update of a VM that had not heard of it, and from there to all others; so did an end that another VM reported late. Change: the time at which a request was cleared is kept for two minutes; what is older does not count.

--- a/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PoisonMonitor.java
@@ -193,17 +193,17 @@
      *
      * @return whether the request was suspected, so that the other VMs are to be notified
      */
-    public boolean recordComplete(RequestKeys keys, String softwareVersion) {
+    public boolean recordComplete(RequestKeys keys, String softwareVersion, long nowNanos) {
         if (requests.isEmpty() || !requests.isKnown(keys.request())) {
             return false;
         }
-        clear(keys.request());
+        clear(keys.request(), nowNanos);
         pending.addSeen(new PoisonReport.Survival(keys.request(), softwareVersion));
         return true;
     }
 
-    private void clear(PartKey request) {
-        requests.clear(request).ifPresent(known -> listener.onReleased(known, request));
+    private void clear(PartKey request, long nowNanos) {
+        requests.clear(request, nowNanos).ifPresent(known -> listener.onReleased(known, request));
     }
 
     /** Looks for parts that endpoints have survived; to be called several times a second. */
@@ -296,7 +296,7 @@
         for (PoisonReport.Survival survival : report.survivals()) {
             pending.recordHeard(survival, nowNanos);
             if (survival.part().isRequest()) {
-                clear(survival.part());
+                clear(survival.part(), nowNanos);
             } else {
                 recordSurvival(survival.part(), survival.softwareVersion(), nowNanos);
             }
--- a/core/src/main/java/org/bronzelug/core/poison/RequestQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/RequestQuarantine.java
@@ -14,8 +14,9 @@
  * <p>Unlike a part, a request needs no further evidence: it has had several attempts, and one more
  * may cost an endpoint with all requests that run there. A whole response to the request clears it.
  *
- * <p>Invariants: each start of an endpoint counts once. At most {@link #MAXIMUM_REQUESTS} requests
- * are kept, those at the latest crashes. Not thread-safe.
+ * <p>Invariants: each start of an endpoint counts once. What was reported of a request before it
+ * was cleared does not count again. At most {@link #MAXIMUM_REQUESTS} requests are kept, those at
+ * the latest crashes. Not thread-safe.
  */
 public final class RequestQuarantine {
     /** Endpoints that may end under a request before it is sent no more. */
@@ -31,6 +32,7 @@
     static final int MAXIMUM_QUARANTINES = 32;
 
     private final LinkedHashMap<PartKey, Ends> requests = new LinkedHashMap<>();
+    private final LinkedHashMap<PartKey, Long> clearedNanos = new LinkedHashMap<>();
     private final PartQuarantine quarantine = new PartQuarantine(MAXIMUM_QUARANTINES);
 
     /** The endpoints that have ended under one request. */
@@ -50,6 +52,9 @@
      * @return the quarantine of the request, if this end is the reason for it
      */
     Optional<QuarantinedParts> record(PartKey request, EndpointCrash crash, long nowNanos) {
+        if (isClearedSince(request, crash.atNanos())) {
+            return Optional.empty();
+        }
         Ends ends = Optional.ofNullable(requests.remove(request)).orElseGet(Ends::new);
         requests.put(request, ends);
         if (requests.size() > MAXIMUM_REQUESTS) {
@@ -91,7 +96,15 @@
 
     /** Adopts what another VM or the platform knows; returns whether it is new. */
     boolean adopt(QuarantinedParts known, long nowNanos) {
-        return quarantine.adopt(known, nowNanos);
+        boolean cleared =
+                known.parts().stream().anyMatch(part -> isClearedSince(part, known.sinceNanos()));
+        return !cleared && quarantine.adopt(known, nowNanos);
+    }
+
+    /** Returns whether a request was cleared later, which the VM that reports may not know yet. */
+    private boolean isClearedSince(PartKey request, long nanos) {
+        Long cleared = clearedNanos.get(request);
+        return cleared != null && cleared - nanos >= 0;
     }
 
     /** Returns whether the request has been at a crash, or is under quarantine. */
@@ -104,14 +117,19 @@
      *
      * @return the quarantine that the request was under, if it was
      */
-    Optional<QuarantinedParts> clear(PartKey request) {
+    Optional<QuarantinedParts> clear(PartKey request, long nowNanos) {
         requests.remove(request);
+        clearedNanos.putLast(request, nowNanos);
+        if (clearedNanos.size() > MAXIMUM_REQUESTS) {
+            clearedNanos.pollFirstEntry();
+        }
         return quarantine.remove(Set.of(request));
     }
 
     /** Forgets what no longer counts. */
     void expire(long nowNanos) {
         requests.values().removeIf(ends -> nowNanos - ends.lastNanos > VALID_NANOS);
+        clearedNanos.values().removeIf(cleared -> nowNanos - cleared > VALID_NANOS);
         quarantine.expire(nowNanos);
     }
 
--- a/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
+++ b/core/src/test/java/org/bronzelug/core/poison/PoisonFleetModel.java
@@ -432,7 +432,7 @@
                 endpoint.orElseThrow().requests.remove(this);
                 endpoint = Optional.empty();
                 sent.complete(nanos());
-                monitor.recordComplete(keys, VERSION);
+                monitor.recordComplete(keys, VERSION, nanos());
                 vm.sendUrgent();
             }
         }
--- a/core/src/test/java/org/bronzelug/core/poison/RequestQuarantineTest.java
+++ b/core/src/test/java/org/bronzelug/core/poison/RequestQuarantineTest.java
@@ -149,7 +149,7 @@
         WatchedAttempt watched = send(newRun(), unlucky);
         watched.recordData(nanos());
         watched.complete(nanos());
-        assertThat(monitor.recordComplete(unlucky, VERSION)).isTrue();
+        assertThat(monitor.recordComplete(unlucky, VERSION, nanos())).isTrue();
         endUnder(unlucky, 60);
         assertThat(isRejected(unlucky)).isFalse();
         assertThat(monitor.ends(unlucky)).isEqualTo(1);
@@ -194,6 +194,31 @@
         assertThat(monitor.ends(copied)).isEqualTo(1);
     }
 
+    /** Another VM reports what it knew before it heard that the request was served. */
+    @Test
+    void whatWasKnownBeforeAWholeResponseDoesNotCountAgain() {
+        RequestKeys served = request("served");
+        for (int end = 0; end < RequestQuarantine.MAXIMUM_ENDS; end++) {
+            endUnder(served, 60);
+        }
+        QuarantinedParts known = monitor.quarantines().get(0);
+        EndpointCrash crash =
+                new EndpointCrash(
+                        new EndpointStart("late", 1),
+                        POOL,
+                        VERSION,
+                        nanos(),
+                        Map.of(),
+                        Set.of(served.request()));
+        pass(STEP_MILLIS);
+        assertThat(monitor.recordComplete(served, VERSION, nanos())).isTrue();
+        assertThat(released).containsExactly(served.request());
+        monitor.adopt(known, "vm other", nanos());
+        monitor.receive("other", report(crash), nanos());
+        assertThat(isRejected(served)).isFalse();
+        assertThat(monitor.ends(served)).isEqualTo(0);
+    }
+
     private static PoisonReport report(EndpointCrash crash) {
         return new PoisonReport(List.of(crash), List.of(), Set.of(), Set.of(), List.of());
     }
--- a/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/poison/PoisonDirectory.java
@@ -96,8 +96,9 @@
 
     /** Records that an endpoint has responded to a request completely. */
     public void recordComplete(RequestKeys keys, String softwareVersion) {
-        if (monitor.recordComplete(keys, softwareVersion)) {
-            monitor.urgentReport(System.nanoTime()).ifPresent(peers::send);
+        long nowNanos = System.nanoTime();
+        if (monitor.recordComplete(keys, softwareVersion, nowNanos)) {
+            monitor.urgentReport(nowNanos).ifPresent(peers::send);
         }
     }
 
