Failed writes of stream origins are tried again after 500 ms

Cause: while the platform rejects writes each VM tried every 200 ms, with two calls each time; every call has a price. What a VM has read of all VMs stayed in memory until the next read. Change: half a second after a failure; what was read is dropped after a minute. Measured: StoredOriginsTest (13), PoolObjectsTest (3) pass; the calls saved were not measured.

--- a/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
+++ b/router/src/main/java/org/bronzelug/router/control/PoolObjects.java
@@ -51,7 +51,10 @@
     private final Consumer<List<StoredItem>> onListed;
     private final Map<String, StoredItem> stored = new HashMap<>();
     private final Map<String, Long> differsSinceNanos = new HashMap<>();
-    private final Set<String> readAgain = new HashSet<>();
+
+    /** The pools whose objects were read since they differ. */
+    private final Set<String> checked = new HashSet<>();
+
     private boolean listed;
     private boolean callInFlight;
     private boolean stopped;
@@ -109,7 +112,7 @@
     /** Records that the object of a pool is as it should be. */
     void recordEqual(String pool) {
         differsSinceNanos.remove(pool);
-        readAgain.remove(pool);
+        checked.remove(pool);
     }
 
     /**
@@ -129,12 +132,12 @@
         if (nowNanos - sinceNanos < rank * WAIT_PER_RANK_NANOS) {
             return;
         }
-        boolean writes = rank == 0 || rank < WRITERS && readAgain.contains(pool);
+        boolean writes = rank == 0 || rank < WRITERS && checked.contains(pool);
         if (writes) {
             write(pool, content.get(), description);
         } else {
             callInFlight = true;
-            readAgain.add(pool);
+            checked.add(pool);
             read(pool, rank < WRITERS ? RETRY_MILLIS : READ_MILLIS);
         }
     }
--- a/router/src/main/java/org/bronzelug/router/control/StoredOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredOrigins.java
@@ -39,6 +39,7 @@
     /** Least time between two writes of a VM. */
     private static final long WRITE_MILLIS = 200;
 
+    /** Time after a failed call. */
     private static final long RETRY_MILLIS = 500;
 
     /** Added to the time between two writes for each VM, which bounds the writes of all. */
@@ -47,6 +48,9 @@
     /** Least time between two reads of all objects: whoever is alive answers lookups itself. */
     private static final long READ_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+    /** Time after which what was read of all VMs is dropped. */
+    private static final long KNOWN_NANOS = TimeUnit.MINUTES.toNanos(1);
+
     private final EventLoop control;
     private final ObjectStore store;
     private final String vm;
@@ -111,6 +115,9 @@
      */
     void round(int vms) {
         long nowNanos = System.nanoTime();
+        if (nowNanos - lastReadNanos > KNOWN_NANOS) {
+            known.clear();
+        }
         if (stopped || !ownRead || writing || nowNanos - nextWriteNanos < 0) {
             return;
         }
@@ -172,6 +179,7 @@
     /** Reads the revision again, as the write may have taken effect, and writes again later. */
     private void onWriteFailed(Throwable failure) {
         changed = true;
+        nextWriteNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETRY_MILLIS);
         EventLog.info(
                 LogEvent.STREAM_ORIGINS_NOT_STORED,
                 "origins=" + own.size() + " cause=\"" + failure.getMessage() + "\"");
