--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -72,10 +72,7 @@
     private final FleetUpdates updates;
     private final FleetStreamOrigins streamOrigins;
     private final FleetPoisonReports poisonReports;
-    private final StoredOrigins storedOrigins;
-    private final StoredOriginsCleanup originsCleanup;
-    private final StoredVersions storedVersions;
-    private final StoredQuarantines storedQuarantines;
+    private final StoredState stored;
     private final RoundPeriod period = new RoundPeriod();
     private final ProcessorOverload overload = new ProcessorOverload();
     private final long startNanos = System.nanoTime();
@@ -118,8 +115,19 @@
         this.orders =
                 new OrderService(control, store, settings, incarnation, state, members, runners);
         this.rollouts = new RolloutService(store, decoder, settings, incarnation, state, members);
-        this.storedOrigins = new StoredOrigins(control, store, settings.vm());
-        this.originsCleanup = new StoredOriginsCleanup(store, settings.vm(), members);
+        this.poisonReports =
+                new FleetPoisonReports(
+                        control, traffic, settings, members, gossip, trafficState.poison());
+        trafficState.poison().setPeers(poisonReports);
+        this.stored =
+                new StoredState(
+                        control,
+                        traffic,
+                        settings,
+                        store,
+                        members,
+                        trafficState,
+                        poisonReports::adoptStored);
         this.streamOrigins =
                 new FleetStreamOrigins(
                         control,
@@ -128,24 +136,9 @@
                         members,
                         gossip,
                         trafficState.origins(),
-                        storedOrigins);
+                        stored.origins());
         trafficState.origins().setPeers(streamOrigins);
         trafficState.origins().setArchive(streamOrigins);
-        this.poisonReports =
-                new FleetPoisonReports(
-                        control, traffic, settings, members, gossip, trafficState.poison());
-        trafficState.poison().setPeers(poisonReports);
-        this.storedVersions =
-                new StoredVersions(
-                        control,
-                        store,
-                        settings.vm(),
-                        members,
-                        settings.fleetStarts(),
-                        new StoredVersionsAdoption(traffic, trafficState.origins().versions()));
-        this.storedQuarantines =
-                new StoredQuarantines(
-                        control, store, settings.vm(), members, poisonReports::adoptStored);
         this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
     }
 
@@ -176,9 +169,7 @@
                 () -> {
                     registration.start();
                     reading.start();
-                    storedOrigins.start();
-                    storedVersions.start();
-                    storedQuarantines.start();
+                    stored.start();
                 });
         control.execute(this::runPeriodically);
     }
@@ -189,9 +180,7 @@
                 () -> {
                     stopped = true;
                     reading.stop();
-                    storedOrigins.stop();
-                    storedVersions.stop();
-                    storedQuarantines.stop();
+                    stored.stop();
                 });
     }
 
@@ -202,7 +191,7 @@
     public void beginStop() {
         stopping = true;
         control.execute(this::runRoundSafely);
-        control.execute(storedOrigins::stop);
+        control.execute(stored.origins()::stop);
         traffic.execute(trafficState.origins()::shareAll);
     }
 
@@ -364,10 +353,7 @@
         orders.updateLoad(load);
         orders.updateUnreachable(newReport.lostPaths());
         rollouts.round(newReport.rollouts(), load);
-        storedOrigins.round(fleetSize());
-        originsCleanup.round(System.nanoTime());
-        storedVersions.round(newReport.recentVersions());
-        storedQuarantines.round(newReport.quarantines());
+        stored.round(newReport, fleetSize());
         newReport.weights().forEach(this::recordObservedWeights);
         newReport.runnersWithUnknownWeights().forEach(orders::queryWeights);
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -84,11 +84,7 @@
         this.request = request;
         this.admitted = admitted;
         this.streamVersion = streamVersion;
-        PartGate gate =
-                new PartGate(
-                        state,
-                        admitted,
-                        () -> RequestFingerprint.of(admitted, request, caller.remoteHost()));
+        PartGate gate = PartGate.of(state, admitted, request, caller.remoteHost());
         this.selection = new EndpointSelection(state, admitted, streamVersion, gate);
         this.attempts = new Attempts(state, admitted);
         this.builder = new EndpointRequestBuilder(state, wire, admitted);
--- a/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.exchange;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -43,6 +44,20 @@
         this.keys = new RequestKeys(parts, () -> PartKey.ofRequest(pool, fingerprint.get()));
     }
 
+    /**
+     * Returns the gate of a request.
+     *
+     * @param callerHost the host that the request came from
+     */
+    static PartGate of(
+            TrafficState state,
+            AdmittedRequest admitted,
+            FullHttpRequest request,
+            String callerHost) {
+        return new PartGate(
+                state, admitted, () -> RequestFingerprint.of(admitted, request, callerHost));
+    }
+
     private static List<PartKey> parts(String pool, PromptSpec prompt) {
         return prompt.sharedParts().stream()
                 .limit(MAXIMUM_PARTS)
