--- a/measurement/src/test/java/org/bronzelug/measure/QuickstartTest.java
+++ b/measurement/src/test/java/org/bronzelug/measure/QuickstartTest.java
@@ -1,6 +1,7 @@
 package org.bronzelug.measure;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -21,7 +22,7 @@
                         .start();
         String printed =
                 new String(quickstart.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        assertThat(quickstart.waitFor()).isEqualTo(0);
+        assertWithMessage(printed).that(quickstart.waitFor()).isEqualTo(0);
         assertThat(printed).contains("team/buchhandel is at version");
         assertThat(printed).containsMatch("vm-\\d zone-[ab] 127\\.0\\.0\\.1:\\d+");
         assertThat(printed).contains("0 of 1264 prompt tokens cached");
