--- a/router/src/main/java/org/bronzelug/router/control/StreamOriginCodec.java
+++ b/router/src/main/java/org/bronzelug/router/control/StreamOriginCodec.java
@@ -30,7 +30,7 @@
     private static final int KEY_BYTES = 2 * Long.BYTES;
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** Longest time that is believed. */
+    /** Bounds the time for which an origin that was read is kept. */
     private static final long MAXIMUM_MILLIS = TimeUnit.MINUTES.toMillis(10);
 
     private StreamOriginCodec() {}
--- a/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartGate.java
@@ -24,7 +24,7 @@
     /** Maximum retry delay: a wrong quarantine may end at any time. */
     private static final long MAXIMUM_RETRY_MILLIS = 30_000;
 
-    /** Endpoints that have ended under a request before it must be known whether one more has. */
+    /** Ends under a request from which it is verified whether its last endpoint has crashed. */
     private static final int VERIFIED_ENDS = 1;
 
     private final TrafficState state;
