--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -3,7 +3,11 @@
 import java.util.Map;
 
 /**
- * An endpoint's own entry in the platform's list of endpoints. Immutable.
+ * An endpoint's own entry in the platform's list of endpoints.
+ *
+ * <p>Invariant: a socket can be connected to the address, a header can contain the id, and the
+ * numbers are in their ranges. Without this, one entry makes an update fail for all endpoints, at
+ * the step that can't use its value. Immutable.
  *
  * @param id id of this incarnation of the endpoint
  * @param pool the pool to which the endpoint belongs
@@ -25,10 +29,32 @@
         boolean draining,
         long bornMillis,
         Map<String, Long> weights) {
+    /** Sums and products of the slots of a pool's endpoints fit into a long, and into an int. */
+    public static final int MAXIMUM_SLOTS = 100_000;
+
+    /**
+     * @throws IllegalArgumentException if a value is out of its range
+     */
     public EndpointEntry {
+        boolean valid =
+                isValidId(id)
+                        && SocketAddressText.isValid(address)
+                        && slots >= 1
+                        && slots <= MAXIMUM_SLOTS
+                        && bornMillis >= 0;
+        if (!valid) {
+            throw new IllegalArgumentException(
+                    "no endpoint: id, address, slots or start time is out of range: "
+                            + String.join(" ", id, address, slots + "", bornMillis + ""));
+        }
         weights = Map.copyOf(weights);
     }
 
+    /** Returns whether a header can contain the id: visible ASCII characters only. */
+    public static boolean isValidId(String id) {
+        return !id.isEmpty() && id.chars().allMatch(c -> c > ' ' && c <= '~');
+    }
+
     /** Returns whether the other entry describes the same start of the same endpoint. */
     public boolean isSameStart(EndpointEntry other) {
         return bornMillis == other.bornMillis && address.equals(other.address);
