Decode each revision of an object once

Cause: at each change of a kind, all its objects were decoded, so an object that can't be decoded was logged at each change of any other one.

Change: DecodedItems keeps what was decoded of each object's revision, for endpoints, the configuration, published versions and orders of rollouts. An entry that is overwritten by content that can't be read still names no runner: the earlier revision is not kept.

--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -34,6 +34,9 @@
     private final ObjectDecoder decoder;
     private final long initialWeightsAgeNanos;
     private final Map<String, ObjectMirror> mirrors = new HashMap<>();
+    private final DecodedItems<RoutingConfiguration> configurations;
+    private final DecodedItems<EndpointEntry> listedEndpoints;
+    private final DecodedItems<Published> publishedWeights;
     private final EndpointList endpoints = new EndpointList();
     private final Map<String, WeightsTarget> weights = new HashMap<>();
     // The version of each model that was published before this VM started: its age is assumed.
@@ -46,6 +49,9 @@
      */
     ControlState(ObjectDecoder decoder, long initialWeightsAgeNanos) {
         this.decoder = decoder;
+        this.configurations = new DecodedItems<>(item -> decoder.configuration(List.of(item)));
+        this.listedEndpoints = new DecodedItems<>(decoder::endpoint);
+        this.publishedWeights = new DecodedItems<>(this::published);
         this.initialWeightsAgeNanos = initialWeightsAgeNanos;
         for (String kind : kinds()) {
             mirrors.put(kind, new ObjectMirror());
@@ -104,13 +110,14 @@
         } else if (kind.equals(decoder.endpointKind())) {
             decodeEndpoints();
         } else if (kind.equals(decoder.weightsKind())) {
-            mirror(kind).items().forEach(this::decodeWeights);
+            publishedWeights.update(mirror(kind).items()).forEach(this::recordPublished);
         }
     }
 
     private void decodeConfiguration() {
         Optional<RoutingConfiguration> decoded =
-                decoder.configuration(mirror(decoder.configurationKind()).items());
+                configurations.update(mirror(decoder.configurationKind()).items()).stream()
+                        .findFirst();
         long known = configuration.map(RoutingConfiguration::version).orElse(0L);
         decoded.filter(newer -> newer.version() > known)
                 .ifPresent(
@@ -131,9 +138,9 @@
 
     private void decodeEndpoints() {
         Map<String, EndpointEntry> listed = new HashMap<>();
-        for (StoredItem item : mirror(decoder.endpointKind()).items()) {
-            decoder.endpoint(item).ifPresent(entry -> listed.put(entry.id(), entry));
-        }
+        listedEndpoints
+                .update(mirror(decoder.endpointKind()).items())
+                .forEach(entry -> listed.put(entry.id(), entry));
         Map<String, EndpointEntry> previous = endpoints.entries();
         endpoints.update(listed, System.nanoTime());
         logEndpointChanges(
@@ -157,15 +164,17 @@
         }
     }
 
-    private void decodeWeights(StoredItem item) {
+    /** A published version and the revision of the object that names it. */
+    private record Published(ObjectDecoder.PublishedWeights weights, long revision) {}
+
+    private Optional<Published> published(StoredItem item) {
+        return decoder.weights(item).map(weights -> new Published(weights, item.revision()));
+    }
+
+    private void recordPublished(Published published) {
         boolean changedWhileWatching =
-                mirror(decoder.weightsKind()).isChangedSinceFirstList(item.revision());
-        decoder.weights(item)
-                .ifPresent(
-                        advertised ->
-                                updateTarget(
-                                        advertised,
-                                        changedWhileWatching ? 0 : initialWeightsAgeNanos));
+                mirror(decoder.weightsKind()).isChangedSinceFirstList(published.revision);
+        updateTarget(published.weights, changedWhileWatching ? 0 : initialWeightsAgeNanos);
     }
 
     /**
--- a/router/src/main/java/org/bronzelug/router/rollout/RolloutService.java
+++ b/router/src/main/java/org/bronzelug/router/rollout/RolloutService.java
@@ -14,6 +14,7 @@
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.control.ControlState;
+import org.bronzelug.router.control.DecodedItems;
 import org.bronzelug.router.control.ObjectDecoder;
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
@@ -57,6 +58,7 @@
     private final ControlState state;
     private final MemberTable members;
     private final Map<String, RolloutProgress> rollouts = new HashMap<>();
+    private final DecodedItems<RolloutOrder> decodedOrders;
     private final Map<String, RolloutOrder> orders = new HashMap<>();
     private boolean writeInFlight;
     private long lastWriteNanos = System.nanoTime() - RETRY_NANOS;
@@ -70,6 +72,7 @@
             MemberTable members) {
         this.store = store;
         this.decoder = decoder;
+        this.decodedOrders = new DecodedItems<>(decoder::rollout);
         this.settings = settings;
         this.incarnation = incarnation;
         this.state = state;
@@ -82,8 +85,8 @@
             return;
         }
         orders.clear();
-        state.mirror(kind).items().stream()
-                .flatMap(item -> decoder.rollout(item).stream())
+        decodedOrders
+                .update(state.mirror(kind).items())
                 .forEach(order -> orders.put(order.pool(), order));
         long nowNanos = System.nanoTime();
         rollouts.keySet().removeIf(pool -> isReplaced(rollouts.get(pool).order()));
