Registered VMs: leave out entries without a usable address

An address of a VM's entry was any text, and the step that makes a socket's address of it fails in the middle of a round of state updates, so the peers after it are not addressed.

What callers would see: VMs take each other for dead, each admits what the others have already admitted.

Change: an entry without a usable address is no VM, and is logged once for each revision. An own entry without a usable address is replaced.

--- a/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
+++ b/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
@@ -8,9 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.bronzelug.core.membership.PlatformReaders.Candidate;
+import org.bronzelug.core.routing.SocketAddressText;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.fleet.MemberTable;
@@ -37,6 +39,7 @@
     private final VmSettings settings;
     private final MemberTable members;
     private final Consumer<List<Candidate>> onListed;
+    private final DecodedItems<Candidate> decoded = new DecodedItems<>(VmRegistration::decode);
     private boolean listInFlight;
 
     /**
@@ -87,16 +90,6 @@
         list();
     }
 
-    /**
-     * Replaces this VM's entry if it shows another address: a VM may restart under its name at a
-     * new address.
-     */
-    private void updateAddress(StoredItem item) {
-        if (!address(item).equals(settings.peersAddress())) {
-            store.replace(KIND, new StoredItem(item.name(), item.revision(), content()));
-        }
-    }
-
     /** Lists the VMs, unless a list is in flight. */
     void list() {
         if (listInFlight) {
@@ -113,30 +106,50 @@
 
     private List<Candidate> recordListed(ItemList list) {
         List<Candidate> registeredVms = new ArrayList<>();
-        for (StoredItem item : list.items()) {
-            String address = address(item);
-            if (item.name().equals(settings.vm())) {
-                updateAddress(item);
-            } else if (!address.isEmpty()) {
-                members.addRegistered(item.name(), address, System.nanoTime());
-                registeredVms.add(
-                        new Candidate(item.name(), field(item, ZONE_FIELD), address, false, false));
+        boolean ownIsCurrent = false;
+        for (Candidate vm : decoded.update(list.items())) {
+            if (vm.name().equals(settings.vm())) {
+                ownIsCurrent = vm.address().equals(settings.peersAddress());
+            } else {
+                members.addRegistered(vm.name(), vm.address(), System.nanoTime());
+                registeredVms.add(vm);
             }
         }
+        if (!ownIsCurrent) {
+            list.items().stream()
+                    .filter(item -> item.name().equals(settings.vm()))
+                    .forEach(this::replaceEntry);
+        }
         return registeredVms;
     }
 
-    private static String address(StoredItem item) {
-        return field(item, ADDRESS_FIELD);
+    /**
+     * Replaces this VM's entry, which shows another address or none: a VM may restart under its
+     * name at a new address.
+     */
+    private void replaceEntry(StoredItem item) {
+        store.replace(KIND, new StoredItem(item.name(), item.revision(), content()));
     }
 
-    private static String field(StoredItem item, String name) {
+    /**
+     * Decodes the entry of a VM; empty if no datagram can be sent to its address. Without this, one
+     * such entry ends each round of state updates before all peers are addressed.
+     */
+    private static Optional<Candidate> decode(StoredItem item) {
+        String cause = "no usable address";
         try {
             JsonNode content = JSON.readTree(item.content());
-            return content == null ? "" : content.path(name).asText("");
+            String address = content.path(ADDRESS_FIELD).asText("");
+            if (SocketAddressText.isValid(address)) {
+                String zone = content.path(ZONE_FIELD).asText("");
+                return Optional.of(new Candidate(item.name(), zone, address, false, false));
+            }
         } catch (IOException malformed) {
-            EventLog.warn(LogEvent.CONFIGURATION_UNREADABLE, "kind=" + KIND + " " + item.name());
-            return "";
+            cause = malformed.getMessage();
         }
+        EventLog.warn(
+                LogEvent.CONFIGURATION_UNREADABLE,
+                "kind=" + KIND + " object=" + item.name() + " cause=" + cause);
+        return Optional.empty();
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.channel.DefaultEventLoop;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.bronzelug.core.membership.PlatformReaders.Candidate;
 import org.bronzelug.router.fleet.MemberTable;
@@ -10,6 +11,8 @@
 import org.bronzelug.router.settings.LoadSettings;
 import org.bronzelug.router.settings.VmSettings;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against a restart of the fleet that uses up the platform's rate of calls for
@@ -24,6 +27,10 @@
     private List<Candidate> listed = List.of();
 
     private void start(String vm, String zone, String address) {
+        start(vm, zone, address, new MemberTable(vm));
+    }
+
+    private void start(String vm, String zone, String address, MemberTable members) {
         VmSettings settings =
                 new VmSettings(
                         vm,
@@ -36,8 +43,7 @@
                         1,
                         BOUNDS,
                         LoadSettings.none());
-        new VmRegistration(control, store, settings, new MemberTable(vm), found -> listed = found)
-                .start();
+        new VmRegistration(control, store, settings, members, found -> listed = found).start();
     }
 
     @Test
@@ -63,4 +69,42 @@
         start("vm-2", "north", "10.0.0.2:7600");
         assertThat(listed.get(0).address()).isEqualTo("10.0.0.7:7600");
     }
+
+    /**
+     * An address that no datagram can be sent to would end each round of state updates before all
+     * peers are addressed, so that the VMs take each other for dead.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "5",
+                "null",
+                "{",
+                "{}",
+                "{\"peersAddress\":7}",
+                "{\"peersAddress\":\"\"}",
+                "{\"peersAddress\":\"x\"}",
+                "{\"peersAddress\":\"10.0.0.3:70000\"}",
+                "{\"peersAddress\":\"10.0.0.3:port\"}",
+                "{\"peersAddress\":\"host.example:80\"}"
+            })
+    void anEntryWithoutAUsableAddressIsNoVm(String odd) {
+        MemberTable members = new MemberTable("vm-2");
+        store.create("router-vms", "odd", odd.getBytes(StandardCharsets.UTF_8));
+        start("vm-1", "north", "10.0.0.1:7600");
+        start("vm-2", "north", "10.0.0.2:7600", members);
+        assertThat(listed)
+                .containsExactly(new Candidate("vm-1", "north", "10.0.0.1:7600", false, false));
+        assertThat(members.addresses()).containsExactly("10.0.0.1:7600");
+    }
+
+    /** This VM's own entry may have been overwritten too. */
+    @Test
+    void anOwnEntryWithoutAUsableAddressIsReplaced() {
+        store.create("router-vms", "vm-1", "{}".getBytes(StandardCharsets.UTF_8));
+        start("vm-1", "north", "10.0.0.1:7600");
+        start("vm-2", "north", "10.0.0.2:7600");
+        assertThat(listed)
+                .containsExactly(new Candidate("vm-1", "north", "10.0.0.1:7600", false, false));
+    }
 }
