Quarantines: don't adopt one without parts, or with an odd count

An object of the kind of stored quarantines whose list has an element without parts, and a time far ahead, was adopted as a quarantine of no parts. Every request contains all of no parts, so each request of every pool would be rejected as one that crashes endpoints. A count of times below 1, or near the largest, makes the length of the next quarantine one that has already ended.

Change: PartQuarantine, where entries of the store and of peers arrive, adopts neither, and bounds the count.

--- a/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
+++ b/core/src/main/java/org/bronzelug/core/poison/PartQuarantine.java
@@ -27,6 +27,9 @@
     /** Ten minutes doubled seven times are about a day. */
     private static final int MAXIMUM_DOUBLINGS = 7;
 
+    /** Keeps the count in range; the length of a quarantine stops doubling before. */
+    private static final int MAXIMUM_TIMES = 1_000;
+
     static final int MAXIMUM_ENTRIES = 64;
 
     private final int maximumEntries;
@@ -42,7 +45,8 @@
 
     /** Puts parts under quarantine, for longer if they have been before. */
     QuarantinedParts add(Set<PartKey> parts, Set<String> softwareVersions, long nowNanos) {
-        int times = 1 + find(parts).map(QuarantinedParts::times).orElse(0);
+        int before = find(parts).map(QuarantinedParts::times).orElse(0);
+        int times = 1 + Math.min(before, MAXIMUM_TIMES);
         long lengthNanos = FIRST_NANOS << Math.min(times - 1, MAXIMUM_DOUBLINGS);
         QuarantinedParts added =
                 new QuarantinedParts(
@@ -56,8 +60,14 @@
         return added;
     }
 
-    /** Adopts what another VM knows; returns whether it is new. */
+    /**
+     * Adopts what another VM knows, or has stored; returns whether it is new. A stored quarantine
+     * may come from another writer: one without parts would match every request.
+     */
     boolean adopt(QuarantinedParts other, long nowNanos) {
+        if (other.parts().isEmpty() || other.times() < 1) {
+            return false;
+        }
         Optional<QuarantinedParts> known = find(other.parts());
         boolean isNew =
                 known.isEmpty()
