Entries: bound the length of ids and names

An entry may be a megabyte long, and its id and names are used where they have to be short: ids are sent to other VMs in one datagram, and versions of software are stored in one object for each pool. A name that doesn't fit makes the whole datagram or object fail.

Change: an endpoint's id and names have at most 256 characters.

--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -32,27 +32,40 @@
     /** Sums and products of the slots of a pool's endpoints fit into a long, and into an int. */
     public static final int MAXIMUM_SLOTS = 100_000;
 
+    /**
+     * Length of an id, and of the names that an entry contains. Ids and names are sent to other VMs
+     * in one datagram, and versions of software are stored in one object for each pool.
+     */
+    public static final int MAXIMUM_NAME_CHARACTERS = 256;
+
     /**
      * @throws IllegalArgumentException if a value is out of its range
      */
     public EndpointEntry {
         boolean valid =
                 isValidId(id)
+                        && isShort(pool)
+                        && isShort(availabilityZone)
+                        && isShort(softwareVersion)
+                        && weights.keySet().stream().allMatch(EndpointEntry::isShort)
                         && SocketAddressText.isValid(address)
                         && slots >= 1
                         && slots <= MAXIMUM_SLOTS
                         && bornMillis >= 0;
         if (!valid) {
             throw new IllegalArgumentException(
-                    "no endpoint: id, address, slots or start time is out of range: "
-                            + String.join(" ", id, address, slots + "", bornMillis + ""));
+                    "no endpoint: a value is out of its range, or a name too long; id=" + id);
         }
         weights = Map.copyOf(weights);
     }
 
-    /** Returns whether a header can contain the id: visible ASCII characters only. */
+    private static boolean isShort(String name) {
+        return name.length() <= MAXIMUM_NAME_CHARACTERS;
+    }
+
+    /** Returns whether a header can contain the id: visible ASCII characters, not too many. */
     public static boolean isValidId(String id) {
-        return !id.isEmpty() && id.chars().allMatch(c -> c > ' ' && c <= '~');
+        return !id.isEmpty() && isShort(id) && id.chars().allMatch(c -> c > ' ' && c <= '~');
     }
 
     /** Returns whether the other entry describes the same start of the same endpoint. */
