A response is a request's own only by its one id and a head of its own

An endpoint that responds twice can leave the begin of an extra response on a kept connection. The decoder joined that head, cut off anywhere, with the head of the next response: the status came from the extra one, id, stamp and body from the request's own. The cut head got there in two ways. It arrived together with the end of the response before and stayed in the decoder's buffer, while the connection went back to the pool as sound (only bytes of a new read close an idle connection). Or it arrived while the next request waited. Besides, a response without an id was taken for the request's own, and with two ids the first one counted.

What callers saw. A success, or a 503 that states that the request has not run, where the endpoint had run the request and responded with a failure; or an error or a wait until the time limit after a sound response.

A head that is cut off at the end of its connection: reported as a broken connection before. Two lengths and both framings in one head with other lengths: the decoder fails them, but for the framings, which it accepted and now does not.

A response ends its request only once all that was read with it is decoded; bytes behind it close the connection instead of reaching the next request. A head is the request's own only with exactly one id, the request's. A whole response with another id or none is skipped within the former bounds, and the connection is not reused; its statements (not executed, limits, backoff) count for nothing. A head with a repeated id or stamp, another protocol version or a status line in the reason phrase or a field's value is malformed, as is a trailer with a status line: the connection is closed at once, and the request ends as after a broken connection, so that idempotent ones are tried elsewhere and others get 502. Bytes that are no response no longer count as the loss of a connection that a crash of the endpoint may have caused. Event 537 and two counters tell which of these cases happened.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -76,6 +76,9 @@
     STREAM_ORIGINS_NOT_STORED(
             535, "origins of streams not taken by the platform; writing them again"),
     STREAM_ORIGINS_REMOVED(536, "stored origins of streams that have ended removed"),
+    CONNECTION_OUT_OF_STEP(
+            537,
+            "endpoint sent bytes that belong to no request in progress; not reusing the connection"),
     REQUEST_HELD(606, "request waits for the outcome of another one that may crash its endpoint"),
     REQUEST_ENDED(600, "request completed or abandoned"),
     REQUEST_REFUSED(601, "request rejected before it was sent to an endpoint"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -13,71 +13,74 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
-import java.util.function.Consumer;
 import org.bronzelug.router.exchange.WireFormat;
 
 /**
  * One connection to an endpoint, which carries one request at a time.
  *
  * <p>Invariant: the connection is reused only if the last request was written completely, its
- * response was read completely, and no bytes followed the response. Without this, an endpoint that
- * responds twice, or a response that arrives late, would give the next caller the response to
- * another caller's request. A late response that arrives after the next request was sent is
- * recognized by its request id and skipped. An idle connection is always read, so that its close is
- * noticed.
+ * response was read completely, and no bytes followed the response in the same read. Without this,
+ * an endpoint that responds twice, or a response that arrives late, would give the next caller the
+ * response to another caller's request, or its status. A late response that arrives after the next
+ * request was sent is recognized by its request id and skipped ({@link ResponseMatch}). An idle
+ * connection is always read, so that its close is noticed.
+ *
+ * <p>Invariant: no byte that was read before a request was sent is taken for its response: a
+ * response ends its request only when all that was read with it is decoded.
  *
  * <p>Invariant: a response without a length or chunks is complete only if the endpoint's orderly
  * close was read. A reset, a failed write and a close by this VM end the decoder's response too.
  * Confined to the traffic thread.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
-    private static final int CONTINUE = 100;
-    private static final int FIRST_FINAL_STATUS = 200;
-
-    /** Maximum number of interim responses (1xx) to one request. */
-    private static final int MAXIMUM_INTERIM_RESPONSES = 16;
-
-    /** Maximum number of late responses, to earlier requests, that are skipped for one request. */
-    private static final int MAXIMUM_LATE_RESPONSES = 16;
-
-    /** Maximum size in bytes of the bodies that are skipped for one request. */
-    private static final int MAXIMUM_SKIPPED_BYTES = 1_048_576;
-
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
 
     private final WireFormat wire;
-    private final Consumer<EndpointConnection> onIdle;
-    private final Runnable onLost;
+    private final Owner owner;
     private final Optional<String> relayVm;
+    private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private Optional<ResponseListener> listener = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
     private String requestId = "";
     private boolean reusable = true;
     private boolean skippingResponse;
-    private int interimResponses;
-    private int lateResponses;
-    private int skippedBytes;
+    private SkippedResponses skipped = new SkippedResponses();
     private boolean headSeen;
+    private boolean responseEnded;
     private boolean endsWithConnection;
     private boolean closedByEndpoint;
     private long idleSinceNanos;
     private long lastReceivedNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
 
+    /** Is notified of what becomes of a connection. */
+    interface Owner {
+        /** Called when the connection can carry the next request. */
+        void onIdle(EndpointConnection connection);
+
+        /**
+         * Called when the connection ends or fails within a request, or ends a response without a
+         * length, which a crash may have cut short.
+         */
+        void onLost();
+
+        /**
+         * Called when bytes have arrived that belong to no request or to an earlier one. The
+         * connection carries no further request. That the endpoint has crashed does not follow.
+         *
+         * @param lastRequestId id of the request in progress, or of the last one
+         * @param skipped whether the request in progress still awaits its response
+         */
+        void onDesynchronized(String lastRequestId, Desynchronization cause, boolean skipped);
+    }
+
     /**
-     * @param onLost called when the connection ends or fails within a request, or ends a response
-     *     without a length, which a crash may have cut short
      * @param relayVm the VM that relays the connection; empty if it is direct
      */
-    EndpointConnection(
-            WireFormat wire,
-            Consumer<EndpointConnection> onIdle,
-            Runnable onLost,
-            Optional<String> relayVm) {
+    EndpointConnection(WireFormat wire, Owner owner, Optional<String> relayVm) {
         this.wire = wire;
-        this.onIdle = onIdle;
-        this.onLost = onLost;
+        this.owner = owner;
         this.relayVm = relayVm;
     }
 
@@ -109,9 +112,7 @@
         listener = Optional.of(responseListener);
         requestId = id;
         headSeen = false;
-        interimResponses = 0;
-        lateResponses = 0;
-        skippedBytes = 0;
+        skipped = new SkippedResponses();
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
@@ -119,6 +120,7 @@
     /** Cancels the request by closing the connection, so that the endpoint stops working on it. */
     void cancel() {
         listener = Optional.empty();
+        responseEnded = false;
         close();
     }
 
@@ -149,14 +151,19 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         lastReceivedNanos = System.nanoTime();
-        if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+        if (listener.isEmpty()) {
             ReferenceCountUtil.release(message);
-            fail("bytes that are no answer");
+            close();
             return;
         }
-        if (listener.isEmpty()) {
+        if (responseEnded) {
             ReferenceCountUtil.release(message);
-            close();
+            reusable = false;
+            return;
+        }
+        if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+            ReferenceCountUtil.release(message);
+            endDesynchronized(Desynchronization.NO_RESPONSE);
             return;
         }
         if (object instanceof HttpResponse response) {
@@ -168,21 +175,25 @@
     }
 
     private void readHead(HttpResponse response) {
-        int status = response.status().code();
-        if (status >= CONTINUE && status < FIRST_FINAL_STATUS) {
-            skippingResponse = true;
-            interimResponses++;
-            failIfSkippingTooMuch();
-            return;
-        }
-        EndpointResponse head = wire.decodeResponse(response);
-        if (head.requestId().isPresent() && !head.requestId().get().equals(requestId)) {
-            skippingResponse = true;
-            reusable = false;
-            lateResponses++;
-            failIfSkippingTooMuch();
-            return;
+        switch (ResponseMatch.of(response, requestId, wire)) {
+            case ResponseMatch.Own(EndpointResponse head) -> readOwnHead(head, response);
+            case ResponseMatch.Interim() -> {
+                skippingResponse = true;
+                skipped.addInterim();
+                failIfSkippingTooMuch();
+            }
+            case ResponseMatch.Foreign(Desynchronization cause) -> {
+                skippingResponse = true;
+                reusable = false;
+                skipped.addForeign();
+                owner.onDesynchronized(requestId, cause, true);
+                failIfSkippingTooMuch();
+            }
+            case ResponseMatch.Malformed(Desynchronization cause) -> endDesynchronized(cause);
         }
+    }
+
+    private void readOwnHead(EndpointResponse head, HttpResponse response) {
         headSeen = true;
         endsWithConnection = BodyFraming.of(response) == BodyFraming.CONNECTION_CLOSE;
         reusable &= head.keepAlive();
@@ -190,21 +201,21 @@
         listener.ifPresent(active -> active.onHead(head, response));
     }
 
-    /**
-     * Without this, an endpoint could have its responses skipped until the request's time limit.
-     */
     private void failIfSkippingTooMuch() {
-        if (interimResponses > MAXIMUM_INTERIM_RESPONSES
-                || lateResponses > MAXIMUM_LATE_RESPONSES
-                || skippedBytes > MAXIMUM_SKIPPED_BYTES) {
-            fail("too many bytes before the response");
+        if (listener.isPresent() && skipped.isTooMuch()) {
+            endDesynchronized(Desynchronization.TOO_MUCH_SKIPPED);
         }
     }
 
     private void readContent(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
+        if (last && StatusLines.areIn(((LastHttpContent) content).trailingHeaders())) {
+            content.release();
+            endDesynchronized(Desynchronization.JOINED_HEADS);
+            return;
+        }
         if (skippingResponse) {
-            skippedBytes += content.content().readableBytes();
+            skipped.addBytes(content.content().readableBytes());
             content.release();
             skippingResponse = !last;
             failIfSkippingTooMuch();
@@ -215,44 +226,92 @@
         } else {
             content.release();
         }
-        if (last && headSeen) {
+        if (last && headSeen && listener.isPresent()) {
             if (endsWithConnection && !closedByEndpoint) {
                 fail("connection lost within a response that has no length");
             } else {
-                complete();
+                endResponse();
             }
         }
     }
 
+    /**
+     * Ends the response once all that was read with it has been decoded. Bytes behind it may be the
+     * begin of an extra response, which the decoder would join with the next one.
+     */
+    private void endResponse() {
+        responseEnded = true;
+        if (decoder.hasUndecodedBytes()) {
+            rejectBytesAfterResponse();
+        }
+    }
+
+    private void rejectBytesAfterResponse() {
+        if (reusable) {
+            reusable = false;
+            owner.onDesynchronized(requestId, Desynchronization.BYTES_AFTER_RESPONSE, false);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (responseEnded) {
+            complete();
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void complete() {
         Optional<ResponseListener> active = listener;
         listener = Optional.empty();
+        responseEnded = false;
         boolean writtenCompletely = written.map(ChannelFuture::isSuccess).orElse(false);
         reusable &= writtenCompletely && channel.isActive();
         idleSinceNanos = System.nanoTime();
         if (reusable) {
             // The caller may have paused the connection, and is no longer notified to resume it.
             setReading(true);
-            onIdle.accept(this);
+            owner.onIdle(this);
         } else {
             channel.close();
         }
         if (endsWithConnection) {
-            onLost.run();
+            owner.onLost();
         }
         active.ifPresent(ResponseListener::onComplete);
     }
 
     private void fail(String cause) {
+        if (responseEnded) {
+            reusable = false;
+            complete();
+            return;
+        }
         Optional<ResponseListener> active = listener;
         listener = Optional.empty();
         close();
         if (active.isPresent()) {
-            onLost.run();
+            owner.onLost();
             active.get().onBroken(cause);
         }
     }
 
+    /** Ends the request, since it is unknown where its response begins, or whether one follows. */
+    private void endDesynchronized(Desynchronization cause) {
+        Optional<ResponseListener> active = listener;
+        listener = Optional.empty();
+        close();
+        if (active.isPresent()) {
+            owner.onDesynchronized(requestId, cause, false);
+            active.get().onBroken(cause.text());
+        }
+    }
+
+    /** Returns the decoder of what arrives, to be placed after {@link #inboundGuard}. */
+    ChannelHandler decoder() {
+        return decoder;
+    }
+
     /**
      * Returns a handler for what arrives, to be placed before the decoder. It notes the endpoint's
      * orderly close before the decoder takes that for the end of a response, and closes an idle
@@ -286,9 +345,15 @@
         public void channelRead(ChannelHandlerContext context, Object message) {
             if (listener.isEmpty()) {
                 ReferenceCountUtil.release(message);
+                rejectBytesAfterResponse();
                 close();
                 return;
             }
+            if (responseEnded) {
+                ReferenceCountUtil.release(message);
+                rejectBytesAfterResponse();
+                return;
+            }
             context.fireChannelRead(message);
         }
 
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -11,7 +11,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -21,6 +20,7 @@
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.relay.RelayTarget;
 
 /**
@@ -48,6 +48,7 @@
     private final DirectPath path = new DirectPath();
     private final IdleConnections idle = new IdleConnections();
     private final CrashDetection crash;
+    private Optional<RouterMetrics> metrics = Optional.empty();
     private boolean retired;
     private boolean probing;
     private long nextCheckNanos = System.nanoTime();
@@ -75,6 +76,11 @@
         crash.setListener(listener);
     }
 
+    /** Sets where connections are counted that carry bytes of no request in progress. */
+    public void setMetrics(RouterMetrics counters) {
+        metrics = Optional.of(counters);
+    }
+
     /** Records that the endpoint's entry names another start of it, or is gone. */
     public void recordReplaced() {
         crash.recordReplaced(System.nanoTime());
@@ -206,8 +212,7 @@
     }
 
     EndpointConnection newConnection(Optional<String> relayVm) {
-        Runnable onLost = () -> crash.recordLost(System.nanoTime());
-        return new EndpointConnection(wire, this::keep, onLost, relayVm);
+        return new EndpointConnection(wire, new ConnectionOwner(), relayVm);
     }
 
     /** Takes a connection over whose channel is open. */
@@ -291,10 +296,41 @@
     static void addCodec(ChannelPipeline pipeline, EndpointConnection connection) {
         pipeline.addLast(new HttpRequestEncoder())
                 .addLast(connection.inboundGuard())
-                .addLast(new HttpResponseDecoder())
+                .addLast(connection.decoder())
                 .addLast(connection);
     }
 
+    /** Is notified by the connections of this pool. */
+    private final class ConnectionOwner implements EndpointConnection.Owner {
+        private boolean logged;
+
+        @Override
+        public void onIdle(EndpointConnection connection) {
+            keep(connection);
+        }
+
+        @Override
+        public void onLost() {
+            crash.recordLost(System.nanoTime());
+        }
+
+        @Override
+        public void onDesynchronized(String requestId, Desynchronization cause, boolean skipped) {
+            String counter =
+                    skipped ? "endpoint_responses_skipped" : "endpoint_connections_out_of_step";
+            metrics.ifPresent(present -> present.count(counter));
+            if (!logged) {
+                logged = true;
+                EventLog.info(
+                        LogEvent.CONNECTION_OUT_OF_STEP,
+                        ("endpoint=" + target.endpoint())
+                                + (" request=" + requestId)
+                                + (" cause=\"" + cause.text() + "\"")
+                                + (" skipped=" + skipped));
+            }
+        }
+    }
+
     /** Sends a request on the connection that was opened for it. */
     private final class CallListener implements ConnectionAttempt.Listener {
         private final EndpointCall call;
--- a/router/src/main/java/org/bronzelug/router/exchange/WireFormat.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/WireFormat.java
@@ -26,6 +26,12 @@
      */
     void setDeadline(HttpHeaders headers, long millis);
 
+    /**
+     * Returns whether the head of an endpoint's response has a field more than once that tells
+     * which request it belongs to or that the endpoint has made it.
+     */
+    boolean repeatsIdentity(HttpResponse response);
+
     /** Decodes the head of an endpoint's response. */
     EndpointResponse decodeResponse(HttpResponse response);
 
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointTable.java
@@ -17,6 +17,7 @@
 import org.bronzelug.router.endpoint.VmPaths;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.SocketSettings;
+import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.relay.RelayDirectory;
 import org.bronzelug.router.relay.RelayTarget;
 
@@ -36,6 +37,7 @@
     private final Map<String, PrefillRate> rates = new HashMap<>();
     private final AdaptivePools adaptivePools;
     private Optional<CrashListener> crashListener = Optional.empty();
+    private Optional<RouterMetrics> metrics = Optional.empty();
 
     /** Is notified on the traffic thread. */
     interface CrashListener {
@@ -62,6 +64,10 @@
         crashListener = Optional.of(listener);
     }
 
+    void setMetrics(RouterMetrics counters) {
+        metrics = Optional.of(counters);
+    }
+
     /** Returns the pools whose endpoints report how long work takes on their machines. */
     public AdaptivePools adaptivePools() {
         return adaptivePools;
@@ -154,6 +160,7 @@
                         wire,
                         new RelayTarget(entry.id(), entry.bornMillis()),
                         paths);
+        metrics.ifPresent(connections::setMetrics);
         EndpointState state =
                 new EndpointState(entry, connections, prefillRate(entry.pool()), adaptivePools);
         connections.setCrashListener(
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -51,6 +51,7 @@
         this.endpoints = new EndpointTable(traffic, wire, new AdaptivePools(load.memoryPressure()));
         this.poison = new PoisonDirectory(traffic, this::withdrawQuarantined);
         endpoints.setCrashListener(this::recordCrash);
+        endpoints.setMetrics(metrics);
         this.rates = new TeamRates(fleetStarts, load.rateSlackTokens());
         this.shares = new TeamShares(rates, endpoints);
         this.retries = new RetryBudgets(bounds, metrics, fleetStarts);
