Attempts of one request never share a connection

A stream that its endpoint ends within an event is resumed, if need be at the same endpoint, and its connection was kept, as its response was complete by its framing. Another attempt of the same request could be sent on it. A late second response to the first attempt has the same id and would be taken for the response to the next attempt.

Ruled out by reading. All other ways in which a request leaves an endpoint close its connection first (EndpointCall.cancel, a failed or malformed response, a move that another endpoint has accepted).

A request passes over idle connections whose last request had its id. An extra response that arrives while another request runs there, or while the connection is idle, closes the connection already.

Test without the change: "expected: last, but was: late".

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -117,6 +117,14 @@
         responseListener.onSent(use);
     }
 
+    /**
+     * Returns whether the last request had this id. A late response to it would be taken for the
+     * response to another attempt of the same request.
+     */
+    boolean hasCarried(String id) {
+        return requestId.equals(id);
+    }
+
     /** Cancels the request by closing the connection, so that the endpoint stops working on it. */
     void cancel() {
         listener = Optional.empty();
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -116,7 +116,10 @@
     public EndpointCall send(
             FullHttpRequest request, String requestId, ResponseListener listener, long nowNanos) {
         EndpointCall call = new EndpointCall(request, requestId, listener);
-        Optional<EndpointConnection> kept = idle.take(this::isDoubtful, nowNanos);
+        Optional<EndpointConnection> kept =
+                idle.take(
+                        connection -> isDoubtful(connection) || connection.hasCarried(requestId),
+                        nowNanos);
         if (kept.isPresent()) {
             call.start(kept.get(), kept.get().keptUse());
         } else {
