One check for a status line within the head of a response

Cause: the connections to endpoints and the router's own HTTP clients had a class each that finds the status line of another response in a head. Change: StatusLines, in the package of HTTP clients, serves both; no change of what is recognized. Measured: PooledHttpClientTest, PooledHttpClientResponseTest, DesynchronizedResponseTest, EndpointConnectionTest and OddEntryTest pass.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -14,6 +14,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.StatusLines;
 
 /**
  * One connection to an endpoint, which carries one request at a time.
--- a/router/src/main/java/org/bronzelug/router/endpoint/ResponseMatch.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ResponseMatch.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.StatusLines;
 
 /**
  * What a decoded response head is to the request that waits on its connection.
--- a/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
+++ b/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
@@ -148,7 +148,7 @@
     }
 
     private void readHead(HttpResponse response) {
-        if (MergedHeads.isMerged(response)) {
+        if (StatusLines.areIn(response)) {
             fail("the head of the response contains another one");
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/endpoint/StatusLines.java
+++ b/router/src/main/java/org/bronzelug/router/http/StatusLines.java
@@ -1,4 +1,4 @@
-package org.bronzelug.router.endpoint;
+package org.bronzelug.router.http;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -9,7 +9,7 @@
  * Finds the status line of another response within a decoded head or trailer. The decoder rejects
  * one in a field's name, and one in place of a version or a status code. Stateless and thread-safe.
  */
-final class StatusLines {
+public final class StatusLines {
     private static final String PROTOCOL = "HTTP/";
 
     /** Includes the status code, as other values may name a protocol alone. */
@@ -18,12 +18,12 @@
     private StatusLines() {}
 
     /** Returns whether the reason phrase or a field of a head includes a status line. */
-    static boolean areIn(HttpResponse response) {
+    public static boolean areIn(HttpResponse response) {
         return isIn(response.status().reasonPhrase()) || areIn(response.headers());
     }
 
     /** Returns whether the value of a field includes a status line. */
-    static boolean areIn(HttpHeaders headers) {
+    public static boolean areIn(HttpHeaders headers) {
         for (Map.Entry<String, String> header : headers) {
             if (isIn(header.getValue())) {
                 return true;
