Watches: an exception of a listener or of a call doesn't end the watch

Cause: the step after a response ran in a callback of a future. An exception there, of a listener that could not apply a change or of a call that could not be made, was kept in a future that nobody reads, and the step that makes the next call was not reached. The watch of that kind had ended for good.

What callers would see: the VM learns of no further endpoint that joins, drains or leaves, or of no withdrawn key. Found from the cause of the entries; not reported.

A call that throws is a failed call.

Ruled out: to go on watching after a failed change. The listener may have applied it in part, and would be notified again only by the next change.

KindWatchTest and PagedListTest pass.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.store.ItemChanges;
@@ -21,6 +22,10 @@
  * <p>Invariant: at most one list or watch is current. A restart, a pause and a lost watch begin a
  * new generation; a response that belongs to an earlier generation is ignored.
  *
+ * <p>Invariant: no exception ends the watch. If a step or a listener fails, the kind is listed
+ * again after a backoff, and the listener is notified then even if the mirror has not changed
+ * since. Without this, a VM learns of no further change of the kind after one that it can't apply.
+ *
  * <p>After a list in several pages, the changes made between its pages are read at once, so that
  * the mirror becomes a snapshot.
  *
@@ -51,6 +56,10 @@
             new RandomBackoff(INITIAL_BACKOFF_MILLIS, MAXIMUM_BACKOFF_MILLIS);
     private final ChangeBatching batching = new ChangeBatching();
     private boolean relisted;
+
+    /** Whether the listener has not dealt with the mirror's last change. */
+    private boolean unapplied;
+
     private boolean paused = true;
     private int generation;
     private boolean callInFlight;
@@ -125,7 +134,7 @@
      */
     CompletableFuture<Long> check() {
         int startGeneration = generation;
-        return store.changes(kind, mirror.revision())
+        return begin(() -> store.changes(kind, mirror.revision()))
                 .whenComplete(
                         (changes, failure) -> {
                             if (paused || startGeneration != generation) {
@@ -135,7 +144,7 @@
                                 generation++;
                                 onWatchFailure(failure, mirror.revision());
                             } else {
-                                onCheckResponse(changes);
+                                runSafely(() -> onCheckResponse(changes));
                             }
                         })
                 .thenApply(ItemChanges::revision);
@@ -145,7 +154,7 @@
         if (!mirror.apply(changes)) {
             return;
         }
-        listener.onChange(kind);
+        notifyListener(true);
         if (callInFlight) {
             generation++;
             watch(changes.revision());
@@ -178,27 +187,67 @@
     }
 
     private void list() {
-        call(lists.read(System.nanoTime()), this::onListResponse, this::retryWithBackoff);
+        call(() -> lists.read(System.nanoTime()), this::onListResponse, this::retryWithBackoff);
     }
 
     /** Makes a call the current one; a response is ignored if another one is current by then. */
     private <T> void call(
-            CompletableFuture<T> call, Consumer<T> onSuccess, Consumer<Throwable> onFailure) {
+            Supplier<CompletableFuture<T>> call,
+            Consumer<T> onSuccess,
+            Consumer<Throwable> onFailure) {
         int startGeneration = generation;
         callInFlight = true;
         callStartNanos = System.nanoTime();
-        call.whenComplete(
-                (response, failure) -> {
-                    if (paused || startGeneration != generation) {
-                        return;
-                    }
-                    callInFlight = false;
-                    if (failure != null) {
-                        onFailure.accept(failure);
-                    } else {
-                        onSuccess.accept(response);
-                    }
-                });
+        begin(call)
+                .whenComplete(
+                        (response, failure) -> {
+                            if (paused || startGeneration != generation) {
+                                return;
+                            }
+                            callInFlight = false;
+                            if (failure != null) {
+                                runSafely(() -> onFailure.accept(failure));
+                            } else {
+                                runSafely(() -> onSuccess.accept(response));
+                            }
+                        });
+    }
+
+    /** Makes a call; one that can't be made is a failed one. */
+    private static <T> CompletableFuture<T> begin(Supplier<CompletableFuture<T>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException fault) {
+            return CompletableFuture.failedFuture(fault);
+        }
+    }
+
+    /** Runs a step; if it fails, lists again after a backoff instead of what the step began. */
+    private void runSafely(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException | StackOverflowError fault) {
+            long delayMillis = relistBackoff.nextMillis();
+            EventLog.warn(
+                    LogEvent.INTERNAL_ERROR,
+                    "a change was not applied, listing again;"
+                            + (" kind=" + kind)
+                            + (" revision=" + mirror.revision())
+                            + (" delayMillis=" + delayMillis),
+                    fault);
+            generation++;
+            callInFlight = false;
+            lists.reset();
+            scheduleStep(this::list, delayMillis);
+        }
+    }
+
+    private void notifyListener(boolean changed) {
+        if (changed || unapplied) {
+            unapplied = true;
+            listener.onChange(kind);
+            unapplied = false;
+        }
     }
 
     private void onListResponse(ItemList list) {
@@ -208,9 +257,7 @@
             listAgain();
             return;
         }
-        if (mirror.replaceAll(list)) {
-            listener.onChange(kind);
-        }
+        notifyListener(mirror.replaceAll(list));
         if (mirror.isSnapshot()) {
             watch(list.revision());
         } else {
@@ -224,7 +271,7 @@
      */
     private void readChangesDuringList(long revision) {
         call(
-                store.changes(kind, revision),
+                () -> store.changes(kind, revision),
                 changes -> {
                     applyChanges(changes);
                     watch(changes.revision());
@@ -235,7 +282,7 @@
     private void watch(long revision) {
         batching.recordWatchStart(System.nanoTime());
         call(
-                store.watch(kind, revision),
+                () -> store.watch(kind, revision),
                 this::onWatchResponse,
                 failure -> onWatchFailure(failure, revision));
     }
@@ -247,11 +294,9 @@
 
     private void applyChanges(ItemChanges changes) {
         contact.recordSuccess();
+        notifyListener(mirror.apply(changes));
         relisted = false;
         relistBackoff.reset();
-        if (mirror.apply(changes)) {
-            listener.onChange(kind);
-        }
     }
 
     private void onWatchFailure(Throwable failure, long revision) {
@@ -289,7 +334,7 @@
         control.schedule(
                 () -> {
                     if (!paused && startGeneration == generation) {
-                        step.run();
+                        runSafely(step);
                     }
                 },
                 millis,
--- a/router/src/test/java/org/bronzelug/router/control/PagedStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedStore.java
@@ -29,6 +29,7 @@
     private final List<Call<?>> waiting = new ArrayList<>();
     private long historyStart;
     private int lists;
+    private int throwingCalls;
 
     PagedStore(int pageSize) {
         this.pageSize = pageSize;
@@ -87,8 +88,21 @@
         waiting.remove(index % waiting.size()).fail();
     }
 
+    /** Has the next calls throw instead of returning a future. */
+    void throwAtNextCalls(int calls) {
+        throwingCalls = calls;
+    }
+
+    private void throwIfToldTo() {
+        if (throwingCalls > 0) {
+            throwingCalls--;
+            throw new IllegalStateException("the call can't be made");
+        }
+    }
+
     @Override
     public CompletableFuture<ItemPage> page(String kind, Optional<String> after) {
+        throwIfToldTo();
         lists += after.isEmpty() ? 1 : 0;
         return call(() -> page(after));
     }
@@ -117,6 +131,7 @@
 
     @Override
     public CompletableFuture<ItemChanges> changes(String kind, long revision) {
+        throwIfToldTo();
         CompletableFuture<ItemChanges> response = new CompletableFuture<>();
         waiting.add(
                 new Call<>(response, () -> changesAfter(revision), () -> revision < historyStart));
