A foreign response without an end does not hold the request

A response of another request, or of none, that has no length and no chunks ends with its connection. The decoder takes the request's own response for a part of its body, so that the request waited until its time limit on a connection that was known to be out of step.

Such a response ends the request as a malformed head does: idempotent requests are tried elsewhere, others get 502.

OutOfStepConnectionTest, without the change 12 of 12 cases (three responses on four routes) got 504 after the time limit of 1 s; with it, none, and the class takes 0.5 s. Ids of eight forms are recognized before and after. DesynchronizedResponseTest passes, 42 of 42. Not changed: one with a length or chunks whose body is cut off, after which the request still waits.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -195,6 +195,11 @@
                 skippingResponse = true;
                 reusable = false;
                 skipped.addForeign();
+                if (BodyFraming.of(response) == BodyFraming.CONNECTION_CLOSE) {
+                    // The request's own response would be a part of this one's body.
+                    endDesynchronized(cause);
+                    return;
+                }
                 owner.onDesynchronized(requestId, cause, true);
                 failIfSkippingTooMuch();
             }
