A connection that ends within a head is evidence of a crash again

Cause: since bytes that are no response don't count as the loss of a connection, a head that is cut off by the end of its connection did not either: at the end of its input the decoder reports the begun head as a malformed message. It does so only once the status line is complete, so that an end within the status line still counted.

What callers would see: a request, or a part of a prompt, under which one endpoint after the other crashes while it writes a head is not suspected, and is sent on. The event log reported a connection out of step instead.

Change: the decoder's report that the connection has ended within a head (PrematureChannelClosureException) ends the request as a lost connection.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -35,6 +36,7 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
+    private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
     private final WireFormat wire;
     private final Owner owner;
@@ -171,8 +173,13 @@
             return;
         }
         if (!(message instanceof HttpObject object) || object.decoderResult().isFailure()) {
+            boolean cutOff = isCutOff(message);
             ReferenceCountUtil.release(message);
-            endDesynchronized(Desynchronization.NO_RESPONSE);
+            if (cutOff) {
+                fail(LOST_WITHIN_HEAD);
+            } else {
+                endDesynchronized(Desynchronization.NO_RESPONSE);
+            }
             return;
         }
         if (object instanceof HttpResponse response) {
@@ -183,6 +190,15 @@
         }
     }
 
+    /**
+     * Returns whether the decoder states that the connection has ended within a head. That end is
+     * one that a crash may have caused, unlike bytes that are no response.
+     */
+    private static boolean isCutOff(Object message) {
+        return message instanceof HttpObject object
+                && object.decoderResult().cause() instanceof PrematureChannelClosureException;
+    }
+
     private void readHead(HttpResponse response) {
         switch (ResponseMatch.of(response, requestId, wire)) {
             case ResponseMatch.Own(EndpointResponse head) -> readOwnHead(head, response);
