A connection passes over all requests that it carried lately, not only the last

Cause: a request passes over an idle connection whose last request had its id. With another request in between, two attempts of the same request shared a connection, and a second response to the first one that is that late was taken for the response to the second. Found by review. Change: a connection remembers the ids of its last 16 requests.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.StatusLines;
@@ -38,9 +39,13 @@
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
     private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
+    /** Bounds the memory for each connection. */
+    private static final int REMEMBERED_IDS = 16;
+
     private final WireFormat wire;
     private final Owner owner;
     private final Optional<String> relayVm;
+    private final ArrayDeque<String> carriedIds = new ArrayDeque<>(REMEMBERED_IDS);
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private Optional<ResponseListener> listener = Optional.empty();
@@ -114,18 +119,26 @@
             ConnectionUse use) {
         listener = Optional.of(responseListener);
         requestId = id;
+        recordCarried(id);
         headSeen = false;
         skipped = new SkippedResponses();
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
 
+    private void recordCarried(String id) {
+        if (carriedIds.size() == REMEMBERED_IDS) {
+            carriedIds.removeFirst();
+        }
+        carriedIds.addLast(id);
+    }
+
     /**
-     * Returns whether the last request had this id. A late response to it would be taken for the
-     * response to another attempt of the same request.
+     * Returns whether one of the last requests had this id. A late response to it would be taken
+     * for the response to another attempt of the same request.
      */
     boolean hasCarried(String id) {
-        return requestId.equals(id);
+        return carriedIds.contains(id);
     }
 
     /** Cancels the request by closing the connection, so that the endpoint stops working on it. */
