A body that the next response fills up is no whole response

A response is cut off within its body, its connection stays open, and the bytes of the endpoint's next response fill the rest of the length. The caller got a 200 with the head of another response in its body. The decoder had bytes left behind it, which ended the connection, but not the request. Found by review.

Change: if bytes follow a response whose body has a status line within, the request ends as after a malformed head: idempotent ones are tried elsewhere, others get 502, a stream is broken off or resumed. Bytes behind a response without one still cost the connection only, as the response is complete then.

Not covered: a next response that ends exactly with the first one's length; then nothing follows. Chunks of a stream that were forwarded before its end was known hold the same bytes.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.StatusLineScanner;
 import org.bronzelug.router.http.StatusLines;
 
 /**
@@ -54,6 +55,7 @@
     private boolean reusable = true;
     private boolean skippingResponse;
     private SkippedResponses skipped = new SkippedResponses();
+    private StatusLineScanner body = new StatusLineScanner();
     private boolean headSeen;
     private boolean responseEnded;
     private boolean endsWithConnection;
@@ -122,6 +124,7 @@
         recordCarried(id);
         headSeen = false;
         skipped = new SkippedResponses();
+        body = new StatusLineScanner();
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
@@ -264,6 +267,7 @@
             failIfSkippingTooMuch();
             return;
         }
+        body.scan(content.content());
         if (content.content().isReadable() && listener.isPresent()) {
             listener.get().onData(content.content());
         } else {
@@ -280,11 +284,16 @@
 
     /**
      * Ends the response once all that was read with it has been decoded. Bytes behind it may be the
-     * begin of an extra response, which the decoder would join with the next one.
+     * begin of an extra response, which the decoder would join with the next one, or the rest of
+     * one that has filled up a body that was cut off.
      */
     private void endResponse() {
-        responseEnded = true;
-        if (decoder.hasUndecodedBytes()) {
+        if (!decoder.hasUndecodedBytes()) {
+            responseEnded = true;
+        } else if (body.hasFound()) {
+            endDesynchronized(Desynchronization.JOINED_BODY);
+        } else {
+            responseEnded = true;
             rejectBytesAfterResponse();
         }
     }
