Watches: list again after an event that can't be read

Cause: an event without a readable object, or whose statement of a removal was no truth value, was left out or read as a change, and the watch went on after it. No later response contains such an event again, so the change was lost until the next list. A response up to an earlier revision than the one asked for was ignored, and the next watch began there, so that none was applied any more.

What callers would see: requests go on to an endpoint that has left, or none to one that has joined. Found from the cause of the entries; not reported.

Change: such a response counts as one without the changes asked for, like the platform's 410: the kind is listed again, at once and then with a backoff. The event of an object whose name is a text but can't be addressed is left out as before, since no list shows that object either.

Ruled out: to apply the events that could be read first. The mirror would claim a revision at which it lacks the others, and the list brings all of them.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -142,7 +142,7 @@
                             }
                             if (failure != null) {
                                 generation++;
-                                onWatchFailure(failure, mirror.revision());
+                                runSafely(() -> onWatchFailure(failure, mirror.revision()));
                             } else {
                                 runSafely(() -> onCheckResponse(changes));
                             }
@@ -301,7 +301,13 @@
 
     private void onWatchFailure(Throwable failure, long revision) {
         if (StoreException.problem(failure) == StoreException.Problem.HISTORY_GONE) {
-            EventLog.info(LogEvent.HISTORY_GONE, "kind=" + kind + " revision=" + revision);
+            Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+            EventLog.info(
+                    LogEvent.HISTORY_GONE,
+                    "kind="
+                            + kind
+                            + (" revision=" + revision)
+                            + (" cause=\"" + cause.getMessage() + "\""));
             listAgain();
         } else {
             retryWithBackoff(failure);
--- a/router/src/main/java/org/bronzelug/router/store/StoreException.java
+++ b/router/src/main/java/org/bronzelug/router/store/StoreException.java
@@ -25,7 +25,10 @@
     public enum Problem {
         /** No response arrived, or it stated that nothing was done: retry later. */
         UNAVAILABLE,
-        /** The platform no longer has the changes after the requested revision: list again. */
+        /**
+         * The platform no longer has the changes after the requested revision, or they can't be
+         * read: list again.
+         */
         HISTORY_GONE,
         /** The object was created or changed concurrently: read it and decide again. */
         CONFLICT,
