Order lease: create a removed one again, and renew no odd fencing token

Cause: a lease that another writer removes stayed known at its last revision, so that each write of it was a conditional one that the platform rejects. No VM would have acquired it before a restart. And a token of any value was read, and renewed by the VM that the lease named.

What callers would see: no runner is ordered to load new weights, and requests begin on replaced ones. Where runners check fencing tokens, they reject the tokens of all later holders after one near the largest number.

Change: a removed lease has no holder, and is created again with a token that is later than the revision at which it was missing. Its last holder need not wait, as before; the other VMs wait for as long as after a renewal. A token is derived from an earlier revision, so one that is no whole number from 1 to the lease's revision makes the lease unreadable, like other content: it has no holder, and every VM waits.

--- a/router/src/main/java/org/bronzelug/router/order/LeaseRenewal.java
+++ b/router/src/main/java/org/bronzelug/router/order/LeaseRenewal.java
@@ -19,6 +19,7 @@
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.settings.VmSettings;
+import org.bronzelug.router.store.ObjectMirror;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoredItem;
 
@@ -34,6 +35,9 @@
  */
 final class LeaseRenewal {
     private static final String LEASE_NAME = "weights";
+    private static final String HOLDER = "holder";
+    private static final String INCARNATION = "incarnation";
+    private static final String FENCE = "fence";
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /** Time for which a VM waits for each VM that precedes it in the order of acquisition. */
@@ -57,6 +61,10 @@
     private final MemberTable members;
     private final Runnable onRenewed;
     private Optional<OrderLease> lease = Optional.empty();
+
+    /** Whether the platform has the lease as far as this VM knows. */
+    private boolean stored;
+
     private long renewalSentNanos = Long.MIN_VALUE;
     private boolean requestInFlight;
     private long backoffMillis = INITIAL_BACKOFF_MILLIS;
@@ -83,10 +91,29 @@
 
     /** Records the latest version of the lease from its mirror. */
     void onChange() {
-        state.mirror(ControlState.LEASE_KIND).items().stream()
+        ObjectMirror mirror = state.mirror(ControlState.LEASE_KIND);
+        mirror.items().stream()
                 .filter(item -> item.name().equals(LEASE_NAME))
                 .findFirst()
-                .ifPresent(this::recordLease);
+                .ifPresentOrElse(this::recordLease, () -> recordRemoval(mirror.revision()));
+    }
+
+    /**
+     * Records that another writer has removed the lease. Nobody holds it then, and it is created
+     * again; VMs other than the last holder wait for as long as for one that has just been renewed.
+     * Without this, it is written for ever at a revision that it no longer has, and no VM gives
+     * orders.
+     */
+    private void recordRemoval(long revision) {
+        if (!stored || lease.orElseThrow().revision() > revision) {
+            return;
+        }
+        stored = false;
+        String holder = lease.orElseThrow().holder();
+        EventLog.warn(
+                LogEvent.CONFIGURATION_UNREADABLE,
+                "the order lease was removed and is created again; revision=" + revision);
+        lease = Optional.of(new OrderLease(holder, "", 0, revision, System.nanoTime()));
     }
 
     private void recordLease(StoredItem item) {
@@ -94,21 +121,39 @@
             return;
         }
         lease = Optional.of(readLease(item));
+        stored = true;
     }
 
+    /**
+     * Reads the lease; one that another writer has overwritten has no holder. A fencing token is
+     * derived from an earlier revision of the store, so it is no later than the lease's own. If
+     * another one were renewed, runners would reject the lower tokens of all later holders.
+     */
     private static OrderLease readLease(StoredItem item) {
+        String cause = "no fencing token up to its revision";
         try {
             JsonNode content = JSON.readTree(item.content());
-            return new OrderLease(
-                    content.path("holder").asText(""),
-                    content.path("incarnation").asText(""),
-                    content.path("fence").asLong(0),
-                    item.revision(),
-                    System.nanoTime());
+            JsonNode fence = content.path(FENCE);
+            boolean valid = fence.isIntegralNumber() && fence.canConvertToLong();
+            if (valid && fence.longValue() > 0 && fence.longValue() <= item.revision()) {
+                return new OrderLease(
+                        content.path(HOLDER).asText(""),
+                        content.path(INCARNATION).asText(""),
+                        fence.longValue(),
+                        item.revision(),
+                        System.nanoTime());
+            }
         } catch (IOException malformed) {
-            EventLog.warn(LogEvent.CONFIGURATION_UNREADABLE, "lease " + malformed.getMessage());
-            return new OrderLease("", "", 0, item.revision(), System.nanoTime());
+            cause = malformed.getMessage();
         }
+        EventLog.warn(
+                LogEvent.CONFIGURATION_UNREADABLE,
+                "kind="
+                        + ControlState.LEASE_KIND
+                        + (" object=" + item.name())
+                        + (" revision=" + item.revision())
+                        + (" cause=" + cause));
+        return new OrderLease("", "", 0, item.revision(), System.nanoTime());
     }
 
     /** Treats the lease as expired until it is renewed. */
@@ -168,10 +213,10 @@
         boolean renewal = isOwn();
         byte[] content = content(renewal, sentNanos);
         CompletableFuture<StoredItem> written =
-                lease.isPresent()
+                stored
                         ? store.replace(
                                 ControlState.LEASE_KIND,
-                                new StoredItem(LEASE_NAME, lease.get().revision(), content))
+                                new StoredItem(LEASE_NAME, lease.orElseThrow().revision(), content))
                         : store.create(ControlState.LEASE_KIND, LEASE_NAME, content);
         written.whenComplete(
                 (item, failure) -> {
@@ -187,9 +232,9 @@
     private byte[] content(boolean renewal, long sentNanos) {
         long fence = renewal ? lease.get().fence() : lease.map(OrderLease::revision).orElse(0L) + 1;
         ObjectNode content = JSON.createObjectNode();
-        content.put("holder", settings.vm())
-                .put("incarnation", incarnation)
-                .put("fence", fence)
+        content.put(HOLDER, settings.vm())
+                .put(INCARNATION, incarnation)
+                .put(FENCE, fence)
                 .put("renewal", sentNanos);
         return content.toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
@@ -4,18 +4,11 @@
 
 import io.netty.channel.DefaultEventLoop;
 import java.lang.reflect.Proxy;
-import java.util.Collection;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.core.routing.EndpointPool;
-import org.bronzelug.core.routing.EngineLimits;
-import org.bronzelug.core.routing.IngressLimits;
-import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.order.LoadOrder;
 import org.bronzelug.router.order.OrderOutcome;
@@ -41,7 +34,7 @@
     private static final int ROUNDS = 10;
 
     private final DefaultEventLoop control = new DefaultEventLoop();
-    private final Decoder decoder = new Decoder();
+    private final OneRunnerDecoder decoder = new OneRunnerDecoder(MODEL);
     private final ControlState state = new ControlState(decoder, 0);
     private final AtomicInteger writes = new AtomicInteger();
 
@@ -117,36 +110,4 @@
             throw new AssertionError("no order is given without the lease");
         }
     }
-
-    /** A pool with one runner, which has older weights than those published. */
-    private static final class Decoder extends OneModelDecoder {
-        @Override
-        public Optional<RoutingConfiguration> configuration(Collection<StoredItem> items) {
-            EngineLimits engine = new EngineLimits(8, 1_000, 1);
-            return Optional.of(
-                    new RoutingConfiguration(
-                            1,
-                            IngressLimits.defaults(),
-                            List.of(),
-                            Map.of("pool", new EndpointPool("pool", 64, Optional.of(engine))),
-                            List.of(),
-                            List.of(),
-                            Map.of()));
-        }
-
-        @Override
-        public Optional<EndpointEntry> endpoint(StoredItem item) {
-            return Optional.of(
-                    new EndpointEntry(
-                            item.name(),
-                            "pool",
-                            "127.0.0.1:9",
-                            "z",
-                            "v1",
-                            8,
-                            false,
-                            1,
-                            Map.of(MODEL, 1L)));
-        }
-    }
 }
