Changes read from a peer: apply them again after a failure

An exception while a change was applied failed the read from the peer, after the mirror had taken the change over. The other kinds of the response were not applied, the peer was not polled for a second, and the change was applied with the next one of its kind only. Peers that waited for it at this VM were not answered.

Change: the peers are answered in any case. A change of a peer that can't be applied is logged (event 900), and applied again every ten rounds until that succeeds. A change of the platform is passed on as before, so that its watch lists again.

--- a/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
@@ -85,9 +85,9 @@
     private final VmSettings settings;
     private final ControlState state;
     private final MemberTable members;
-    private final Consumer<String> onChange;
     private final Runnable onReader;
     private final PeerFeed peerFeed;
+    private final ChangeDelivery changes;
     private final PeerReader peerReader;
     private final Map<String, KindWatch> watches = new HashMap<>();
     private final WatchCheck watchCheck;
@@ -120,8 +120,8 @@
         this.settings = settings;
         this.state = state;
         this.members = members;
-        this.onChange = onChange;
         this.peerFeed = new PeerFeed(control, state);
+        this.changes = new ChangeDelivery(onChange, peerFeed::onChange);
         this.peerReader = new PeerReader(control, state, this::onPeerChange);
         for (String kind : state.kinds()) {
             watches.put(kind, new KindWatch(kind, control, store, state.mirror(kind), this));
@@ -218,6 +218,7 @@
         if (withoutSource || rounds % DECISION_ROUNDS == 0) {
             decide();
         }
+        changes.round(rounds);
         catchUp(rounds);
         if (PlatformReaders.isChecker(self(), reachablePeers())) {
             watchCheck.round();
@@ -349,12 +350,11 @@
 
     @Override
     public void onChange(String kind) {
-        onChange.accept(kind);
-        peerFeed.onChange(kind);
+        changes.deliver(kind);
     }
 
     private void onPeerChange(String kind) {
-        onChange(kind);
+        changes.deliverSafely(kind);
         if (readsPlatform) {
             watches.get(kind).expectChange();
         }
