Decoded objects: one at which the decoder fails is left out

Cause: the objects of a kind are decoded together, and an exception of the decoder at one of them ended the update of all. The next update met the same object, so no change of the kind was applied while it existed. No content is known at which a decoder fails (OddObjectPropertyTest); this is the safeguard for one that is not known.

--- a/router/src/main/java/org/bronzelug/router/control/DecodedItems.java
+++ b/router/src/main/java/org/bronzelug/router/control/DecodedItems.java
@@ -7,13 +7,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import org.bronzelug.log.EventLog;
+import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.store.StoredItem;
 
 /**
  * The decoded objects of one kind.
  *
- * <p>Invariant: each revision of an object is decoded once, so one that can't be decoded is logged
- * once, however often other objects of its kind change. Confined to the control thread.
+ * <p>Invariants: each revision of an object is decoded once, so one that can't be decoded is logged
+ * once, however often other objects of its kind change. One at which the decoder fails is left out;
+ * without this, no change of any object of the kind would be applied while it exists. Confined to
+ * the control thread.
  */
 public final class DecodedItems<T> {
     private final Function<StoredItem, Optional<T>> decoder;
@@ -42,11 +46,25 @@
             Decoded<T> current =
                     known != null && known.revision == item.revision()
                             ? known
-                            : new Decoded<>(item.revision(), decoder.apply(item));
+                            : new Decoded<>(item.revision(), decode(item));
             updated.put(item.name(), current);
             current.value.ifPresent(values::add);
         }
         decoded = updated;
         return values;
     }
+
+    private Optional<T> decode(StoredItem item) {
+        try {
+            return decoder.apply(item);
+        } catch (RuntimeException | StackOverflowError fault) {
+            EventLog.warn(
+                    LogEvent.INTERNAL_ERROR,
+                    "an object can't be decoded, going on without it;"
+                            + (" object=" + item.name())
+                            + (" revision=" + item.revision()),
+                    fault);
+            return Optional.empty();
+        }
+    }
 }
