Observed weights: names of models that no entry can contain

EndpointEntry can't be made with a model name of more than 256 characters, and EndpointList makes one from an entry and the weights observed at its endpoint, whose names other writers choose: the caller of a request, if the response states a version of the weights; the endpoint, in a report; and peers, in state updates. One request was enough: the version was told to all VMs, and each round of their control threads failed from then on (IllegalArgumentException: no endpoint: a value is out of its range), so that they followed no endpoint any more.

Change: EndpointList and EndpointState record no such name.

Measured: LongModelNameTest (two whole VMs, one request) and EndpointListTest.aModelWithALongNameIsNotRecorded failed before and pass; with them OddEntryTest, EndpointStateTest, EndpointTableTest and ControlStateTest.

--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -59,7 +59,8 @@
         weights = Map.copyOf(weights);
     }
 
-    private static boolean isShort(String name) {
+    /** Returns whether an entry can contain the name. */
+    public static boolean isShort(String name) {
         return name.length() <= MAXIMUM_NAME_CHARACTERS;
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -107,19 +107,21 @@
     }
 
     /**
-     * Records weights observed at an endpoint before its entry shows them.
+     * Records weights observed at an endpoint before its entry shows them. Callers and endpoints
+     * choose the names of models; one that no entry can contain is not recorded.
      *
      * @return whether the version is newer than the known one
      */
     public boolean recordWeights(String id, long bornMillis, String model, long version) {
         EndpointEntry entry = inUse.get(id);
-        if (entry == null || entry.bornMillis() != bornMillis) {
+        boolean known = entry != null && entry.bornMillis() == bornMillis;
+        if (!known || !EndpointEntry.isShort(model)) {
             return false;
         }
         Map<String, Long> observed = observedWeights.computeIfAbsent(id, key -> new HashMap<>());
-        long known =
+        long latest =
                 Math.max(entry.weights().getOrDefault(model, 0L), observed.getOrDefault(model, 0L));
-        if (version <= known) {
+        if (version <= latest) {
             return false;
         }
         observed.put(model, version);
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -236,9 +236,14 @@
         return Math.max(listed, observedWeights.getOrDefault(model, 0L));
     }
 
-    /** Records the version of the weights that a response or rejection of the endpoint reported. */
+    /**
+     * Records the version of the weights that a response or rejection of the endpoint reported. The
+     * caller chose the model's name; one that no entry can contain is not told to other VMs.
+     */
     public void recordWeights(String model, long version) {
-        observedWeights.merge(model, version, Math::max);
+        if (EndpointEntry.isShort(model)) {
+            observedWeights.merge(model, version, Math::max);
+        }
     }
 
     /**
--- a/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
@@ -55,6 +55,19 @@
         assertThat(list.entries().containsKey("a")).isEqualTo(expected);
     }
 
+    /**
+     * Guards against a model whose name no entry can contain, but a runner's report, a peer's state
+     * update or a caller: no endpoint could be read any more.
+     */
+    @Test
+    void aModelWithALongNameIsNotRecorded() {
+        EndpointList list = new EndpointList();
+        list.update(listed(entry("a", false, 1, 1)), 0);
+        assertThat(list.recordWeights("a", 1, "n".repeat(300), 2)).isFalse();
+        assertThat(list.recordWeights("a", 1, "model", 2)).isTrue();
+        assertThat(list.entries().get("a").weights()).containsExactly("model", 2L);
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 2"})
     void observedWeightsAreDroppedWhenTheEndpointRestarts(long startMillis, long expected) {
