State updates: bound the observed weights that they tell

Cause: callers choose the names of models. A VM keeps each name for which an endpoint has stated a version of the weights, and told all of them in each state update. 300 names of 245 characters exceed a datagram, so that the other VMs heard that VM no more and took it for dead. Change: an update tells at most 16 KiB of observed weights, those of models that the endpoint's entry names first.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -413,9 +413,9 @@
         }
         builder.addAllOrders(orders.ordersInProgress());
         nextKnownAddress().ifPresent(builder::addKnownAddresses);
-        state.endpointList()
-                .observedWeights()
-                .forEach((id, versions) -> addWeights(builder, id, versions));
+        builder.addAllWeights(
+                ObservedWeights.select(
+                        state.endpointList().inUse(), state.endpointList().observedWeights()));
         return builder.build();
     }
 
@@ -439,18 +439,6 @@
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
 
-    private void addWeights(VmState.Builder builder, String id, Map<String, Long> versions) {
-        long startMillis = state.endpoints().get(id).bornMillis();
-        versions.forEach(
-                (model, version) ->
-                        builder.addWeights(
-                                EndpointWeights.newBuilder()
-                                        .setEndpoint(id)
-                                        .setBornMillis(startMillis)
-                                        .setModel(model)
-                                        .setVersion(version)));
-    }
-
     private void onStateUpdate(VmState peer, long nowNanos) {
         streamOrigins.receive(peer, nowNanos);
         poisonReports.receive(peer, nowNanos);
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -142,6 +142,11 @@
         return entries.get();
     }
 
+    /** Returns the endpoints in use by id, each with the weights of its entry. */
+    Map<String, EndpointEntry> inUse() {
+        return inUse;
+    }
+
     /** Returns the weights that are newer than those in the entries, by endpoint and model. */
     Map<String, Map<String, Long>> observedWeights() {
         return observedWeights;
