Watches: pace the lists while the platform rejects every watch

Cause: each list that succeeds ends the backoff of failed calls, so that a platform that responds to lists, and rejects each watch or responds to it with what can't be read, was listed after the shortest delay each time, for as long as that lasted.

Change: after a failed watch the backoff of lists applies as well, which only changes that are returned end. It begins anew if the watch had waited for longer than the longest backoff: the list after a watch that was cut brings what the watch may have missed.

KindWatchTest and PagedListTest pass.

--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -117,7 +117,7 @@
      * waits for changes, so a long wait alone does not show that the platform is unreachable.
      */
     long unansweredMillis() {
-        return callInFlight ? TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos) : 0;
+        return callInFlight ? sinceCallStartMillis() : 0;
     }
 
     /** Returns whether a watch is in flight, through which the platform reports the next change. */
@@ -310,10 +310,24 @@
                             + (" cause=\"" + cause.getMessage() + "\""));
             listAgain();
         } else {
-            retryWithBackoff(failure);
+            retryWatch(failure);
         }
     }
 
+    /**
+     * Lists again after a failed watch. The backoff of lists applies as well, unless the watch
+     * waited for longer than that: without it, a platform that responds to lists and rejects each
+     * watch is listed many times a second, since each list ends the backoff of failed calls.
+     */
+    private void retryWatch(Throwable failure) {
+        long unansweredMillis = sinceCallStartMillis();
+        if (unansweredMillis > MAXIMUM_BACKOFF_MILLIS) {
+            relistBackoff.reset();
+        }
+        long delayMillis = contact.recordFailure(failure, mirror.revision(), unansweredMillis);
+        scheduleStep(this::list, Math.max(delayMillis, relistBackoff.nextMillis()));
+    }
+
     /**
      * Lists again in place of a watch: at once the first time, then with a backoff until changes
      * are returned. Without the backoff, a platform that keeps less history than a list takes is
@@ -329,11 +343,15 @@
     }
 
     private void retryWithBackoff(Throwable failure) {
-        long unansweredMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos);
-        long delayMillis = contact.recordFailure(failure, mirror.revision(), unansweredMillis);
+        long delayMillis =
+                contact.recordFailure(failure, mirror.revision(), sinceCallStartMillis());
         scheduleStep(this::list, delayMillis);
     }
 
+    private long sinceCallStartMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - callStartNanos);
+    }
+
     /** Runs a step after a delay, unless this watch was paused or restarted in the meantime. */
     private void scheduleStep(Runnable step, long millis) {
         int startGeneration = generation;
--- a/router/src/test/java/org/bronzelug/router/control/PagedStore.java
+++ b/router/src/test/java/org/bronzelug/router/control/PagedStore.java
@@ -78,6 +78,11 @@
         return waiting.size();
     }
 
+    /** Returns how many of the waiting calls ask for changes. */
+    long waitingWatches() {
+        return waiting.stream().filter(call -> call.kind == Kind.CHANGES).count();
+    }
+
     /** Answers one of the calls that wait. */
     void answer(int index) {
         waiting.remove(index % waiting.size()).answer();
@@ -134,7 +139,11 @@
         throwIfToldTo();
         CompletableFuture<ItemChanges> response = new CompletableFuture<>();
         waiting.add(
-                new Call<>(response, () -> changesAfter(revision), () -> revision < historyStart));
+                new Call<>(
+                        Kind.CHANGES,
+                        response,
+                        () -> changesAfter(revision),
+                        () -> revision < historyStart));
         return response;
     }
 
@@ -149,7 +158,7 @@
 
     private <T> CompletableFuture<T> call(Supplier<T> read) {
         CompletableFuture<T> response = new CompletableFuture<>();
-        waiting.add(new Call<>(response, read, () -> false));
+        waiting.add(new Call<>(Kind.PAGE, response, read, () -> false));
         return response;
     }
 
@@ -181,9 +190,18 @@
 
     private record Change(long revision, StoredItem item, boolean removed) {}
 
+    /** What a call reads. */
+    private enum Kind {
+        PAGE,
+        CHANGES
+    }
+
     /** A call that waits for its answer. */
     private record Call<T>(
-            CompletableFuture<T> response, Supplier<T> read, Supplier<Boolean> historyGone) {
+            Kind kind,
+            CompletableFuture<T> response,
+            Supplier<T> read,
+            Supplier<Boolean> historyGone) {
         private void answer() {
             if (historyGone.get()) {
                 response.completeExceptionally(
--- a/router/src/test/java/org/bronzelug/router/control/WatchFailureTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/WatchFailureTest.java
@@ -11,6 +11,7 @@
 import org.bronzelug.router.store.ObjectMirror;
 import org.bronzelug.router.store.StoredItem;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -26,6 +27,9 @@
     /** Two without a pause and those of a backoff that doubles from 60 ms, with a random half. */
     private static final int MOST_LISTS_IN_A_SECOND = 8;
 
+    /** Lists that follow each other with the longest backoff, a mean of 0.8 s. */
+    private static final int MOST_LISTS_IN_A_LATER_SECOND = 4;
+
     private final EmbeddedChannel channel = new EmbeddedChannel();
     private final PagedStore store = new PagedStore(50);
     private final ObjectMirror mirror = new ObjectMirror();
@@ -197,4 +201,35 @@
         listener.failingChanges = 0;
         assertFollows();
     }
+
+    /**
+     * Guards against lists in quick succession while the platform responds to lists, and rejects
+     * each watch, or responds to it with what can't be read.
+     */
+    @Test
+    void listsArePacedWhileEveryWatchFails() {
+        watch.start();
+        int lists = 0;
+        for (int second = 0; second < 10; second++) {
+            lists = store.lists();
+            for (int millis = 0; millis < 1_000; millis++) {
+                store.put("a");
+                answerListsAndFailWatches();
+                advance(1);
+            }
+        }
+        assertThat(store.lists() - lists).isAtMost(MOST_LISTS_IN_A_LATER_SECOND);
+        assertThat(listener.applied).isPresent();
+        assertFollows();
+    }
+
+    private void answerListsAndFailWatches() {
+        for (int calls = store.waitingCalls(); calls > 0; calls--) {
+            if (store.waitingWatches() == 0) {
+                store.answer(0);
+            } else {
+                store.fail(0);
+            }
+        }
+    }
 }
