Mirrors: follow an object whose revision is later than the platform's

Cause: a mirror never replaces an object by an earlier revision of it. An object that was read with a revision beyond the one that the platform had reached was therefore kept through all later changes, lists and its removal.

What callers would see: requests go on to an endpoint after it has left. Found from the cause of the entries; not reported.

Change: an object's revision counts as no later than the one of the list or change, of the platform or of a peer, that it was read with. Its next change is later then.

Ruled out: to leave such an object out. If the platform ever stated its revision a moment before it read the objects, a sound endpoint would be removed until the next change.

--- a/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectMirror.java
@@ -17,8 +17,9 @@
  * revision of it. Without this, a VM that reads an older copy from a peer makes a withdrawn key
  * valid again. Each object, and the absence of each other one, is as at the mirror's revision or
  * later. After a list in several pages some are later, until the changes up to the list's last page
- * have been applied; only then the mirror is a snapshot, which peers may read. Confined to the
- * control thread.
+ * have been applied; only then the mirror is a snapshot, which peers may read. No object's revision
+ * is later than what it was read with: without this, each later change of an object whose revision
+ * is too large seems to be older, and the object stays as it is. Confined to the control thread.
  */
 public final class ObjectMirror {
     private static final byte[] NO_CONTENT = new byte[0];
@@ -43,7 +44,7 @@
         long newLastReadRevision = list.lastRevision();
         Map<String, StoredItem> replaced = new HashMap<>();
         for (StoredItem item : list.items()) {
-            replaced.put(item.name(), item);
+            replaced.put(item.name(), item.atMost(list.lastRevision()));
         }
         for (StoredItem known : items.values()) {
             if (known.revision() > list.revision()) {
@@ -131,10 +132,11 @@
             boolean current = known != null && known.revision() <= revision;
             return current && items.remove(change.item().name()) != null;
         }
-        if (known != null && known.revision() >= change.item().revision()) {
+        StoredItem changed = change.item().atMost(revision);
+        if (known != null && known.revision() >= changed.revision()) {
             return false;
         }
-        items.put(change.item().name(), change.item());
+        items.put(changed.name(), changed);
         return true;
     }
 
--- a/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
+++ b/router/src/test/java/org/bronzelug/router/store/ObjectMirrorTest.java
@@ -132,6 +132,44 @@
         assertThat(mirror.isSnapshot()).isEqualTo(snapshot);
     }
 
+    /**
+     * Guards against an endpoint that stays in use for ever: its revision is later than any that
+     * the platform has reached, so each later change of it, and its removal, seems to be older.
+     *
+     * @param bySource how the object came: by a list, a change, or the copy of a peer
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "list, 11",
+        "change, 11",
+        "peer, 11",
+        "list, 9000000000000",
+        "change, 9000000000000",
+        "peer, 9000000000000"
+    })
+    void anObjectOfALaterRevisionThanThePlatformsIsFollowed(String bySource, long later) {
+        for (boolean byList : List.of(true, false)) {
+            ObjectMirror mirror = new ObjectMirror();
+            mirror.replaceAll(new ItemList(List.of(item("a", 1)), 2));
+            switch (bySource) {
+                case "list" -> mirror.replaceAll(new ItemList(List.of(item("a", later)), 10));
+                case "change" -> mirror.apply(changes(new ItemChange(item("a", later), false), 10));
+                default ->
+                        mirror.applyOutcome(changes(new ItemChange(item("a", later), false), 10));
+            }
+            assertThat(mirror.isSnapshot()).isTrue();
+            assertThat(revisions(mirror)).containsExactly("a", 10L);
+            mirror.apply(changes(new ItemChange(item("a", 12), false), 12));
+            assertThat(revisions(mirror)).containsExactly("a", 12L);
+            if (byList) {
+                mirror.replaceAll(new ItemList(List.of(), 14));
+            } else {
+                mirror.apply(changes(new ItemChange(item("a", later), true), 14));
+            }
+            assertThat(mirror.items()).isEmpty();
+        }
+    }
+
     private static ItemChanges changes(ItemChange change, long revision) {
         return new ItemChanges(List.of(change), revision);
     }
