Stored quarantines: replace an object that can't be read, and log it once

Cause: an object of another writer counted as one without quarantines. While there were none, it was as it should be, so that it stayed, and it was decoded and logged in every round of every VM.

Change: an object that can't be read differs from any list of quarantines, and is replaced by the VM whose turn it is. Each revision is decoded, and logged, once.

What is not changed: the objects are listed at the start of a VM only, so that one that is overwritten later is replaced with the next change of a quarantine.

--- a/router/src/main/java/org/bronzelug/router/control/StoredQuarantines.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredQuarantines.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -27,8 +28,9 @@
  * reads them once at its start. Without this, VMs that have all restarted at the same time would
  * let the same parts crash endpoints again.
  *
- * <p>Invariant: an object is written only by a VM that has adopted what it contained. Confined to
- * the control thread.
+ * <p>Invariants: an object is written only by a VM that has adopted what it contained; one that
+ * can't be read is replaced. Each revision of an object is compared by what was decoded of it once,
+ * so that one of another writer is not logged in each round. Confined to the control thread.
  */
 final class StoredQuarantines {
     static final String KIND = "quarantined-parts";
@@ -45,6 +47,7 @@
 
     private final PoolObjects objects;
     private final Reader reader;
+    private final Map<String, DecodedParts> decoded = new HashMap<>();
     private boolean adopted;
 
     /** Adopts the stored quarantines. */
@@ -84,7 +87,11 @@
 
     private void onListed(List<StoredItem> items) {
         List<QuarantinedParts> quarantines = new ArrayList<>();
-        items.forEach(item -> quarantines.addAll(decode(item)));
+        for (StoredItem item : items) {
+            Optional<List<QuarantinedParts>> read = decode(item);
+            record(item, read);
+            read.ifPresent(quarantines::addAll);
+        }
         reader.adopt(quarantines, () -> adopted = true);
     }
 
@@ -116,9 +123,9 @@
     }
 
     private void update(String pool, List<QuarantinedParts> quarantines) {
-        Set<StoredParts> known =
-                objects.find(pool).map(item -> storedParts(decode(item))).orElse(Set.of());
-        if (known.equals(storedParts(quarantines))) {
+        Optional<Set<StoredParts>> known =
+                objects.find(pool).map(this::decodedParts).orElse(Optional.of(Set.of()));
+        if (known.equals(Optional.of(storedParts(quarantines)))) {
             objects.recordEqual(pool);
         } else {
             objects.writeIfDue(
@@ -128,6 +135,22 @@
         }
     }
 
+    /** The parts of an object's revision; empty if it can't be read. Immutable. */
+    private record DecodedParts(long revision, Optional<Set<StoredParts>> parts) {}
+
+    private Optional<Set<StoredParts>> decodedParts(StoredItem item) {
+        DecodedParts known = decoded.get(item.name());
+        boolean current = known != null && known.revision == item.revision();
+        return current ? known.parts : record(item, decode(item));
+    }
+
+    private Optional<Set<StoredParts>> record(
+            StoredItem item, Optional<List<QuarantinedParts>> read) {
+        Optional<Set<StoredParts>> parts = read.map(StoredQuarantines::storedParts);
+        decoded.put(item.name(), new DecodedParts(item.revision(), parts));
+        return parts;
+    }
+
     private static byte[] encode(List<QuarantinedParts> quarantines, long nowNanos) {
         ObjectNode content = JSON.createObjectNode();
         for (QuarantinedParts entry : quarantines) {
@@ -146,12 +169,18 @@
         return content.toString().getBytes(StandardCharsets.UTF_8);
     }
 
-    private static List<QuarantinedParts> decode(StoredItem item) {
+    /** Returns what an object contains; empty if it can't be read. */
+    private static Optional<List<QuarantinedParts>> decode(StoredItem item) {
         List<QuarantinedParts> quarantines = new ArrayList<>();
         long nowNanos = System.nanoTime();
         long nowMillis = System.currentTimeMillis();
         try {
-            for (JsonNode object : JSON.readTree(item.content()).path(QUARANTINES)) {
+            JsonNode content = JSON.readTree(item.content());
+            JsonNode stored = content.path(QUARANTINES);
+            if (!content.isObject() || !stored.isMissingNode() && !stored.isArray()) {
+                throw new IOException("no list of quarantines");
+            }
+            for (JsonNode object : stored) {
                 long millis = object.path(UNTIL_MILLIS).asLong() - nowMillis;
                 long remainingMillis = Math.max(0, Math.min(MAXIMUM_MILLIS, millis));
                 Set<PartKey> parts = new HashSet<>();
@@ -168,8 +197,15 @@
                                 object.path(CONFIRMED).asBoolean()));
             }
         } catch (IOException malformed) {
-            EventLog.warn(LogEvent.CONFIGURATION_UNREADABLE, "kind=" + KIND + " " + item.name());
+            EventLog.warn(
+                    LogEvent.CONFIGURATION_UNREADABLE,
+                    "kind="
+                            + KIND
+                            + (" object=" + item.name())
+                            + (" revision=" + item.revision())
+                            + (" cause=" + malformed.getMessage()));
+            return Optional.empty();
         }
-        return quarantines;
+        return Optional.of(quarantines);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/control/StoredQuarantinesTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/StoredQuarantinesTest.java
@@ -10,6 +10,8 @@
 import org.bronzelug.core.poison.QuarantinedParts;
 import org.bronzelug.router.fleet.MemberTable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against the loss of stored quarantines when a VM starts. */
 class StoredQuarantinesTest {
@@ -57,4 +59,24 @@
         stored.round(List.of());
         assertThat(store.calls()).containsExactly("list", "replace").inOrder();
     }
+
+    /**
+     * Guards against an object of another writer that stays as it is, and is logged in every round
+     * of every VM.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[", "7", "null", "[]", "{\"quarantines\":7}", "\u00ff{"})
+    void anUnreadableObjectIsReplacedOnce(String content) {
+        store.create(StoredQuarantines.KIND, "pool", content.getBytes(StandardCharsets.UTF_8));
+        store.calls().clear();
+        stored.start();
+        onAdopted.run();
+        for (int round = 0; round < 10; round++) {
+            stored.round(List.of());
+        }
+        assertThat(read).isEmpty();
+        assertThat(store.calls()).containsExactly("list", "replace").inOrder();
+        store.read(StoredQuarantines.KIND, "pool");
+        assertThat(store.calls().get(2)).isEqualTo("read {}");
+    }
 }
