A pool's only version needs a witness besides the VM that looks it up

A VM that was frozen or cut off during a release has the list of endpoints from before. Asked to resume a stream without a record, it added its own belief to the answers of its peers and took it as enough, though none had answered; without the stream's name it concluded at once. Whether it had watched the list was judged by the last update of the list, not by its age. The class of the fault: a conclusion from absence.

A single version is concluded only if it is confirmed by what began after the lookup: the platform (its list of endpoints, with its set of versions or this VM's own watch), all VMs of the fleet, more than half of all VMs that are known, live or not, if the platform does not tell, or this VM in a fleet of one. The platform is read, by two calls for all lookups that wait, if not the whole fleet has answered within 20 ms; a read is waited for 300 ms, and after a failed one none begins for 500 ms. In a fleet of up to 13 VMs all are asked; in a larger one six, and all if the platform can't be read. A VM that has not heard a majority lately asks those that are silent as well: after a stall all others seem to be. A minority can't know and rejects the resumption as not run for 300 ms, so that its caller tries another VM. Requests that name no stream need the same witness. Nothing changes for streams with a record.

Concluding with any VM that has watched the list: those that answer may have been cut off together. A limit on the age of the list alone: it is current after a stall as soon as a late timer has run.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -126,6 +126,8 @@
                         settings,
                         store,
                         members,
+                        state,
+                        reading::onChange,
                         trafficState,
                         poisonReports::adoptStored);
         this.streamOrigins =
@@ -136,7 +138,7 @@
                         members,
                         gossip,
                         trafficState.origins(),
-                        stored.origins());
+                        stored);
         trafficState.origins().setPeers(streamOrigins);
         trafficState.origins().setArchive(streamOrigins);
         this.updates = new FleetUpdates(state, members, orders, rollouts, startNanos);
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -65,6 +65,11 @@
         return kinds;
     }
 
+    /** Returns the kind that lists the endpoints. */
+    String endpointKind() {
+        return decoder.endpointKind();
+    }
+
     /** Returns the mirrored kinds that the VMs only read. */
     List<String> readOnlyKinds() {
         List<String> kinds = new ArrayList<>();
--- /dev/null
+++ b/router/src/main/java/org/bronzelug/router/control/CurrentVersions.java
@@ -0,0 +1,127 @@
+package org.bronzelug.router.control;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.bronzelug.router.store.ItemChanges;
+import org.bronzelug.router.store.ItemList;
+import org.bronzelug.router.store.ObjectMirror;
+import org.bronzelug.router.store.ObjectStore;
+import org.bronzelug.router.stream.RecentVersions;
+
+/**
+ * Reads from the platform which software versions the pools have now: the stored sets, and what has
+ * changed in the list of endpoints since this VM's copy of it. A version is stored before the first
+ * stream begins at it, if the platform takes the write; the list shows it in either case.
+ *
+ * <p>Invariants: a result is of calls that began after it was asked for. One read at a time is
+ * waited for, for all that ask meanwhile, and after a failed one none begins for a while, so that
+ * resumptions during an outage of the platform add few calls to it. Confined to the control thread.
+ */
+final class CurrentVersions {
+    /** Callers of streams wait for a read meanwhile. */
+    private static final long READ_MILLIS = 300;
+
+    /** Time after a failed read. */
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+    private final EventLoop control;
+    private final ObjectStore store;
+    private final String endpointKind;
+    private final ObjectMirror endpoints;
+    private final Consumer<String> onChange;
+    private final List<Consumer<Optional<RecentVersions>>> waiting = new ArrayList<>();
+    private boolean reading;
+    private long reads;
+    private long nextReadNanos = System.nanoTime();
+
+    /**
+     * @param onChange receives the kind of endpoints if its objects have changed, and applies them
+     */
+    CurrentVersions(
+            EventLoop control,
+            ObjectStore store,
+            String endpointKind,
+            ObjectMirror endpoints,
+            Consumer<String> onChange) {
+        this.control = control;
+        this.store = store;
+        this.endpointKind = endpointKind;
+        this.endpoints = endpoints;
+        this.onChange = onChange;
+    }
+
+    /**
+     * Reads the versions.
+     *
+     * @param onRead receives the stored versions, after the list has been applied; empty if the
+     *     platform does not respond in time
+     */
+    void read(Consumer<Optional<RecentVersions>> onRead) {
+        boolean pausing = !reading && System.nanoTime() - nextReadNanos < 0;
+        if (pausing || !endpoints.isKnown()) {
+            onRead.accept(Optional.empty());
+            return;
+        }
+        waiting.add(onRead);
+        if (!reading) {
+            begin();
+        }
+    }
+
+    private void begin() {
+        List<Consumer<Optional<RecentVersions>>> served = List.copyOf(waiting);
+        waiting.clear();
+        reading = true;
+        long read = ++reads;
+        CompletableFuture<ItemList> stored = store.list(StoredVersions.KIND);
+        CompletableFuture<ItemChanges> listed = store.changes(endpointKind, endpoints.revision());
+        stored.thenAcceptBoth(
+                        listed,
+                        (versions, changes) -> {
+                            if (isAwaited(read)) {
+                                apply(changes);
+                                end(served, Optional.of(StoredVersions.decode(versions.items())));
+                            }
+                        })
+                .exceptionally(
+                        failure -> {
+                            fail(read, served);
+                            return null;
+                        });
+        control.schedule(() -> fail(read, served), READ_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isAwaited(long read) {
+        return reading && read == reads;
+    }
+
+    private void apply(ItemChanges changes) {
+        if (endpoints.apply(changes)) {
+            onChange.accept(endpointKind);
+        }
+    }
+
+    private void fail(long read, List<Consumer<Optional<RecentVersions>>> served) {
+        if (isAwaited(read)) {
+            nextReadNanos = System.nanoTime() + PAUSE_NANOS;
+            List<Consumer<Optional<RecentVersions>>> failed = new ArrayList<>(served);
+            failed.addAll(waiting);
+            waiting.clear();
+            end(failed, Optional.empty());
+        }
+    }
+
+    private void end(
+            List<Consumer<Optional<RecentVersions>>> served, Optional<RecentVersions> result) {
+        reading = false;
+        served.forEach(onRead -> onRead.accept(result));
+        if (!reading && !waiting.isEmpty()) {
+            begin();
+        }
+    }
+}
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -2,15 +2,11 @@
 
 import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import org.bronzelug.api.fleet.v1.ListedVersion;
 import org.bronzelug.api.fleet.v1.StreamOriginAnswer;
 import org.bronzelug.api.fleet.v1.StreamOriginQuery;
 import org.bronzelug.api.fleet.v1.StreamOriginRecord;
@@ -20,11 +16,11 @@
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
-import org.bronzelug.core.stream.VersionHistory;
 import org.bronzelug.router.fleet.FleetGossip;
 import org.bronzelug.router.fleet.Member;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.settings.VmSettings;
+import org.bronzelug.router.stream.RecentVersions;
 import org.bronzelug.router.stream.StreamOriginDirectory;
 
 /**
@@ -32,11 +28,12 @@
  * nor sent again: a lost record is kept by the other holders, and a lost answer counts as none.
  *
  * <p>Each stream has its holders: the first VMs of the {@link ZoneSpread} of its key. More VMs are
- * asked than keep a record, since VMs differ for a moment in who is live.
+ * asked than keep a record, since VMs differ for a moment in who is live. In a small fleet all are
+ * asked: if all answer, they confirm a pool's only version without the platform.
  *
  * <p>Invariant: messages of this class carry nothing else, so that they change no member's state.
- * Confined to the control thread, except for {@link #keep}, {@link #ask}, {@link #find} and {@link
- * #forget}.
+ * Confined to the control thread, except for {@link #keep}, {@link #ask}, {@link #askAll}, {@link
+ * #find}, {@link #readVersions} and {@link #forget}.
  */
 final class FleetStreamOrigins
         implements StreamOriginDirectory.Peers, StreamOriginDirectory.Archive {
@@ -54,7 +51,7 @@
     private final MemberTable members;
     private final FleetGossip gossip;
     private final StreamOriginDirectory directory;
-    private final StoredOrigins stored;
+    private final StoredState stored;
 
     FleetStreamOrigins(
             EventLoop control,
@@ -63,7 +60,7 @@
             MemberTable members,
             FleetGossip gossip,
             StreamOriginDirectory directory,
-            StoredOrigins stored) {
+            StoredState stored) {
         this.control = control;
         this.traffic = traffic;
         this.settings = settings;
@@ -78,29 +75,39 @@
         control.execute(
                 () -> {
                     sendToHolders(begun);
-                    stored.add(begun);
+                    stored.origins().add(begun);
                 });
     }
 
     @Override
     public void find(StreamKey key, Consumer<StreamOriginDirectory.ArchivedOrigin> onRead) {
         control.execute(
-                () -> stored.find(key, origin -> traffic.execute(() -> onRead.accept(origin))));
+                () ->
+                        stored.origins()
+                                .find(key, origin -> traffic.execute(() -> onRead.accept(origin))));
+    }
+
+    @Override
+    public void readVersions(Consumer<Optional<RecentVersions>> onRead) {
+        control.execute(
+                () ->
+                        stored.currentVersions()
+                                .read(read -> traffic.execute(() -> onRead.accept(read))));
     }
 
     @Override
     public void forget(StreamKey key) {
-        control.execute(() -> stored.forget(key));
+        control.execute(() -> stored.origins().forget(key));
     }
 
     private void sendToHolders(List<StreamOrigin> begun) {
         long nowNanos = System.nanoTime();
         Map<String, VmState.Builder> messages = new HashMap<>();
         for (StreamOrigin origin : begun) {
-            for (String holder : peers(origin.key(), peer -> !peer.getStopping(), HOLDERS)) {
+            for (String holder : holders(origin.key(), nowNanos)) {
                 VmState.Builder message =
                         messages.computeIfAbsent(holder, address -> newMessage())
-                                .addStreamOrigins(encode(origin, nowNanos));
+                                .addStreamOrigins(StreamOriginMessages.encode(origin, nowNanos));
                 if (message.getStreamOriginsCount() == RECORDS_PER_MESSAGE) {
                     gossip.sendTo(messages.remove(holder).build(), holder);
                 }
@@ -109,30 +116,53 @@
         messages.forEach((holder, message) -> gossip.sendTo(message.build(), holder));
     }
 
+    private List<String> holders(StreamKey key, long nowNanos) {
+        return peers(key, members.live(nowNanos), peer -> !peer.getStopping(), HOLDERS);
+    }
+
     @Override
     public void ask(StreamKey key, String pool) {
         control.execute(
                 () -> {
-                    List<String> asked = peers(key, peer -> true, ASKED_VMS);
-                    traffic.execute(() -> directory.onAsked(key, asked.size()));
-                    VmState query =
-                            newMessage()
-                                    .addStreamOriginQueries(
-                                            StreamOriginQuery.newBuilder()
-                                                    .setKeyHigh(key.high())
-                                                    .setKeyLow(key.low())
-                                                    .setPool(pool))
-                                    .build();
-                    asked.forEach(address -> gossip.sendTo(query, address));
+                    boolean small = FleetGossip.isSmall(members.addresses().size());
+                    ask(key, pool, small ? Integer.MAX_VALUE : ASKED_VMS);
                 });
     }
 
+    @Override
+    public void askAll(StreamKey key, String pool) {
+        control.execute(() -> ask(key, pool, Integer.MAX_VALUE));
+    }
+
+    /** Asks the first VMs of a stream's order. */
+    private void ask(StreamKey key, String pool, int count) {
+        long nowNanos = System.nanoTime();
+        int fleetSize = members.fleetSize(nowNanos);
+        List<String> asked = peers(key, members.live(nowNanos), peer -> true, count);
+        if (asked.size() < Math.min(count, fleetSize / 2)) {
+            // This VM may have stood still, so that no VM counts as live though all are.
+            asked = peers(key, members.notExpired(nowNanos), peer -> true, count);
+        }
+        int awaited = asked.size();
+        traffic.execute(() -> directory.onAsked(key, awaited, fleetSize));
+        VmState query =
+                newMessage()
+                        .addStreamOriginQueries(
+                                StreamOriginQuery.newBuilder()
+                                        .setKeyHigh(key.high())
+                                        .setKeyLow(key.low())
+                                        .setPool(pool))
+                        .build();
+        asked.forEach(address -> gossip.sendTo(query, address));
+    }
+
     /** Returns the addresses of the first VMs of a stream's order. */
-    private List<String> peers(StreamKey key, Predicate<VmState> filter, int count) {
+    private List<String> peers(
+            StreamKey key, List<Member> among, Predicate<VmState> filter, int count) {
         Map<String, String> zones = new HashMap<>();
         Map<String, String> addresses = new HashMap<>();
         zones.put(settings.vm(), settings.availabilityZone());
-        members.live(System.nanoTime()).stream()
+        among.stream()
                 .map(Member::state)
                 .filter(filter)
                 .forEach(
@@ -159,7 +189,8 @@
     void sendHistory(String address) {
         traffic.execute(
                 () -> {
-                    VersionWatch watch = encode(directory.versions().history(), System.nanoTime());
+                    VersionWatch watch =
+                            StreamOriginMessages.encode(directory.versions(), System.nanoTime());
                     control.execute(
                             () ->
                                     gossip.sendTo(
@@ -170,7 +201,7 @@
     /** Receives what a message contains for this class. */
     void receive(VmState message, long nowNanos) {
         for (StreamOriginRecord kept : message.getStreamOriginsList()) {
-            StreamOrigin origin = decode(kept, nowNanos);
+            StreamOrigin origin = StreamOriginMessages.decode(kept, nowNanos);
             traffic.execute(() -> directory.keep(origin));
         }
         for (StreamOriginQuery query : message.getStreamOriginQueriesList()) {
@@ -178,7 +209,7 @@
         }
         for (StreamOriginAnswer answer : message.getStreamOriginAnswersList()) {
             StreamKey key = new StreamKey(answer.getKeyHigh(), answer.getKeyLow());
-            OriginEvidence.Answer decoded = decode(answer, nowNanos);
+            OriginEvidence.Answer decoded = StreamOriginMessages.decode(answer, nowNanos);
             traffic.execute(() -> directory.onAnswer(key, message.getVm(), decoded));
         }
         if (message.hasVersionWatch()) {
@@ -188,80 +219,20 @@
     }
 
     private void adopt(VersionWatch watch, long receivedNanos) {
-        List<VersionHistory.ListedVersion> versions =
-                watch.getVersionsList().stream()
-                        .map(
-                                version ->
-                                        new VersionHistory.ListedVersion(
-                                                version.getPool(),
-                                                version.getSoftwareVersion(),
-                                                nanos(version.getAgeMillis())))
-                        .toList();
         directory
                 .versions()
                 .history()
-                .adopt(nanos(watch.getWatchedMillis()), versions, receivedNanos);
+                .adopt(
+                        StreamOriginMessages.nanos(watch.getWatchedMillis()),
+                        StreamOriginMessages.decode(watch),
+                        receivedNanos);
     }
 
     private void answer(StreamOriginQuery query, String address) {
         StreamKey key = new StreamKey(query.getKeyHigh(), query.getKeyLow());
         OriginEvidence.Answer known = directory.answer(key, query.getPool());
-        StreamOriginAnswer.Builder answer =
-                StreamOriginAnswer.newBuilder()
-                        .setKeyHigh(key.high())
-                        .setKeyLow(key.low())
-                        .addAllSoftwareVersions(known.versions())
-                        .setWatched(known.watched());
-        known.origin().ifPresent(origin -> answer.setOrigin(encode(origin, System.nanoTime())));
+        StreamOriginAnswer answer = StreamOriginMessages.encode(key, known, System.nanoTime());
         VmState message = newMessage().addStreamOriginAnswers(answer).build();
         control.execute(() -> gossip.sendTo(message, address));
     }
-
-    private static OriginEvidence.Answer decode(StreamOriginAnswer answer, long nowNanos) {
-        Optional<StreamOrigin> origin =
-                answer.hasOrigin()
-                        ? Optional.of(decode(answer.getOrigin(), nowNanos))
-                        : Optional.empty();
-        Set<String> versions = new HashSet<>(answer.getSoftwareVersionsList());
-        return new OriginEvidence.Answer(origin, versions, answer.getWatched());
-    }
-
-    private static StreamOrigin decode(StreamOriginRecord kept, long nowNanos) {
-        return new StreamOrigin(
-                new StreamKey(kept.getKeyHigh(), kept.getKeyLow()),
-                kept.getPool(),
-                kept.getSoftwareVersion(),
-                nowNanos + nanos(kept.getRemainingMillis()));
-    }
-
-    private static StreamOriginRecord encode(StreamOrigin origin, long nowNanos) {
-        return StreamOriginRecord.newBuilder()
-                .setKeyHigh(origin.key().high())
-                .setKeyLow(origin.key().low())
-                .setPool(origin.pool())
-                .setSoftwareVersion(origin.softwareVersion())
-                .setRemainingMillis(millis(origin.untilNanos() - nowNanos))
-                .build();
-    }
-
-    private static VersionWatch encode(VersionHistory history, long nowNanos) {
-        VersionWatch.Builder watch =
-                VersionWatch.newBuilder().setWatchedMillis(millis(history.watchedNanos(nowNanos)));
-        for (VersionHistory.ListedVersion version : history.listedVersions(nowNanos)) {
-            watch.addVersions(
-                    ListedVersion.newBuilder()
-                            .setPool(version.pool())
-                            .setSoftwareVersion(version.softwareVersion())
-                            .setAgeMillis(millis(version.ageNanos())));
-        }
-        return watch.build();
-    }
-
-    private static long millis(long nanos) {
-        return TimeUnit.NANOSECONDS.toMillis(nanos);
-    }
-
-    private static long nanos(long millis) {
-        return TimeUnit.MILLISECONDS.toNanos(millis);
-    }
 }
--- a/router/src/main/java/org/bronzelug/router/control/StoredState.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredState.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.control;
 
 import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ObjectStore;
@@ -12,11 +13,14 @@
  */
 final class StoredState {
     private final StoredVersions versions;
+    private final CurrentVersions currentVersions;
     private final StoredOrigins origins;
     private final StoredOriginsCleanup originsCleanup;
     private final StoredQuarantines quarantines;
 
     /**
+     * @param endpoints this VM's copy of the list of endpoints
+     * @param onChange receives the kind of endpoints if its objects have changed
      * @param quarantineReader receives the stored quarantines, once
      */
     StoredState(
@@ -25,6 +29,8 @@
             VmSettings settings,
             ObjectStore store,
             MemberTable members,
+            ControlState endpoints,
+            Consumer<String> onChange,
             TrafficState state,
             StoredQuarantines.Reader quarantineReader) {
         String vm = settings.vm();
@@ -38,9 +44,21 @@
                         members,
                         settings.fleetStarts(),
                         new StoredVersionsAdoption(traffic, state.origins().versions()));
+        this.currentVersions =
+                new CurrentVersions(
+                        control,
+                        store,
+                        endpoints.endpointKind(),
+                        endpoints.mirror(endpoints.endpointKind()),
+                        onChange);
         this.quarantines = new StoredQuarantines(control, store, vm, members, quarantineReader);
     }
 
+    /** Returns the reader of the versions that pools have now. */
+    CurrentVersions currentVersions() {
+        return currentVersions;
+    }
+
     /** Returns the origins of open streams. */
     StoredOrigins origins() {
         return origins;
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -93,6 +93,11 @@
     }
 
     private void onListed(List<StoredItem> items) {
+        listener.onRead(decode(items));
+    }
+
+    /** Returns the versions of all pools whose sets can be read. */
+    static RecentVersions decode(List<StoredItem> items) {
         Map<String, Set<String>> versions = new HashMap<>();
         long windowMillis = Long.MAX_VALUE;
         for (StoredItem item : items) {
@@ -103,7 +108,7 @@
             }
         }
         boolean any = !versions.isEmpty();
-        listener.onRead(new RecentVersions(versions, any ? windowMillis : 0, any));
+        return new RecentVersions(versions, any ? windowMillis : 0, any);
     }
 
     /** Writes what has changed, if it is this VM's turn. */
--- a/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
+++ b/router/src/main/java/org/bronzelug/router/stream/OriginLookup.java
@@ -9,7 +9,8 @@
 import org.bronzelug.core.stream.StreamOrigin;
 
 /**
- * A lookup of a stream's origin that waits for the answers of peers.
+ * A lookup of a stream's origin that waits for the answers of peers, and for the platform if they
+ * are not enough.
  *
  * <p>Invariant: it ends once. Confined to the traffic thread.
  */
@@ -19,9 +20,22 @@
     private final StreamOriginDirectory.Listener listener;
     private final OriginEvidence evidence = new OriginEvidence();
     private final Set<String> answeredVms = new HashSet<>();
-    private OptionalInt askedVms = OptionalInt.empty();
+    private PlatformRead platform = PlatformRead.NOT_BEGUN;
+    private int askedVms;
+    private int waits;
+    private boolean asked;
+    private OptionalInt fleetSize = OptionalInt.empty();
+    private boolean answersEnded;
     private boolean ended;
 
+    /** The read of the platform that began after the lookup. */
+    enum PlatformRead {
+        NOT_BEGUN,
+        IN_PROGRESS,
+        SUCCEEDED,
+        FAILED
+    }
+
     OriginLookup(
             Optional<StreamKey> key,
             Optional<String> pool,
@@ -46,38 +60,81 @@
     }
 
     /**
-     * Records the number of VMs that were asked.
+     * Records that VMs were asked.
      *
-     * @return whether the lookup is complete
+     * @param vms the VMs whose answers are waited for
+     * @param knownVms the number of VMs of the fleet, this one included, live or not
      */
-    boolean expect(int vms) {
-        askedVms = OptionalInt.of(vms);
-        return isComplete();
+    void recordAsked(int vms, int knownVms) {
+        asked = true;
+        askedVms = Math.max(askedVms, vms);
+        fleetSize = OptionalInt.of(knownVms);
+    }
+
+    /** Records that answers are waited for from now on; returns the number of this wait. */
+    int beginAnswers() {
+        asked = false;
+        answersEnded = false;
+        return ++waits;
+    }
+
+    /** Records that a wait for answers has ended, unless another one has begun. */
+    void endAnswers(int wait) {
+        answersEnded |= wait == waits;
+    }
+
+    /** Adds the answer of a VM, which may arrive twice. */
+    void add(String vm, OriginEvidence.Answer answer) {
+        answeredVms.add(vm);
+        evidence.add(vm, answer);
+    }
+
+    void beginPlatformRead() {
+        platform = PlatformRead.IN_PROGRESS;
+    }
+
+    PlatformRead platformRead() {
+        return platform;
     }
 
     /**
-     * Adds the answer of a VM, which may arrive twice.
+     * Adds what the platform keeps.
      *
-     * @return whether the lookup is complete
+     * @param complete whether it keeps all versions of the time for which a stream can last
      */
-    boolean add(String vm, OriginEvidence.Answer answer) {
-        answeredVms.add(vm);
-        evidence.add(answer);
-        return isComplete();
+    void recordPlatformRead(Set<String> stored, boolean complete) {
+        platform = PlatformRead.SUCCEEDED;
+        evidence.addPlatform(stored, complete);
+    }
+
+    void recordPlatformFailure() {
+        platform = PlatformRead.FAILED;
     }
 
-    /** Adds what this VM itself knows. */
-    void addOwn(OriginEvidence.Answer own) {
-        evidence.add(own);
+    /** Returns whether some VMs of the fleet are not asked. */
+    boolean leavesOutVms() {
+        return fleetSize.isEmpty() || askedVms + 1 < fleetSize.getAsInt();
+    }
+
+    /**
+     * Returns whether nothing is waited for any more that may change the outcome.
+     *
+     * @param own what this VM knows now
+     */
+    boolean isDecided(OriginEvidence.Answer own) {
+        boolean answered = answersEnded || haveAllAnswered();
+        boolean read = platform != PlatformRead.IN_PROGRESS || evidence.hasSeveralVersions(own);
+        return isCertain(own) || (answered && read);
     }
 
-    private boolean isComplete() {
-        return evidence.origin().isPresent() || haveAllAnswered();
+    /** Returns whether the outcome is known whatever the other VMs answer. */
+    boolean isCertain(OriginEvidence.Answer own) {
+        return evidence.origin().isPresent() || evidence.certainVersion(own, fleetSize).isPresent();
     }
 
     /** Returns whether all VMs that were asked have answered. */
     boolean haveAllAnswered() {
-        return askedVms.isPresent() && answers() >= askedVms.getAsInt();
+        return asked && answers() >= askedVms;
     }
 
     /** Ends the lookup; returns false if it has ended already. */
@@ -87,8 +144,8 @@
         return first;
     }
 
-    int askedVms() {
-        return askedVms.orElse(0);
+    boolean hasEnded() {
+        return ended;
     }
 
     int answers() {
@@ -99,13 +156,19 @@
         return evidence.origin();
     }
 
-    /** Returns the origin that follows from the pool's only version; it is not kept. */
-    Optional<StreamOrigin> soleOrigin(long nowNanos) {
-        return evidence.soleVersion().flatMap(version -> origin(version, nowNanos));
+    /** Returns the pool's only version, if a witness confirms it. */
+    Optional<OriginEvidence.SoleVersion> soleVersion(OriginEvidence.Answer own) {
+        return evidence.soleVersion(own, fleetSize);
     }
 
-    private Optional<StreamOrigin> origin(String version, long nowNanos) {
+    /** Returns the origin that follows from the pool's only version; it is not kept. */
+    Optional<StreamOrigin> origin(String version, long nowNanos) {
         StreamKey named = key.orElseGet(() -> new StreamKey(0, 0));
         return pool.map(name -> new StreamOrigin(named, name, version, nowNanos));
     }
+
+    /** Returns how many VMs were asked and have answered, for the log. */
+    String describe() {
+        return "asked=" + askedVms + " answers=" + answers();
+    }
 }
--- a/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
+++ b/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
@@ -11,15 +11,21 @@
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.Route;
+import org.bronzelug.core.stream.OriginEvidence;
+import org.bronzelug.core.stream.StallDetector;
+import org.bronzelug.core.stream.StreamOrigin;
 import org.bronzelug.core.stream.VersionHistory;
 
 /**
  * The software versions that pools with resumable streams have had for as long as a stream can
  * last: as this VM has watched them, as a peer has passed them on, and as the platform stores them.
- * Confined to the traffic thread.
+ *
+ * <p>Invariant: after a stall of this VM they count as incomplete, until a stream can't last any
+ * longer or what may have been missed was read from the platform. Confined to the traffic thread.
  */
 public final class PoolVersions {
     private final VersionHistory history = new VersionHistory();
+    private final StallDetector stalls = new StallDetector();
     private final long graceNanos;
     private Set<String> pools = Set.of();
     private final StreamWindow window;
@@ -46,6 +52,7 @@
             boolean listCurrent,
             Collection<Route> resumableRoutes) {
         long nowNanos = System.nanoTime();
+        stalls.recordUpdate(nowNanos, System.currentTimeMillis());
         Map<String, Set<String>> versions = new HashMap<>();
         long longestMillis = 0;
         for (Route route : resumableRoutes) {
@@ -130,6 +137,30 @@
         history.adopt(coveredNanos, listed, nowNanos);
     }
 
+    /**
+     * Records what the platform keeps now; the list of endpoints was read and applied meanwhile.
+     */
+    void recordRead(RecentVersions current) {
+        long nowNanos = System.nanoTime();
+        current.byPool().forEach((pool, read) -> history.recordUnseen(pool, read, nowNanos));
+        // A version that left before the stall and was back during it is not among the recent ones.
+        boolean caughtUp =
+                pools.stream().allMatch(pool -> isComplete(current, pool) && hasAll(pool, current));
+        if (caughtUp) {
+            stalls.recordCaughtUp(nowNanos, System.currentTimeMillis());
+        }
+    }
+
+    private boolean hasAll(String pool, RecentVersions current) {
+        return recent(pool).containsAll(current.byPool().get(pool));
+    }
+
+    /** Returns whether stored versions of a pool are all that it has had. */
+    boolean isComplete(RecentVersions current, String pool) {
+        long windowMillis = TimeUnit.NANOSECONDS.toMillis(window.nanos());
+        return current.byPool().containsKey(pool) && current.windowMillis() >= windowMillis;
+    }
+
     /** Returns the recent versions of each pool that has had any. */
     public RecentVersions recent() {
         Map<String, Set<String>> recent = new HashMap<>();
@@ -148,9 +179,20 @@
         return history.versions(pool, window.nanos(), System.nanoTime());
     }
 
+    /** Returns what this VM knows of a stream and of the versions of its pool, if it has one. */
+    OriginEvidence.Answer answer(Optional<StreamOrigin> origin, Optional<String> pool) {
+        return new OriginEvidence.Answer(
+                origin, pool.map(this::recent).orElse(Set.of()), isWatched());
+    }
+
     /** Returns whether the recent versions are all that there were. */
     public boolean isWatched() {
-        return history.isWatched(window.nanos(), System.nanoTime());
+        long nowNanos = System.nanoTime();
+        return history.isWatched(window.nanos(), nowNanos) && !hasStalled(nowNanos);
+    }
+
+    private boolean hasStalled(long nowNanos) {
+        return stalls.hasStalled(window.nanos(), nowNanos, System.currentTimeMillis());
     }
 
     /** Returns the time until the recent versions are all that there were; 0 if they are. */
@@ -164,6 +206,15 @@
         return history.hasSoleVersion(pool, window.nanos(), System.nanoTime());
     }
 
+    /**
+     * Returns for how long this VM has watched the list without a gap, for a VM that has just
+     * started; 0 after a stall.
+     */
+    public long watchedNanos() {
+        long nowNanos = System.nanoTime();
+        return hasStalled(nowNanos) ? 0 : history.watchedNanos(nowNanos);
+    }
+
     /** Returns what this VM has watched, for a VM that has just started. */
     public VersionHistory history() {
         return history;
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -1,16 +1,11 @@
 package org.bronzelug.router.stream;
 
 import io.netty.channel.EventLoop;
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
 import org.bronzelug.core.routing.EndpointEntry;
 import org.bronzelug.core.routing.Route;
 import org.bronzelug.core.stream.OriginEvidence;
@@ -26,29 +21,21 @@
  * open which version began a stream, it also has some other VMs keep the record, since a caller
  * resumes a stream at another VM mostly because the first one has died. A VM without the record
  * asks these VMs. If none has it, the version is known if the pool has had a single one for as long
- * as a stream can last, or if the platform keeps the record of a VM that has died.
+ * as a stream can last, which others have to confirm, or if the platform keeps the record of a VM
+ * that has died.
  *
  * <p>Invariant: a version is never guessed. Confined to the traffic thread.
  */
 public final class StreamOriginDirectory {
-    /** Time for the answers: two link delays of milliseconds, and some for a busy VM. */
-    private static final long ANSWER_MILLIS = 200;
-
     /** Time for which a caller may resume a stream after its time limit, including clock drift. */
     private static final long GRACE_MILLIS = 2_000;
 
-    /** Retry delay if no answer can be expected to change: a caller may reach another VM. */
-    private static final long UNKNOWN_RETRY_MILLIS = 1_000;
-
-    private final EventLoop traffic;
     private final StreamOrigins origins = new StreamOrigins();
     private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
-    private final Map<StreamKey, List<OriginLookup>> lookups = new HashMap<>();
-    private Peers peers = new NoPeers();
-    private Archive archive = new NoArchive();
+    private final OriginLookups lookups;
 
     public StreamOriginDirectory(EventLoop traffic) {
-        this.traffic = traffic;
+        lookups = new OriginLookups(traffic, origins, versions);
     }
 
     /** The other VMs. Implementations may be called on the traffic thread and must not block. */
@@ -56,8 +43,14 @@
         /** Has some other VMs keep the origins of streams that this VM began. */
         void keep(List<StreamOrigin> begun);
 
-        /** Asks some other VMs for an origin; calls {@link #onAsked} and {@link #onAnswer}. */
+        /**
+         * Asks other VMs for an origin and the versions of a pool, all VMs of a small fleet; calls
+         * {@link #onAsked} and {@link #onAnswer}.
+         */
         void ask(StreamKey key, String pool);
+
+        /** Asks all VMs in the same way. */
+        void askAll(StreamKey key, String pool);
     }
 
     /** The origins that the platform keeps, for VMs that have all restarted. Must not block. */
@@ -69,6 +62,15 @@
          */
         void find(StreamKey key, Consumer<ArchivedOrigin> onRead);
 
+        /**
+         * Reads the versions that the platform keeps of each pool, and has what has changed in the
+         * list of endpoints applied; called on the traffic thread.
+         *
+         * @param onRead is called once on the traffic thread; the result is empty if the platform
+         *     was not read completely by calls that began after this one
+         */
+        void readVersions(Consumer<Optional<RecentVersions>> onRead);
+
         /** Called on the traffic thread when a stream of this VM is complete. */
         void forget(StreamKey key);
     }
@@ -81,19 +83,6 @@
      */
     public record ArchivedOrigin(Optional<StreamOrigin> origin, boolean known) {}
 
-    /** Nothing is kept. */
-    private static final class NoArchive implements Archive {
-        @Override
-        public void find(StreamKey key, Consumer<ArchivedOrigin> onRead) {
-            onRead.accept(new ArchivedOrigin(Optional.empty(), false));
-        }
-
-        @Override
-        public void forget(StreamKey key) {
-            // Nothing is kept.
-        }
-    }
-
     /** Is notified once of the outcome of a lookup, on the traffic thread. */
     public interface Listener {
         /**
@@ -107,25 +96,12 @@
         void onUnknown(String reason, long retryAfterMillis);
     }
 
-    /** A fleet of one VM. */
-    private final class NoPeers implements Peers {
-        @Override
-        public void keep(List<StreamOrigin> begun) {
-            // No other VM could keep them.
-        }
-
-        @Override
-        public void ask(StreamKey key, String pool) {
-            onAsked(key, 0);
-        }
-    }
-
     public void setPeers(Peers fleet) {
-        peers = fleet;
+        lookups.setPeers(fleet);
     }
 
     public void setArchive(Archive stored) {
-        archive = stored;
+        lookups.setArchive(stored);
     }
 
     /** Returns the number of streams whose origins this VM knows. */
@@ -166,7 +142,7 @@
     private void share(String pool, long nowNanos) {
         List<StreamOrigin> begun = origins.takeUnshared(pool, nowNanos);
         if (!begun.isEmpty()) {
-            peers.keep(begun);
+            lookups.peers().keep(begun);
         }
     }
 
@@ -193,7 +169,7 @@
     public void recordComplete(StreamKey key) {
         origins.find(key, System.nanoTime())
                 .filter(origin -> !versions.hasSole(origin.pool()))
-                .ifPresent(origin -> archive.forget(key));
+                .ifPresent(origin -> lookups.archive().forget(key));
     }
 
     /** Keeps the origin of a stream that another VM has begun. */
@@ -214,113 +190,28 @@
             listener.onFound(own.get(), "own record");
             return;
         }
-        OriginLookup lookup = new OriginLookup(key, pool, listener);
-        if (key.isEmpty() && versions.isWatched()) {
-            conclude(lookup);
-            return;
-        }
-        // Without a key no VM can be asked, but a VM that starts may still learn of the past.
-        traffic.schedule(() -> end(lookup), ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-        key.ifPresent(known -> ask(known, lookup));
-    }
-
-    private void ask(StreamKey key, OriginLookup lookup) {
-        lookups.computeIfAbsent(key, known -> new ArrayList<>()).add(lookup);
-        if (lookups.get(key).size() == 1) {
-            peers.ask(key, lookup.pool().orElse(""));
-        }
+        lookups.begin(new OriginLookup(key, pool, listener));
     }
 
-    /** Records how many VMs were asked. */
-    public void onAsked(StreamKey key, int vms) {
-        endComplete(key, lookup -> lookup.expect(vms));
+    /**
+     * Records that other VMs were asked.
+     *
+     * @param vms the VMs whose answers are waited for
+     * @param fleetSize the number of VMs that are known, this one included, live or not
+     */
+    public void onAsked(StreamKey key, int vms, int fleetSize) {
+        lookups.onAsked(key, vms, fleetSize);
     }
 
     /** Records the answer of another VM. */
     public void onAnswer(StreamKey key, String vm, OriginEvidence.Answer answer) {
-        endComplete(key, lookup -> lookup.add(vm, answer));
-    }
-
-    private void endComplete(StreamKey key, Predicate<OriginLookup> update) {
-        for (OriginLookup lookup : List.copyOf(lookups.getOrDefault(key, List.of()))) {
-            if (update.test(lookup)) {
-                end(lookup);
-            }
-        }
+        lookups.onAnswer(key, vm, answer);
     }
 
     /** Returns the answer to another VM that asks for an origin. */
     public OriginEvidence.Answer answer(StreamKey key, String pool) {
         long nowNanos = System.nanoTime();
         Optional<String> named = Optional.of(pool).filter(name -> !name.isEmpty());
-        return ownAnswer(origins.find(key, nowNanos), named);
-    }
-
-    private OriginEvidence.Answer ownAnswer(Optional<StreamOrigin> origin, Optional<String> pool) {
-        Set<String> recent = pool.map(versions::recent).orElse(Set.of());
-        return new OriginEvidence.Answer(origin, recent, versions.isWatched());
-    }
-
-    private void end(OriginLookup lookup) {
-        if (lookup.end()) {
-            lookup.key().ifPresent(key -> forget(key, lookup));
-            conclude(lookup);
-        }
-    }
-
-    private void forget(StreamKey key, OriginLookup lookup) {
-        lookups.get(key).remove(lookup);
-        if (lookups.get(key).isEmpty()) {
-            lookups.remove(key);
-        }
-    }
-
-    private void conclude(OriginLookup lookup) {
-        long nowNanos = System.nanoTime();
-        String answers = "asked=" + lookup.askedVms() + " answers=" + lookup.answers();
-        // Another lookup of the same stream may have found its record meanwhile.
-        Optional<StreamOrigin> own = lookup.key().flatMap(key -> origins.find(key, nowNanos));
-        lookup.addOwn(ownAnswer(own, lookup.pool()));
-        Optional<StreamOrigin> recorded = lookup.origin();
-        recorded.ifPresent(origin -> origins.record(origin, nowNanos));
-        Optional<StreamOrigin> known = recorded.or(() -> lookup.soleOrigin(nowNanos));
-        if (known.isPresent()) {
-            String source = recorded.isPresent() ? "record of a peer" : "sole version";
-            lookup.listener().onFound(known.get(), source + ", " + answers);
-        } else if (lookup.key().isPresent()) {
-            StreamKey key = lookup.key().get();
-            archive.find(key, archived -> concludeArchived(lookup, archived, answers));
-        } else {
-            lookup.listener().onUnknown(answers, retryMillis(lookup, false));
-        }
-    }
-
-    private void concludeArchived(OriginLookup lookup, ArchivedOrigin archived, String answers) {
-        if (archived.origin().isPresent()) {
-            origins.record(archived.origin().get(), System.nanoTime());
-            lookup.listener().onFound(archived.origin().get(), "platform, " + answers);
-        } else {
-            boolean hopeless = archived.known() && lookup.haveAllAnswered();
-            lookup.listener()
-                    .onUnknown(
-                            answers + " platformRead=" + archived.known(),
-                            retryMillis(lookup, hopeless));
-        }
-    }
-
-    /**
-     * Returns the retry delay of a resumption that is rejected: until the pool's only version is
-     * known, if it has one.
-     *
-     * @param hopeless whether nobody has a record of the stream, so that it can't be resumed while
-     *     its caller waits
-     */
-    private long retryMillis(OriginLookup lookup, boolean hopeless) {
-        boolean willBeKnown =
-                lookup.pool().filter(name -> versions.recent(name).size() == 1).isPresent();
-        if (willBeKnown) {
-            return 1 + versions.unwatchedMillis();
-        }
-        return hopeless ? versions.recent().windowMillis() : UNKNOWN_RETRY_MILLIS;
+        return versions.answer(origins.find(key, nowNanos), named);
     }
 }
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -144,7 +144,7 @@
             public void ask(StreamKey key, String pool) {
                 StreamOriginDirectory asking = directories.get(self);
                 List<String> asked = peers(self, key, ASKED_VMS);
-                traffic.execute(() -> asking.onAsked(key, asked.size()));
+                traffic.execute(() -> asking.onAsked(key, asked.size(), VMS));
                 for (String peer : asked) {
                     send(
                             () -> {
@@ -154,6 +154,11 @@
                             });
                 }
             }
+
+            @Override
+            public void askAll(StreamKey key, String pool) {
+                ask(key, pool);
+            }
         }
     }
 
