A stopped VM that could not register makes no more calls

Cause: a failed registration is tried again every 500 ms, also after the VM was stopped. Change: a stop ends the registration. Measured: StoppedVmTest.aStoppedVmThatCouldNotRegisterMakesNoCalls failed before (but was {router-vms GET=8, router-vms POST=8}); both tests of the class pass.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -182,6 +182,7 @@
                 () -> {
                     stopped = true;
                     reading.stop();
+                    registration.stop();
                     stored.stop();
                 });
     }
--- a/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
+++ b/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
@@ -41,6 +41,7 @@
     private final Consumer<List<Candidate>> onListed;
     private final DecodedItems<Candidate> decoded = new DecodedItems<>(VmRegistration::decode);
     private boolean listInFlight;
+    private boolean stopped;
 
     /**
      * @param onListed receives the registered VMs after each attempt to list them; none if the
@@ -67,7 +68,15 @@
         register();
     }
 
+    /** Ends the attempts to register; a call in flight is not cancelled. */
+    void stop() {
+        stopped = true;
+    }
+
     private void register() {
+        if (stopped) {
+            return;
+        }
         store.create(KIND, settings.vm(), content())
                 .whenComplete((item, failure) -> onRegistered(failure));
     }
@@ -90,9 +99,9 @@
         list();
     }
 
-    /** Lists the VMs, unless a list is in flight. */
+    /** Lists the VMs, unless a list is in flight or the VM has stopped. */
     void list() {
-        if (listInFlight) {
+        if (listInFlight || stopped) {
             return;
         }
         listInFlight = true;
