--- a/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
+++ b/core/src/main/java/org/bronzelug/core/stream/VersionHistory.java
@@ -116,13 +116,6 @@
         versions.forEach(version -> lastListed.put(version, nowNanos));
     }
 
-    /** Records versions of a pool that the platform keeps and this VM has never seen. */
-    public void recordUnseen(String pool, Set<String> versions, long nowNanos) {
-        Map<String, Long> lastListed =
-                lastListedNanos.computeIfAbsent(pool, name -> new HashMap<>());
-        versions.forEach(version -> lastListed.putIfAbsent(version, nowNanos));
-    }
-
     /** Returns how long the list has been watched without a gap. */
     public long watchedNanos(long nowNanos) {
         return watchedSinceNanos.isPresent() ? nowNanos - watchedSinceNanos.getAsLong() : 0;
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -93,18 +93,22 @@
     }
 
     private void onListed(List<StoredItem> items) {
+        items.forEach(StoredVersions::decode);
         listener.onRead(decode(items));
     }
 
-    /** Returns the versions of all pools whose sets can be read. */
+    /** Returns the versions of all pools whose sets can be read; logs nothing. */
     static RecentVersions decode(List<StoredItem> items) {
         Map<String, Set<String>> versions = new HashMap<>();
         long windowMillis = Long.MAX_VALUE;
         for (StoredItem item : items) {
-            Optional<StoredSet> known = decode(item);
-            if (known.isPresent()) {
-                versions.put(item.name(), known.get().versions);
-                windowMillis = Math.min(windowMillis, known.get().windowMillis);
+            try {
+                StoredSet set = parse(item);
+                versions.put(item.name(), set.versions);
+                windowMillis = Math.min(windowMillis, set.windowMillis);
+            } catch (IOException malformed) {
+                // It counts as absent, and was logged when this VM read its revision first.
+                continue;
             }
         }
         boolean any = !versions.isEmpty();
@@ -199,21 +203,10 @@
         }
     }
 
-    /** Returns what an object contains; empty if it can't be read. */
+    /** Returns what an object contains; logs it and is empty if it can't be read. */
     private static Optional<StoredSet> decode(StoredItem item) {
         try {
-            JsonNode content = JSON.readTree(item.content());
-            Set<String> versions = new HashSet<>();
-            for (JsonNode version : content.path(VERSIONS_FIELD)) {
-                if (!version.isTextual()) {
-                    throw new IOException("a version is not a text");
-                }
-                versions.add(version.asText());
-            }
-            if (versions.isEmpty()) {
-                throw new IOException("a pool has no version");
-            }
-            return Optional.of(new StoredSet(versions, content.path(WINDOW_FIELD).asLong()));
+            return Optional.of(parse(item));
         } catch (IOException malformed) {
             EventLog.warn(
                     LogEvent.CONFIGURATION_UNREADABLE,
@@ -221,4 +214,19 @@
             return Optional.empty();
         }
     }
+
+    private static StoredSet parse(StoredItem item) throws IOException {
+        JsonNode content = JSON.readTree(item.content());
+        Set<String> versions = new HashSet<>();
+        for (JsonNode version : content.path(VERSIONS_FIELD)) {
+            if (!version.isTextual()) {
+                throw new IOException("a version is not a text");
+            }
+            versions.add(version.asText());
+        }
+        if (versions.isEmpty()) {
+            throw new IOException("a pool has no version");
+        }
+        return new StoredSet(versions, content.path(WINDOW_FIELD).asLong());
+    }
 }
--- a/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
+++ b/router/src/main/java/org/bronzelug/router/stream/PoolVersions.java
@@ -138,16 +138,15 @@
     }
 
     /**
-     * Records what the platform keeps now; the list of endpoints was read and applied meanwhile.
+     * Records that the platform was read: what it keeps now, while the list of endpoints was
+     * applied. A stall counts no longer, unless the platform keeps a version that this VM does not
+     * know as a recent one, which has come and gone meanwhile.
      */
     void recordRead(RecentVersions current) {
-        long nowNanos = System.nanoTime();
-        current.byPool().forEach((pool, read) -> history.recordUnseen(pool, read, nowNanos));
-        // A version that left before the stall and was back during it is not among the recent ones.
         boolean caughtUp =
                 pools.stream().allMatch(pool -> isComplete(current, pool) && hasAll(pool, current));
         if (caughtUp) {
-            stalls.recordCaughtUp(nowNanos, System.currentTimeMillis());
+            stalls.recordCaughtUp(System.nanoTime(), System.currentTimeMillis());
         }
     }
 
