Observed weights: few of the models that callers name

Cause: a VM keeps each name of a model for which an endpoint has stated a version of the weights, for as long as the endpoint is listed. Callers choose these names, and all VMs are told them. Memory and the time of each round grow with each further name, however little of them one state update tells.

Change: besides the models that an endpoint's entry names, 64 are recorded for it, on the traffic and on the control thread.

Measured: EndpointListTest and EndpointStateTest.fewModelsAreRecordedThatThe- EntryDoesNotName fail without the bound (overlay of EndpointEntry) and pass with it; both classes, 36 of 36.

--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -1,6 +1,7 @@
 package org.bronzelug.core.routing;
 
 import java.util.Map;
+import java.util.Set;
 
 /**
  * An endpoint's own entry in the platform's list of endpoints.
@@ -38,6 +39,9 @@
      */
     public static final int MAXIMUM_NAME_CHARACTERS = 256;
 
+    /** More models than endpoints serve at a time. */
+    private static final int MAXIMUM_OBSERVED_MODELS = 64;
+
     /**
      * @throws IllegalArgumentException if a value is out of its range
      */
@@ -59,11 +63,22 @@
         weights = Map.copyOf(weights);
     }
 
-    /** Returns whether an entry can contain the name. */
-    public static boolean isShort(String name) {
+    private static boolean isShort(String name) {
         return name.length() <= MAXIMUM_NAME_CHARACTERS;
     }
 
+    /**
+     * Returns whether to record the version of a model's weights that was observed at the endpoint.
+     * Callers choose the names of models: of those that the entry doesn't name, few are recorded,
+     * and none that an entry can't contain.
+     *
+     * @param observed the models of which a version is recorded
+     */
+    public boolean mayObserve(String model, Set<String> observed) {
+        boolean room = observed.contains(model) || observed.size() < MAXIMUM_OBSERVED_MODELS;
+        return isShort(model) && (weights.containsKey(model) || room);
+    }
+
     /** Returns whether a header can contain the id: visible ASCII characters, not too many. */
     public static boolean isValidId(String id) {
         return !id.isEmpty() && isShort(id) && id.chars().allMatch(c -> c > ' ' && c <= '~');
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -107,18 +107,20 @@
     }
 
     /**
-     * Records weights observed at an endpoint before its entry shows them. Callers and endpoints
-     * choose the names of models; one that no entry can contain is not recorded.
+     * Records weights observed at an endpoint before its entry shows them, unless the model's name
+     * may not be recorded.
      *
      * @return whether the version is newer than the known one
      */
     public boolean recordWeights(String id, long bornMillis, String model, long version) {
         EndpointEntry entry = inUse.get(id);
-        boolean known = entry != null && entry.bornMillis() == bornMillis;
-        if (!known || !EndpointEntry.isShort(model)) {
+        if (entry == null || entry.bornMillis() != bornMillis) {
             return false;
         }
         Map<String, Long> observed = observedWeights.computeIfAbsent(id, key -> new HashMap<>());
+        if (!entry.mayObserve(model, observed.keySet())) {
+            return false;
+        }
         long latest =
                 Math.max(entry.weights().getOrDefault(model, 0L), observed.getOrDefault(model, 0L));
         if (version <= latest) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -237,11 +237,11 @@
     }
 
     /**
-     * Records the version of the weights that a response or rejection of the endpoint reported. The
-     * caller chose the model's name; one that no entry can contain is not told to other VMs.
+     * Records the version of the weights that a response or rejection of the endpoint reported,
+     * unless the model's name, which the caller has chosen, may not be recorded.
      */
     public void recordWeights(String model, long version) {
-        if (EndpointEntry.isShort(model)) {
+        if (entry.mayObserve(model, observedWeights.keySet())) {
             observedWeights.merge(model, version, Math::max);
         }
     }
--- a/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
@@ -68,6 +68,19 @@
         assertThat(list.entries().get("a").weights()).containsExactly("model", 2L);
     }
 
+    /** Guards against as many names of models as callers choose, on all VMs. */
+    @Test
+    void fewModelsAreRecordedThatTheEntryDoesNotName() {
+        EndpointList list = new EndpointList();
+        list.update(listed(entry("a", false, 1, 1)), 0);
+        for (int number = 0; number < 1_000; number++) {
+            list.recordWeights("a", 1, "other-" + number, 2);
+        }
+        assertThat(list.recordWeights("a", 1, "model", 2)).isTrue();
+        assertThat(list.recordWeights("a", 1, "other-0", 3)).isTrue();
+        assertThat(list.observedWeights().get("a").size()).isAtMost(65);
+    }
+
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 2"})
     void observedWeightsAreDroppedWhenTheEndpointRestarts(long startMillis, long expected) {
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -58,6 +58,18 @@
                 new AdaptivePools(false));
     }
 
+    /** Guards against as many names of models as callers choose, which all VMs are told. */
+    @Test
+    void fewModelsAreRecordedThatTheEntryDoesNotName() {
+        for (int number = 0; number < 1_000; number++) {
+            state.recordWeights("other-" + number, 2);
+        }
+        state.recordWeights("m", 7);
+        assertThat(state.weights("m")).isEqualTo(7);
+        assertThat(state.weights("other-0")).isEqualTo(2);
+        assertThat(state.weightsAheadOfEntry().size()).isAtMost(65);
+    }
+
     @ParameterizedTest
     @CsvSource({
         "nothing is due, false, -1, 5000, false",
