Connections remember hash codes in place of the ids of requests

Cause: callers choose the length of ids, up to that of a head, so that 16 ids on each of hundreds of kept connections are more than a VM's memory. Found by review. Change: hash codes are kept. Two ids with the same one cost an idle connection at most. Measured: EndpointConnectionTest passes, 10 of 10.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -40,13 +40,13 @@
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
     private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
-    /** Bounds the memory for each connection. */
+    /** Bounds the memory for each connection, as do hash codes in place of the callers' ids. */
     private static final int REMEMBERED_IDS = 16;
 
     private final WireFormat wire;
     private final Owner owner;
     private final Optional<String> relayVm;
-    private final ArrayDeque<String> carriedIds = new ArrayDeque<>(REMEMBERED_IDS);
+    private final ArrayDeque<Integer> carriedIds = new ArrayDeque<>(REMEMBERED_IDS);
     private final ResponseDecoder decoder = new ResponseDecoder();
     private Channel channel;
     private Optional<ResponseListener> listener = Optional.empty();
@@ -133,15 +133,15 @@
         if (carriedIds.size() == REMEMBERED_IDS) {
             carriedIds.removeFirst();
         }
-        carriedIds.addLast(id);
+        carriedIds.addLast(id.hashCode());
     }
 
     /**
-     * Returns whether one of the last requests had this id. A late response to it would be taken
-     * for the response to another attempt of the same request.
+     * Returns whether one of the last requests had this id, or one with the same hash code. A late
+     * response to it would be taken for the response to another attempt of the same request.
      */
     boolean hasCarried(String id) {
-        return carriedIds.contains(id);
+        return carriedIds.contains(id.hashCode());
     }
 
     /** Cancels the request by closing the connection, so that the endpoint stops working on it. */
