Reads of the versions begin at intervals of 200 ms

Cause: the next read of the platform's versions began as soon as one had ended, if a lookup waited. While a dead VM counts among the fleet, each resumption of a stream without a record reads the platform, so that many of them made calls without a pause. Found by review. Change: reads begin 200 ms apart; one serves all lookups that have asked meanwhile.

--- a/router/src/main/java/org/bronzelug/router/control/CurrentVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/CurrentVersions.java
@@ -19,13 +19,17 @@
  * stream begins at it, if the platform takes the write; the list shows it in either case.
  *
  * <p>Invariants: a result is of calls that began after it was asked for. One read at a time is
- * waited for, for all that ask meanwhile, and after a failed one none begins for a while, so that
- * resumptions during an outage of the platform add few calls to it. Confined to the control thread.
+ * waited for, for all that ask meanwhile; reads begin at intervals, and after a failed one none
+ * begins for a while, so that many resumptions, and those during an outage of the platform, add few
+ * calls to it. Confined to the control thread.
  */
 final class CurrentVersions {
     /** Callers of streams wait for a read meanwhile. */
     private static final long READ_MILLIS = 300;
 
+    /** Time between the begins of two reads; the later one serves all that ask meanwhile. */
+    private static final long INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     /** Time after a failed read. */
     private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
@@ -36,7 +40,9 @@
     private final Consumer<String> onChange;
     private final List<Consumer<Optional<RecentVersions>>> waiting = new ArrayList<>();
     private boolean reading;
+    private boolean scheduled;
     private long reads;
+    private long beginNanos = System.nanoTime() - INTERVAL_NANOS;
     private long nextReadNanos = System.nanoTime();
 
     /**
@@ -68,12 +74,30 @@
             return;
         }
         waiting.add(onRead);
-        if (!reading) {
+        beginIfDue();
+    }
+
+    private void beginIfDue() {
+        if (reading || scheduled || waiting.isEmpty()) {
+            return;
+        }
+        long delayNanos = INTERVAL_NANOS - (System.nanoTime() - beginNanos);
+        if (delayNanos <= 0) {
             begin();
+            return;
         }
+        scheduled = true;
+        control.schedule(
+                () -> {
+                    scheduled = false;
+                    beginIfDue();
+                },
+                delayNanos,
+                TimeUnit.NANOSECONDS);
     }
 
     private void begin() {
+        beginNanos = System.nanoTime();
         List<Consumer<Optional<RecentVersions>>> served = List.copyOf(waiting);
         waiting.clear();
         reading = true;
@@ -120,8 +144,6 @@
             List<Consumer<Optional<RecentVersions>>> served, Optional<RecentVersions> result) {
         reading = false;
         served.forEach(onRead -> onRead.accept(result));
-        if (!reading && !waiting.isEmpty()) {
-            begin();
-        }
+        beginIfDue();
     }
 }
