Stored versions: one reading of the sets, with and without a log line

Cause: two methods of one name read the stored sets, one for its log lines only, so that each set was read twice. A comment said that all connections of a pool share what belongs to one.

--- a/router/src/main/java/org/bronzelug/router/control/CurrentVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/CurrentVersions.java
@@ -109,7 +109,10 @@
                         (versions, changes) -> {
                             if (isAwaited(read)) {
                                 apply(changes);
-                                end(served, Optional.of(StoredVersions.decode(versions.items())));
+                                end(
+                                        served,
+                                        Optional.of(
+                                                StoredVersions.recentVersions(versions.items())));
                             }
                         })
                 .exceptionally(
--- a/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
+++ b/router/src/main/java/org/bronzelug/router/control/StoredVersions.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.fleet.MemberTable;
@@ -93,22 +94,26 @@
     }
 
     private void onListed(List<StoredItem> items) {
-        items.forEach(StoredVersions::decode);
-        listener.onRead(decode(items));
+        listener.onRead(recentVersions(items, StoredVersions::decode));
     }
 
-    /** Returns the versions of all pools whose sets can be read; logs nothing. */
-    static RecentVersions decode(List<StoredItem> items) {
+    /**
+     * Returns the versions of all pools whose sets can be read. Logs nothing: a set that can't be
+     * read was logged when this VM read its revision first.
+     */
+    static RecentVersions recentVersions(List<StoredItem> items) {
+        return recentVersions(items, StoredVersions::decodeSilently);
+    }
+
+    private static RecentVersions recentVersions(
+            List<StoredItem> items, Function<StoredItem, Optional<StoredSet>> decoder) {
         Map<String, Set<String>> versions = new HashMap<>();
         long windowMillis = Long.MAX_VALUE;
         for (StoredItem item : items) {
-            try {
-                StoredSet set = parse(item);
-                versions.put(item.name(), set.versions);
-                windowMillis = Math.min(windowMillis, set.windowMillis);
-            } catch (IOException malformed) {
-                // It counts as absent, and was logged when this VM read its revision first.
-                continue;
+            Optional<StoredSet> known = decoder.apply(item);
+            if (known.isPresent()) {
+                versions.put(item.name(), known.get().versions);
+                windowMillis = Math.min(windowMillis, known.get().windowMillis);
             }
         }
         boolean any = !versions.isEmpty();
@@ -215,6 +220,14 @@
         }
     }
 
+    private static Optional<StoredSet> decodeSilently(StoredItem item) {
+        try {
+            return Optional.of(parse(item));
+        } catch (IOException malformed) {
+            return Optional.empty();
+        }
+    }
+
     private static StoredSet parse(StoredItem item) throws IOException {
         JsonNode content = JSON.readTree(item.content());
         Set<String> versions = new HashSet<>();
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -303,7 +303,7 @@
                 .addLast(connection);
     }
 
-    /** Is notified by the connections of this pool. */
+    /** Is notified by one connection; logs only the first time that it is out of step. */
     private final class ConnectionOwner implements EndpointConnection.Owner {
         private boolean logged;
 
