--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -4,7 +4,6 @@
 
 import io.netty.channel.DefaultEventLoop;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,13 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import org.bronzelug.core.rollout.RolloutOrder;
-import org.bronzelug.core.rollout.RolloutStage;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.core.routing.EndpointPool;
-import org.bronzelug.core.routing.EngineLimits;
-import org.bronzelug.core.routing.IngressLimits;
-import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.order.LoadOrder;
 import org.bronzelug.router.order.OrderOutcome;
@@ -47,7 +40,7 @@
             new FleetBounds(0.2, 10, 50, 1, 3_000, 8_000, 8_000, 2_000, 0);
 
     private final DefaultEventLoop control = new DefaultEventLoop();
-    private final Decoder decoder = new Decoder();
+    private final OneRunnerDecoder decoder = new OneRunnerDecoder(MODEL);
     private final ControlState state = new ControlState(decoder, 0);
     private final Store store = new Store();
     private final List<String> ordered = new ArrayList<>();
@@ -141,76 +134,6 @@
         }
     }
 
-    /** One pool of engines, all of whose runners have the first version of the weights. */
-    private static final class Decoder implements ObjectDecoder {
-        private final OneModelDecoder weights = new OneModelDecoder();
-
-        @Override
-        public String configurationKind() {
-            return weights.configurationKind();
-        }
-
-        @Override
-        public String endpointKind() {
-            return weights.endpointKind();
-        }
-
-        @Override
-        public String weightsKind() {
-            return weights.weightsKind();
-        }
-
-        @Override
-        public Optional<String> rolloutKind() {
-            return Optional.empty();
-        }
-
-        @Override
-        public Optional<RoutingConfiguration> configuration(Collection<StoredItem> items) {
-            EndpointPool pool =
-                    new EndpointPool("pool", 64, Optional.of(new EngineLimits(8, 1_000, 1)));
-            return Optional.of(
-                    new RoutingConfiguration(
-                            1,
-                            IngressLimits.defaults(),
-                            List.of(),
-                            Map.of("pool", pool),
-                            List.of(),
-                            List.of(),
-                            Map.of()));
-        }
-
-        @Override
-        public Optional<EndpointEntry> endpoint(StoredItem item) {
-            return Optional.of(
-                    new EndpointEntry(
-                            item.name(),
-                            "pool",
-                            "127.0.0.1:9",
-                            "z",
-                            "v1",
-                            8,
-                            false,
-                            1,
-                            Map.of(MODEL, 1L)));
-        }
-
-        @Override
-        public Optional<PublishedWeights> weights(StoredItem item) {
-            return weights.weights(item);
-        }
-
-        @Override
-        public Optional<RolloutOrder> rollout(StoredItem item) {
-            return Optional.empty();
-        }
-
-        @Override
-        public byte[] rolloutStatus(RolloutStage stage, String target) {
-            return weights.rolloutStatus(stage, target);
-        }
-    }
-
     /** Confirms each write at once and counts those of the lease. Not thread-safe. */
     private static final class Store implements ObjectStore {
         private int leaseWrites;
--- a/router/src/test/java/org/bronzelug/router/control/OddLeaseTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/OddLeaseTest.java
@@ -15,14 +15,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.order.LoadOrder;
 import org.bronzelug.router.order.OrderOutcome;
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.order.RunnerReport;
-import org.bronzelug.router.settings.FleetBounds;
-import org.bronzelug.router.settings.LoadSettings;
-import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ItemList;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoredItem;
@@ -147,26 +143,7 @@
                                         method.getName().equals("replace")
                                                 ? replace((StoredItem) arguments[1])
                                                 : create((byte[]) arguments[2]));
-        VmSettings settings =
-                new VmSettings(
-                        "vm",
-                        "z",
-                        "127.0.0.1:1",
-                        "127.0.0.1:2",
-                        "127.0.0.1:3",
-                        List.of(),
-                        true,
-                        1,
-                        new FleetBounds(0.2, 10, 50, 1, 3_000, 8_000, 8_000, 2_000, 0),
-                        LoadSettings.none());
-        return new OrderService(
-                control,
-                store,
-                settings,
-                "incarnation",
-                state,
-                new MemberTable("vm"),
-                new SilentRunners());
+        return OnlyVm.orders(control, store, state, new SilentRunners());
     }
 
     private CompletableFuture<StoredItem> replace(StoredItem item) {
--- a/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
@@ -9,14 +9,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.order.LoadOrder;
 import org.bronzelug.router.order.OrderOutcome;
 import org.bronzelug.router.order.OrderService;
 import org.bronzelug.router.order.RunnerReport;
-import org.bronzelug.router.settings.FleetBounds;
-import org.bronzelug.router.settings.LoadSettings;
-import org.bronzelug.router.settings.VmSettings;
 import org.bronzelug.router.store.ItemList;
 import org.bronzelug.router.store.ObjectStore;
 import org.bronzelug.router.store.StoreException;
@@ -75,26 +71,7 @@
                                     return CompletableFuture.failedFuture(
                                             new StoreException(problem, "rejected"));
                                 });
-        VmSettings settings =
-                new VmSettings(
-                        "vm",
-                        "z",
-                        "127.0.0.1:1",
-                        "127.0.0.1:2",
-                        "127.0.0.1:3",
-                        List.of(),
-                        true,
-                        1,
-                        new FleetBounds(0.2, 10, 50, 1, 3_000, 8_000, 8_000, 2_000, 0),
-                        LoadSettings.none());
-        return new OrderService(
-                control,
-                rejectingStore,
-                settings,
-                "incarnation",
-                state,
-                new MemberTable("vm"),
-                new UnusedRunners());
+        return OnlyVm.orders(control, rejectingStore, state, new UnusedRunners());
     }
 
     /** Runners that fail the test if they get a request. */
--- a/router/src/test/java/org/bronzelug/router/stream/SoleVersionWitnessTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/SoleVersionWitnessTest.java
@@ -14,9 +14,7 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
-import org.bronzelug.core.routing.WeightedPool;
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
@@ -39,19 +37,7 @@
     private static final Optional<RecentVersions> SILENT = Optional.empty();
     private static final Optional<RecentVersions> SAME_STORED = stored("v1");
     private static final Optional<RecentVersions> OTHER_STORED = stored("v1", "v2");
-    private static final Route ROUTE =
-            new Route(
-                    "r",
-                    "h",
-                    "/",
-                    true,
-                    RetryPolicy.RESUMABLE,
-                    true,
-                    60_000,
-                    100,
-                    0,
-                    2,
-                    List.of(new WeightedPool(POOL, 1)));
+    private static final Route ROUTE = ResumableRoute.to(POOL);
 
     private final EventLoop traffic = new DefaultEventLoop();
     private int reads;
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -19,9 +19,7 @@
 import net.jqwik.api.constraints.IntRange;
 import org.bronzelug.core.membership.ZoneSpread;
 import org.bronzelug.core.routing.EndpointEntry;
-import org.bronzelug.core.routing.RetryPolicy;
 import org.bronzelug.core.routing.Route;
-import org.bronzelug.core.routing.WeightedPool;
 import org.bronzelug.core.stream.OriginEvidence;
 import org.bronzelug.core.stream.StreamKey;
 import org.bronzelug.core.stream.StreamOrigin;
@@ -40,19 +38,7 @@
     private static final int HOLDERS = 3;
     private static final int ASKED_VMS = 6;
     private static final String UNKNOWN = "unknown";
-    private static final Route ROUTE =
-            new Route(
-                    "r",
-                    "h",
-                    "/",
-                    true,
-                    RetryPolicy.RESUMABLE,
-                    true,
-                    60_000,
-                    100,
-                    0,
-                    2,
-                    List.of(new WeightedPool(POOL, 1)));
+    private static final Route ROUTE = ResumableRoute.to(POOL);
 
     /** What the platform keeps of a pool that had one version for longer than a stream lasts. */
     private static final RecentVersions STORED =
