Comments and a name: what may be recorded of weights, what tests guard against

Cause: some sentences had to be read twice, and a method's name did not say what it allows. No code besides.

--- a/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
+++ b/core/src/main/java/org/bronzelug/core/routing/EndpointEntry.java
@@ -68,14 +68,14 @@
     }
 
     /**
-     * Returns whether to record the version of a model's weights that was observed at the endpoint.
+     * Returns whether to record the version of a model's weights that the endpoint has stated.
      * Callers choose the names of models: of those that the entry doesn't name, few are recorded,
      * and none that an entry can't contain.
      *
-     * @param observed the models of which a version is recorded
+     * @param recorded the models of which a version is recorded already
      */
-    public boolean mayObserve(String model, Set<String> observed) {
-        boolean room = observed.contains(model) || observed.size() < MAXIMUM_OBSERVED_MODELS;
+    public boolean mayRecordWeights(String model, Set<String> recorded) {
+        boolean room = recorded.contains(model) || recorded.size() < MAXIMUM_OBSERVED_MODELS;
         return isShort(model) && (weights.containsKey(model) || room);
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -118,7 +118,7 @@
             return false;
         }
         Map<String, Long> observed = observedWeights.computeIfAbsent(id, key -> new HashMap<>());
-        if (!entry.mayObserve(model, observed.keySet())) {
+        if (!entry.mayRecordWeights(model, observed.keySet())) {
             return false;
         }
         long latest =
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -40,7 +40,9 @@
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
     private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
-    /** Bounds the memory for each connection, as do hash codes in place of the callers' ids. */
+    /**
+     * Bounds the memory of a connection; callers' ids are kept as hash codes, as they may be long.
+     */
     private static final int REMEMBERED_IDS = 16;
 
     private final WireFormat wire;
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -241,7 +241,7 @@
      * unless the model's name, which the caller has chosen, may not be recorded.
      */
     public void recordWeights(String model, long version) {
-        if (entry.mayObserve(model, observedWeights.keySet())) {
+        if (entry.mayRecordWeights(model, observedWeights.keySet())) {
             observedWeights.merge(model, version, Math::max);
         }
     }
--- a/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
@@ -56,8 +56,8 @@
     }
 
     /**
-     * Guards against a model whose name no entry can contain, but a runner's report, a peer's state
-     * update or a caller: no endpoint could be read any more.
+     * Guards against a list of endpoints that can't be read any more: a caller, a runner's report
+     * or a peer's state update has named a model whose name is too long for an entry.
      */
     @Test
     void aModelWithALongNameIsNotRecorded() {
@@ -68,7 +68,7 @@
         assertThat(list.entries().get("a").weights()).containsExactly("model", 2L);
     }
 
-    /** Guards against as many names of models as callers choose, on all VMs. */
+    /** Guards against memory that grows with each model that callers name. */
     @Test
     void fewModelsAreRecordedThatTheEntryDoesNotName() {
         EndpointList list = new EndpointList();
--- a/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/EndpointStateTest.java
@@ -58,7 +58,7 @@
                 new AdaptivePools(false));
     }
 
-    /** Guards against as many names of models as callers choose, which all VMs are told. */
+    /** Guards against memory and state updates that grow with each model that callers name. */
     @Test
     void fewModelsAreRecordedThatTheEntryDoesNotName() {
         for (int number = 0; number < 1_000; number++) {
