A body with the request's own response within is not whole

Cause: a body that was cut off and that the endpoint's next response on the connection fills up exactly looked whole. Only bytes behind the body counted as a sign, and with an exact length, or with the rest of the next response in a later read, there are none.

Change: the head that follows a status line within a body is decoded. If it names the request in progress, the request ends as after a malformed head, before that part of the body is forwarded. The bodies of skipped responses are checked in the same way, so that a request whose own response was taken for a part of another one's body does not wait until its time limit. Bodies that quote other responses are forwarded.

A body filled up exactly by a response of another request, or of none, still looks whole.

--- a/router/src/main/java/org/bronzelug/router/endpoint/Desynchronization.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/Desynchronization.java
@@ -8,7 +8,7 @@
     UNKNOWN_VERSION("a response head has an unknown protocol version"),
     OTHER_REQUEST("a response to another request"),
     NO_REQUEST("a response without a request id"),
-    JOINED_BODY("bytes after a response whose body has a status line within"),
+    JOINED_BODY("a response whose body has another response within"),
     BYTES_AFTER_RESPONSE("bytes after a response"),
     TOO_MUCH_SKIPPED("too many bytes before the response");
 
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -16,7 +16,6 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
-import org.bronzelug.router.http.StatusLineScanner;
 import org.bronzelug.router.http.StatusLines;
 
 /**
@@ -57,7 +56,7 @@
     private boolean reusable = true;
     private boolean skippingResponse;
     private SkippedResponses skipped = new SkippedResponses();
-    private StatusLineScanner body = new StatusLineScanner();
+    private EmbeddedHeadScanner body = new EmbeddedHeadScanner();
     private boolean headSeen;
     private boolean responseEnded;
     private boolean endsWithConnection;
@@ -126,7 +125,7 @@
         recordCarried(id);
         headSeen = false;
         skipped = new SkippedResponses();
-        body = new StatusLineScanner();
+        body = new EmbeddedHeadScanner();
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
@@ -262,14 +261,16 @@
             endDesynchronized(Desynchronization.JOINED_HEADS);
             return;
         }
-        if (skippingResponse) {
-            skipped.addBytes(content.content().readableBytes());
+        body.scan(content.content());
+        if (hasOtherResponseWithin(last)) {
             content.release();
-            skippingResponse = !last;
-            failIfSkippingTooMuch();
+            endDesynchronized(Desynchronization.JOINED_BODY);
+            return;
+        }
+        if (skippingResponse) {
+            skipBody(content, last);
             return;
         }
-        body.scan(content.content());
         if (content.content().isReadable() && listener.isPresent()) {
             listener.get().onData(content.content());
         } else {
@@ -284,18 +285,38 @@
         }
     }
 
+    /**
+     * Returns whether the body, as far as it was read, was cut off and another response fills it
+     * up: the request's own one, or one that has filled it up and goes on behind it.
+     *
+     * @param last whether the body ends
+     */
+    private boolean hasOtherResponseWithin(boolean last) {
+        boolean goesOn = last && headSeen && decoder.hasUndecodedBytes();
+        return goesOn && body.hasStatusLine() || body.hasHead(this::isOwn, last);
+    }
+
+    private boolean isOwn(HttpResponse response) {
+        return ResponseMatch.of(response, requestId, wire) instanceof ResponseMatch.Own;
+    }
+
+    private void skipBody(HttpContent content, boolean last) {
+        skipped.addBytes(content.content().readableBytes());
+        content.release();
+        skippingResponse = !last;
+        if (last) {
+            body = new EmbeddedHeadScanner();
+        }
+        failIfSkippingTooMuch();
+    }
+
     /**
      * Ends the response once all that was read with it has been decoded. Bytes behind it may be the
-     * begin of an extra response, which the decoder would join with the next one, or the rest of
-     * one that has filled up a body that was cut off.
+     * begin of an extra response, which the decoder would join with the next one.
      */
     private void endResponse() {
-        if (!decoder.hasUndecodedBytes()) {
-            responseEnded = true;
-        } else if (body.hasFound()) {
-            endDesynchronized(Desynchronization.JOINED_BODY);
-        } else {
-            responseEnded = true;
+        responseEnded = true;
+        if (decoder.hasUndecodedBytes()) {
             rejectBytesAfterResponse();
         }
     }
--- a/router/src/main/java/org/bronzelug/router/http/StatusLineScanner.java
+++ b/router/src/main/java/org/bronzelug/router/http/StatusLineScanner.java
@@ -3,9 +3,9 @@
 import io.netty.buffer.ByteBuf;
 
 /**
- * Finds a status line within a body that arrives in parts, also across two parts.
+ * Finds status lines within a body that arrives in parts, also across two parts.
  *
- * <p>Invariant: once found, it stays found. Reads no part twice and keeps none. Not thread-safe.
+ * <p>Invariant: no part is changed or kept. Not thread-safe.
  */
 public final class StatusLineScanner {
     /** A digit stands for any digit. */
@@ -16,20 +16,32 @@
     /** The number of bytes of a status line that precede the next byte. */
     private int matched;
 
-    /** Scans the readable bytes of the next part, and doesn't consume them. */
-    public void scan(ByteBuf part) {
+    private boolean found;
+
+    /**
+     * Scans a part from an index to its end, or to the end of a status code.
+     *
+     * @return the index behind the status code; -1 if the part has no further status line
+     */
+    public int next(ByteBuf part, int fromIndex) {
         int end = part.writerIndex();
-        int index = part.readerIndex();
-        while (index < end && !hasFound()) {
+        int index = fromIndex;
+        while (index < end) {
             if (matched == 0) {
                 index = part.indexOf(index, end, STATUS_LINE[0]);
                 if (index < 0) {
-                    return;
+                    return -1;
                 }
             }
             add(part.getByte(index));
             index++;
+            if (matched == STATUS_LINE.length) {
+                matched = 0;
+                found = true;
+                return index;
+            }
         }
+        return -1;
     }
 
     private void add(byte next) {
@@ -46,8 +58,8 @@
         return expected == '0' ? next >= '0' && next <= '9' : next == expected;
     }
 
-    /** Returns whether a status line was found. */
+    /** Returns whether a status line was found in any part. */
     public boolean hasFound() {
-        return matched == STATUS_LINE.length;
+        return found;
     }
 }
--- a/router/src/test/java/org/bronzelug/router/http/StatusLineScannerTest.java
+++ b/router/src/test/java/org/bronzelug/router/http/StatusLineScannerTest.java
@@ -25,8 +25,8 @@
         byte[] bytes = body.getBytes(StandardCharsets.ISO_8859_1);
         for (int cut = 0; cut <= bytes.length; cut++) {
             StatusLineScanner scanner = new StatusLineScanner();
-            scanner.scan(Unpooled.wrappedBuffer(bytes, 0, cut));
-            scanner.scan(Unpooled.wrappedBuffer(bytes, cut, bytes.length - cut));
+            scanner.next(Unpooled.wrappedBuffer(bytes, 0, cut), 0);
+            scanner.next(Unpooled.wrappedBuffer(bytes, cut, bytes.length - cut), 0);
             assertThat(scanner.hasFound()).isEqualTo(found);
         }
     }
