One other VM keeps the origins of open streams of a pool's only version

Cause: while a pool has had a single version, the origin of a stream is known to the VM that began it alone, since any VM can conclude the version. It tells the others when a second version joins. A VM that stands still or is cut off at that time tells nobody, and callers that resume its streams elsewhere are refused until they give up.

Change: the origins of streams that are still open are copied to the first of their holders, all that have begun since the last copy in one message to each holder, every 500 ms at most. They still count as unshared, so that all holders and the platform get them when a second version joins.

--- a/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +14,7 @@
  *
  * <p>Invariants: the first origin of a stream that is recorded holds until the stream's caller has
  * given up, whatever is recorded later. At most {@link #MAXIMUM_ORIGINS} are kept, the latest ones.
- * Not thread-safe.
+ * An origin that was copied still counts as unshared. Not thread-safe.
  */
 public final class StreamOrigins {
     /** Some 4 MB, more than a VM begins and keeps within the time limit of a stream. */
@@ -21,6 +22,7 @@
 
     private final Map<StreamKey, StreamOrigin> origins = new LinkedHashMap<>();
     private final Map<StreamKey, StreamOrigin> unshared = new LinkedHashMap<>();
+    private final Set<StreamKey> uncopied = new LinkedHashSet<>();
 
     /** Records an origin that other VMs know as well. */
     public void record(StreamOrigin origin, long nowNanos) {
@@ -33,28 +35,31 @@
             StreamKey eldest = origins.keySet().iterator().next();
             origins.remove(eldest);
             unshared.remove(eldest);
+            uncopied.remove(eldest);
         }
     }
 
-    /** Records the origin of a stream of this VM that no other VM knows yet. */
+    /** Records the origin of a stream of this VM that no other VM keeps yet. */
     public void recordUnshared(StreamOrigin origin, long nowNanos) {
         record(origin, nowNanos);
         if (origin.equals(origins.get(origin.key()))) {
             unshared.put(origin.key(), origin);
+            uncopied.add(origin.key());
         }
     }
 
-    /** Returns the pools that have origins which no other VM knows. */
+    /** Returns the pools that have origins which are not shared. */
     public Set<String> unsharedPools() {
         return unshared.values().stream().map(StreamOrigin::pool).collect(Collectors.toSet());
     }
 
-    /** Returns the origins in a pool that no other VM knows; from now on they count as known. */
+    /** Returns the origins in a pool that are not shared; from now on they count as shared. */
     public List<StreamOrigin> takeUnshared(String pool, long nowNanos) {
         List<StreamOrigin> taken = new ArrayList<>();
         for (StreamOrigin origin : List.copyOf(unshared.values())) {
             if (origin.pool().equals(pool)) {
                 unshared.remove(origin.key());
+                uncopied.remove(origin.key());
                 if (origin.untilNanos() - nowNanos > 0) {
                     taken.add(origin);
                 }
@@ -63,6 +68,24 @@
         return taken;
     }
 
+    /**
+     * Returns the origins of open streams that are not shared and of which no other VM has a copy;
+     * from now on they count as copied.
+     */
+    public List<StreamOrigin> takeUncopied(long nowNanos) {
+        List<StreamOrigin> taken = new ArrayList<>();
+        for (StreamKey key : uncopied) {
+            find(key, nowNanos).ifPresent(taken::add);
+        }
+        uncopied.clear();
+        return taken;
+    }
+
+    /** Records that this VM has forwarded a whole stream, of which no copy is needed any more. */
+    public void recordComplete(StreamKey key) {
+        uncopied.remove(key);
+    }
+
     /** Returns the origin of a stream; empty if it is not known or the caller has given up. */
     public Optional<StreamOrigin> find(StreamKey key, long nowNanos) {
         return Optional.ofNullable(origins.get(key))
@@ -73,6 +96,7 @@
     public void expire(long nowNanos) {
         origins.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
         unshared.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
+        uncopied.retainAll(unshared.keySet());
     }
 
     /** Returns the number of origins kept. */
--- a/core/src/test/java/org/bronzelug/core/stream/StreamOriginsTest.java
+++ b/core/src/test/java/org/bronzelug/core/stream/StreamOriginsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -41,6 +42,33 @@
         assertThat(origins.find(begun.key(), 1)).hasValue(begun);
     }
 
+    /** Guards against copies that are sent again, or in place of what has to be shared. */
+    @Test
+    void anOriginIsCopiedOnceAndStaysUnshared() {
+        StreamOrigin begun = origin("r", "v1", 10);
+        origins.recordUnshared(begun, 0);
+        assertThat(origins.takeUncopied(1)).containsExactly(begun);
+        assertThat(origins.takeUncopied(1)).isEmpty();
+        assertThat(origins.takeUnshared("pool", 1)).containsExactly(begun);
+    }
+
+    /** Guards against messages of which nobody has a use. */
+    @Test
+    void onlyOriginsOfOpenUnsharedStreamsAreCopied() {
+        StreamOrigin complete = origin("complete", "v1", 10);
+        StreamOrigin shared = origin("shared", "v1", 10);
+        StreamOrigin expired = origin("expired", "v1", 3);
+        StreamOrigin open = origin("open", "v1", 10);
+        origins.recordUnshared(shared, 0);
+        assertThat(origins.takeUnshared("pool", 1)).containsExactly(shared);
+        for (StreamOrigin begun : List.of(complete, expired, open)) {
+            origins.recordUnshared(begun, 0);
+        }
+        origins.recordComplete(complete.key());
+        assertThat(origins.takeUncopied(5)).containsExactly(open);
+        assertThat(origins.find(complete.key(), 5)).hasValue(complete);
+    }
+
     @Test
     void theLatestOriginsAreKept() {
         for (int stream = 0; stream <= StreamOrigins.MAXIMUM_ORIGINS; stream++) {
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -32,8 +32,8 @@
  * asked: if all answer, they confirm a pool's only version without the platform.
  *
  * <p>Invariant: messages of this class carry nothing else, so that they change no member's state.
- * Confined to the control thread, except for {@link #keep}, {@link #ask}, {@link #askAll}, {@link
- * #find}, {@link #readVersions} and {@link #forget}.
+ * Confined to the control thread, except for {@link #keep}, {@link #copy}, {@link #ask}, {@link
+ * #askAll}, {@link #find}, {@link #readVersions} and {@link #forget}.
  */
 final class FleetStreamOrigins
         implements StreamOriginDirectory.Peers, StreamOriginDirectory.Archive {
@@ -74,11 +74,16 @@
     public void keep(List<StreamOrigin> begun) {
         control.execute(
                 () -> {
-                    sendToHolders(begun);
+                    sendToHolders(begun, HOLDERS);
                     stored.origins().add(begun);
                 });
     }
 
+    @Override
+    public void copy(List<StreamOrigin> begun) {
+        control.execute(() -> sendToHolders(begun, 1));
+    }
+
     @Override
     public void find(StreamKey key, Consumer<StreamOriginDirectory.ArchivedOrigin> onRead) {
         control.execute(
@@ -100,11 +105,12 @@
         control.execute(() -> stored.origins().forget(key));
     }
 
-    private void sendToHolders(List<StreamOrigin> begun) {
+    /** Sends each origin to the first of its holders. */
+    private void sendToHolders(List<StreamOrigin> begun, int count) {
         long nowNanos = System.nanoTime();
         Map<String, VmState.Builder> messages = new HashMap<>();
         for (StreamOrigin origin : begun) {
-            for (String holder : holders(origin.key(), nowNanos)) {
+            for (String holder : holders(origin.key(), count, nowNanos)) {
                 VmState.Builder message =
                         messages.computeIfAbsent(holder, address -> newMessage())
                                 .addStreamOrigins(StreamOriginMessages.encode(origin, nowNanos));
@@ -116,8 +122,8 @@
         messages.forEach((holder, message) -> gossip.sendTo(message.build(), holder));
     }
 
-    private List<String> holders(StreamKey key, long nowNanos) {
-        return peers(key, members.live(nowNanos), peer -> !peer.getStopping(), HOLDERS);
+    private List<String> holders(StreamKey key, int count, long nowNanos) {
+        return peers(key, members.live(nowNanos), peer -> !peer.getStopping(), count);
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/stream/OriginLookups.java
+++ b/router/src/main/java/org/bronzelug/router/stream/OriginLookups.java
@@ -77,6 +77,11 @@
             // No other VM could keep them.
         }
 
+        @Override
+        public void copy(List<StreamOrigin> begun) {
+            // No other VM could keep them.
+        }
+
         @Override
         public void ask(StreamKey key, String pool) {
             onAsked(key, 0, 1);
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -19,10 +19,11 @@
  *
  * <p>The VM that forwards a stream's first event records its origin. While the pool's past leaves
  * open which version began a stream, it also has some other VMs keep the record, since a caller
- * resumes a stream at another VM mostly because the first one has died. A VM without the record
- * asks these VMs. If none has it, the version is known if the pool has had a single one for as long
- * as a stream can last, which others have to confirm, or if the platform keeps the record of a VM
- * that has died.
+ * resumes a stream at another VM mostly because the first one has died. While the pool has a single
+ * version, one other VM gets a copy a little later, since a VM that stands still while a new
+ * version joins can't tell the others. A VM without the record asks these VMs. If none has it, the
+ * version is known if the pool has had a single one for as long as a stream can last, which others
+ * have to confirm, or if the platform keeps the record of a VM that has died.
  *
  * <p>Invariant: a version is never guessed. Confined to the traffic thread.
  */
@@ -30,9 +31,13 @@
     /** Time for which a caller may resume a stream after its time limit, including clock drift. */
     private static final long GRACE_MILLIS = 2_000;
 
+    /** Least time between two copies, each of the streams that have begun since and are open. */
+    private static final long COPY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final StreamOrigins origins = new StreamOrigins();
     private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
     private final OriginLookups lookups;
+    private long lastCopyNanos = System.nanoTime();
 
     public StreamOriginDirectory(EventLoop traffic) {
         lookups = new OriginLookups(traffic, origins, versions);
@@ -43,6 +48,9 @@
         /** Has some other VMs keep the origins of streams that this VM began. */
         void keep(List<StreamOrigin> begun);
 
+        /** Has one other VM keep a copy of the origins of streams that this VM began. */
+        void copy(List<StreamOrigin> begun);
+
         /**
          * Asks other VMs for an origin and the versions of a pool, all VMs of a small fleet; calls
          * {@link #onAsked} and {@link #onAnswer}.
@@ -128,6 +136,7 @@
         versions.update(endpoints, listCurrent, resumableRoutes);
         origins.expire(nowNanos);
         shareAmbiguous(nowNanos);
+        copyOpen(nowNanos);
     }
 
     /** Has other VMs keep the origins in pools that may have had several versions. */
@@ -139,6 +148,18 @@
         }
     }
 
+    /** Has another VM keep the origins of open streams in pools that have a single version. */
+    private void copyOpen(long nowNanos) {
+        if (nowNanos - lastCopyNanos < COPY_NANOS) {
+            return;
+        }
+        lastCopyNanos = nowNanos;
+        List<StreamOrigin> begun = origins.takeUncopied(nowNanos);
+        if (!begun.isEmpty()) {
+            lookups.peers().copy(begun);
+        }
+    }
+
     private void share(String pool, long nowNanos) {
         List<StreamOrigin> begun = origins.takeUnshared(pool, nowNanos);
         if (!begun.isEmpty()) {
@@ -167,6 +188,7 @@
 
     /** Records that this VM has forwarded all events of a stream that it began. */
     public void recordComplete(StreamKey key) {
+        origins.recordComplete(key);
         origins.find(key, System.nanoTime())
                 .filter(origin -> !versions.hasSole(origin.pool()))
                 .ifPresent(origin -> lookups.archive().forget(key));
--- a/router/src/test/java/org/bronzelug/router/stream/SoleVersionWitnessTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/SoleVersionWitnessTest.java
@@ -111,6 +111,11 @@
                         // No stream is resumed from a record.
                     }
 
+                    @Override
+                    public void copy(List<StreamOrigin> begun) {
+                        // No stream is resumed from a record.
+                    }
+
                     @Override
                     public void ask(StreamKey key, String pool) {
                         answer(key, asked);
--- a/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
+++ b/router/src/test/java/org/bronzelug/router/stream/StreamOriginDirectoryTest.java
@@ -119,10 +119,17 @@
 
             @Override
             public void keep(List<StreamOrigin> begun) {
-                for (StreamOrigin origin : begun) {
-                    for (String holder : peers(self, origin.key(), HOLDERS)) {
-                        send(() -> directories.get(holder).keep(origin));
-                    }
+                begun.forEach(origin -> sendToHolders(origin, HOLDERS));
+            }
+
+            @Override
+            public void copy(List<StreamOrigin> begun) {
+                begun.forEach(origin -> sendToHolders(origin, 1));
+            }
+
+            private void sendToHolders(StreamOrigin origin, int holders) {
+                for (String holder : peers(self, origin.key(), holders)) {
+                    send(() -> directories.get(holder).keep(origin));
                 }
             }
 
