The request's id in a body decides, whatever the head around it is

A body that ends within the status line of the next response looked whole, although the rest was at hand.

Change: after a status line, each line of a body is compared with the field that states the request's id; the rest of the head does not count. Each byte is read once, and one line is kept at most. Bytes behind a body may complete the status line that it ends within.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -56,7 +56,7 @@
     private boolean reusable = true;
     private boolean skippingResponse;
     private SkippedResponses skipped = new SkippedResponses();
-    private EmbeddedHeadScanner body = new EmbeddedHeadScanner();
+    private EmbeddedResponseScanner body;
     private boolean headSeen;
     private boolean responseEnded;
     private boolean endsWithConnection;
@@ -93,6 +93,7 @@
         this.wire = wire;
         this.owner = owner;
         this.relayVm = relayVm;
+        body = newScanner();
     }
 
     void bind(Channel opened) {
@@ -125,7 +126,7 @@
         recordCarried(id);
         headSeen = false;
         skipped = new SkippedResponses();
-        body = new EmbeddedHeadScanner();
+        body = newScanner();
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
@@ -285,19 +286,23 @@
         }
     }
 
+    private EmbeddedResponseScanner newScanner() {
+        return new EmbeddedResponseScanner(wire.requestIdField(), requestId);
+    }
+
     /**
-     * Returns whether the body, as far as it was read, was cut off and another response fills it
-     * up: the request's own one, or one that has filled it up and goes on behind it.
+     * Returns whether the body was cut off and is filled up by the request's own response, or by
+     * any response that goes on behind it.
      *
      * @param last whether the body ends
      */
     private boolean hasOtherResponseWithin(boolean last) {
+        if (body.hasResponse(last)) {
+            return true;
+        }
         boolean goesOn = last && headSeen && decoder.hasUndecodedBytes();
-        return goesOn && body.hasStatusLine() || body.hasHead(this::isOwn, last);
-    }
-
-    private boolean isOwn(HttpResponse response) {
-        return ResponseMatch.of(response, requestId, wire) instanceof ResponseMatch.Own;
+        return goesOn
+                && (body.hasStatusLine() || body.isStatusLineCompletedBy(decoder.undecodedBytes()));
     }
 
     private void skipBody(HttpContent content, boolean last) {
@@ -305,7 +310,7 @@
         content.release();
         skippingResponse = !last;
         if (last) {
-            body = new EmbeddedHeadScanner();
+            body = newScanner();
         }
         failIfSkippingTooMuch();
     }
--- a/router/src/main/java/org/bronzelug/router/endpoint/ResponseDecoder.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.bronzelug.router.endpoint;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
@@ -14,6 +15,11 @@
         return actualReadableBytes() > 0;
     }
 
+    /** Returns these bytes, for reading only. */
+    ByteBuf undecodedBytes() {
+        return internalBuffer();
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException("both a length and chunks");
--- a/router/src/main/java/org/bronzelug/router/exchange/WireFormat.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/WireFormat.java
@@ -26,6 +26,9 @@
      */
     void setDeadline(HttpHeaders headers, long millis);
 
+    /** Returns the name of the field of an endpoint's response that states its request's id. */
+    String requestIdField();
+
     /**
      * Returns whether the head of an endpoint's response has a field more than once that tells
      * which request it belongs to or that the endpoint has made it.
--- a/router/src/main/java/org/bronzelug/router/http/StatusLineScanner.java
+++ b/router/src/main/java/org/bronzelug/router/http/StatusLineScanner.java
@@ -58,6 +58,16 @@
         return expected == '0' ? next >= '0' && next <= '9' : next == expected;
     }
 
+    /**
+     * Returns whether the last part ends within a status line that further bytes complete. Counts
+     * them as scanned.
+     */
+    public boolean isCompletedBy(ByteBuf following) {
+        int begin = following.readerIndex();
+        int missing = STATUS_LINE.length - matched;
+        return matched > 0 && next(following, begin) == begin + missing;
+    }
+
     /** Returns whether a status line was found in any part. */
     public boolean hasFound() {
         return found;
--- a/router/src/test/java/org/bronzelug/router/traffic/NoWireFormat.java
+++ b/router/src/test/java/org/bronzelug/router/traffic/NoWireFormat.java
@@ -25,6 +25,11 @@
         throw new UnsupportedOperationException("nothing is sent");
     }
 
+    @Override
+    public String requestIdField() {
+        throw new UnsupportedOperationException("nothing is sent");
+    }
+
     @Override
     public boolean repeatsIdentity(HttpResponse response) {
         throw new UnsupportedOperationException("nothing is sent");
