Copies of stream origins are sent again, and to another zone

Change: a copy is due again after 2 s while its stream is open and its origin is not shared. It goes to the first holder in another availability zone, if there is one. The live VMs are read once for each message, not for each origin.

Result: StreamOriginsTest, StreamOriginDirectoryTest and SoleVersionWitnessTest pass, and so do all 10 cases of OutOfStepVmTest and 6 of RestartedFleetStreamsTest. Lost copies between real processes were not tried with the change.

--- a/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,7 +13,8 @@
  *
  * <p>Invariants: the first origin of a stream that is recorded holds until the stream's caller has
  * given up, whatever is recorded later. At most {@link #MAXIMUM_ORIGINS} are kept, the latest ones.
- * An origin that was copied still counts as unshared. Not thread-safe.
+ * An origin of which a copy was sent still counts as unshared, as the copy may be lost. Not
+ * thread-safe.
  */
 public final class StreamOrigins {
     /** Some 4 MB, more than a VM begins and keeps within the time limit of a stream. */
@@ -22,7 +22,7 @@
 
     private final Map<StreamKey, StreamOrigin> origins = new LinkedHashMap<>();
     private final Map<StreamKey, StreamOrigin> unshared = new LinkedHashMap<>();
-    private final Set<StreamKey> uncopied = new LinkedHashSet<>();
+    private final Map<StreamKey, Long> copyDueNanos = new LinkedHashMap<>();
 
     /** Records an origin that other VMs know as well. */
     public void record(StreamOrigin origin, long nowNanos) {
@@ -35,16 +35,16 @@
             StreamKey eldest = origins.keySet().iterator().next();
             origins.remove(eldest);
             unshared.remove(eldest);
-            uncopied.remove(eldest);
+            copyDueNanos.remove(eldest);
         }
     }
 
-    /** Records the origin of a stream of this VM that no other VM keeps yet. */
+    /** Records the origin of a stream of this VM that is not shared yet. */
     public void recordUnshared(StreamOrigin origin, long nowNanos) {
         record(origin, nowNanos);
         if (origin.equals(origins.get(origin.key()))) {
             unshared.put(origin.key(), origin);
-            uncopied.add(origin.key());
+            copyDueNanos.put(origin.key(), nowNanos);
         }
     }
 
@@ -59,7 +59,7 @@
         for (StreamOrigin origin : List.copyOf(unshared.values())) {
             if (origin.pool().equals(pool)) {
                 unshared.remove(origin.key());
-                uncopied.remove(origin.key());
+                copyDueNanos.remove(origin.key());
                 if (origin.untilNanos() - nowNanos > 0) {
                     taken.add(origin);
                 }
@@ -69,21 +69,25 @@
     }
 
     /**
-     * Returns the origins of open streams that are not shared and of which no other VM has a copy;
-     * from now on they count as copied.
+     * Returns the origins of open streams that are not shared and of which a copy is due: none was
+     * sent yet, or the last one some time ago, since nothing tells whether it arrived.
+     *
+     * @param repeatNanos time until the next copy is due
      */
-    public List<StreamOrigin> takeUncopied(long nowNanos) {
+    public List<StreamOrigin> takeDueCopies(long nowNanos, long repeatNanos) {
         List<StreamOrigin> taken = new ArrayList<>();
-        for (StreamKey key : uncopied) {
-            find(key, nowNanos).ifPresent(taken::add);
+        for (Map.Entry<StreamKey, Long> due : copyDueNanos.entrySet()) {
+            if (due.getValue() - nowNanos <= 0) {
+                find(due.getKey(), nowNanos).ifPresent(taken::add);
+                due.setValue(nowNanos + repeatNanos);
+            }
         }
-        uncopied.clear();
         return taken;
     }
 
-    /** Records that this VM has forwarded a whole stream, of which no copy is needed any more. */
+    /** Records that this VM has forwarded a whole stream, so that no copy of it is due again. */
     public void recordComplete(StreamKey key) {
-        uncopied.remove(key);
+        copyDueNanos.remove(key);
     }
 
     /** Returns the origin of a stream; empty if it is not known or the caller has given up. */
@@ -96,7 +100,7 @@
     public void expire(long nowNanos) {
         origins.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
         unshared.values().removeIf(origin -> origin.untilNanos() - nowNanos <= 0);
-        uncopied.retainAll(unshared.keySet());
+        copyDueNanos.keySet().retainAll(unshared.keySet());
     }
 
     /** Returns the number of origins kept. */
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.bronzelug.api.fleet.v1.StreamOriginAnswer;
 import org.bronzelug.api.fleet.v1.StreamOriginQuery;
 import org.bronzelug.api.fleet.v1.StreamOriginRecord;
@@ -24,8 +24,9 @@
 import org.bronzelug.router.stream.StreamOriginDirectory;
 
 /**
- * Exchanges the origins of streams with the other VMs, in datagrams that are neither acknowledged
- * nor sent again: a lost record is kept by the other holders, and a lost answer counts as none.
+ * Exchanges the origins of streams with the other VMs, in datagrams that are not acknowledged: a
+ * lost record is kept by the other holders, a lost copy is sent again later, and a lost answer
+ * counts as none.
  *
  * <p>Each stream has its holders: the first VMs of the {@link ZoneSpread} of its key. More VMs are
  * asked than keep a record, since VMs differ for a moment in who is live. In a small fleet all are
@@ -74,14 +75,14 @@
     public void keep(List<StreamOrigin> begun) {
         control.execute(
                 () -> {
-                    sendToHolders(begun, HOLDERS);
+                    send(begun, UnaryOperator.identity());
                     stored.origins().add(begun);
                 });
     }
 
     @Override
     public void copy(List<StreamOrigin> begun) {
-        control.execute(() -> sendToHolders(begun, 1));
+        control.execute(() -> send(begun, this::one));
     }
 
     @Override
@@ -105,12 +106,17 @@
         control.execute(() -> stored.origins().forget(key));
     }
 
-    /** Sends each origin to the first of its holders. */
-    private void sendToHolders(List<StreamOrigin> begun, int count) {
+    /** Sends the origins to some of the VMs that may become their holders. */
+    private void send(List<StreamOrigin> begun, UnaryOperator<List<VmState>> choice) {
         long nowNanos = System.nanoTime();
+        List<VmState> accepting =
+                states(members.live(nowNanos)).stream()
+                        .filter(peer -> !peer.getStopping())
+                        .toList();
         Map<String, VmState.Builder> messages = new HashMap<>();
         for (StreamOrigin origin : begun) {
-            for (String holder : holders(origin.key(), count, nowNanos)) {
+            for (VmState peer : choice.apply(first(HOLDERS, origin.key(), accepting))) {
+                String holder = peer.getPeersAddress();
                 VmState.Builder message =
                         messages.computeIfAbsent(holder, address -> newMessage())
                                 .addStreamOrigins(StreamOriginMessages.encode(origin, nowNanos));
@@ -122,8 +128,14 @@
         messages.forEach((holder, message) -> gossip.sendTo(message.build(), holder));
     }
 
-    private List<String> holders(StreamKey key, int count, long nowNanos) {
-        return peers(key, members.live(nowNanos), peer -> !peer.getStopping(), count);
+    /** Chooses one holder, in another availability zone than this VM if there is one. */
+    private List<VmState> one(List<VmState> holders) {
+        return holders.stream()
+                .filter(peer -> !peer.getAvailabilityZone().equals(settings.availabilityZone()))
+                .findFirst()
+                .or(() -> holders.stream().findFirst())
+                .stream()
+                .toList();
     }
 
     @Override
@@ -144,10 +156,10 @@
     private void ask(StreamKey key, String pool, int count) {
         long nowNanos = System.nanoTime();
         int fleetSize = members.fleetSize(nowNanos);
-        List<String> asked = peers(key, members.live(nowNanos), peer -> true, count);
+        List<VmState> asked = first(count, key, states(members.live(nowNanos)));
         if (asked.size() < Math.min(count, fleetSize / 2)) {
             // This VM may have stood still, so that no VM counts as live though all are.
-            asked = peers(key, members.notExpired(nowNanos), peer -> true, count);
+            asked = first(count, key, states(members.notExpired(nowNanos)));
         }
         int awaited = asked.size();
         traffic.execute(() -> directory.onAsked(key, awaited, fleetSize));
@@ -159,27 +171,26 @@
                                         .setKeyLow(key.low())
                                         .setPool(pool))
                         .build();
-        asked.forEach(address -> gossip.sendTo(query, address));
+        asked.forEach(peer -> gossip.sendTo(query, peer.getPeersAddress()));
+    }
+
+    private static List<VmState> states(List<Member> among) {
+        return among.stream().map(Member::state).toList();
     }
 
-    /** Returns the addresses of the first VMs of a stream's order. */
-    private List<String> peers(
-            StreamKey key, List<Member> among, Predicate<VmState> filter, int count) {
+    /** Returns the first VMs of a stream's order. */
+    private List<VmState> first(int count, StreamKey key, List<VmState> among) {
         Map<String, String> zones = new HashMap<>();
-        Map<String, String> addresses = new HashMap<>();
+        Map<String, VmState> peers = new HashMap<>();
         zones.put(settings.vm(), settings.availabilityZone());
-        among.stream()
-                .map(Member::state)
-                .filter(filter)
-                .forEach(
-                        peer -> {
-                            zones.put(peer.getVm(), peer.getAvailabilityZone());
-                            addresses.put(peer.getVm(), peer.getPeersAddress());
-                        });
+        for (VmState peer : among) {
+            zones.put(peer.getVm(), peer.getAvailabilityZone());
+            peers.put(peer.getVm(), peer);
+        }
         return ZoneSpread.order(key.toString(), zones).stream()
-                .filter(addresses::containsKey)
+                .filter(peers::containsKey)
                 .limit(count)
-                .map(addresses::get)
+                .map(peers::get)
                 .toList();
     }
 
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -31,9 +31,12 @@
     /** Time for which a caller may resume a stream after its time limit, including clock drift. */
     private static final long GRACE_MILLIS = 2_000;
 
-    /** Least time between two copies, each of the streams that have begun since and are open. */
+    /** Least time between two messages with copies. */
     private static final long COPY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** Time after which a copy is sent again, as it may be lost, or its receiver replaced. */
+    private static final long COPY_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final StreamOrigins origins = new StreamOrigins();
     private final PoolVersions versions = new PoolVersions(GRACE_MILLIS);
     private final OriginLookups lookups;
@@ -154,7 +157,7 @@
             return;
         }
         lastCopyNanos = nowNanos;
-        List<StreamOrigin> begun = origins.takeUncopied(nowNanos);
+        List<StreamOrigin> begun = origins.takeDueCopies(nowNanos, COPY_AGAIN_NANOS);
         if (!begun.isEmpty()) {
             lookups.peers().copy(begun);
         }
