--- a/core/src/main/java/org/bronzelug/core/stream/OriginEvidence.java
+++ b/core/src/main/java/org/bronzelug/core/stream/OriginEvidence.java
@@ -17,7 +17,7 @@
  * <p>The whole fleet is a witness whatever it reads: the VM that began the stream is one of those
  * that answer. A majority is the weakest witness, for an outage of the platform. It counts all VMs
  * that are known, live or not, so that a minority that is cut off can't conclude anything. VMs that
- * have stood still lately or have not watched the list don't count toward it. It still errs if a
+ * have stalled lately or have not watched the list don't count toward it. It still errs if a
  * majority has lost the platform, while a minority that it can't reach has not. Not thread-safe.
  */
 public final class OriginEvidence {
--- a/core/src/main/java/org/bronzelug/core/stream/StallDetector.java
+++ b/core/src/main/java/org/bronzelug/core/stream/StallDetector.java
@@ -3,9 +3,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tells whether this VM has stood still, from the times of its periodic updates by two clocks. The
- * monotonic clock shows a process that was stopped or starved; it may stand still itself while the
- * machine is suspended, which the clock of the day then shows.
+ * Detects stalls of this VM from the times of its periodic updates by two clocks. The monotonic
+ * clock shows a process that was stopped or starved; it may stand still itself while the machine is
+ * suspended, which the clock of the day then shows.
  *
  * <p>Invariant: a gap that has not been followed by an update yet counts as well, so that what is
  * decided first after a stall takes it into account. Not thread-safe.
@@ -43,7 +43,7 @@
         updateMillis = nowMillis;
     }
 
-    /** Returns whether this VM has stood still within a window before now. */
+    /** Returns whether this VM has stalled within a window before now. */
     public boolean hasStalled(long windowNanos, long nowNanos, long nowMillis) {
         boolean lately = stalled && nowNanos - stallEndNanos < windowNanos;
         return lately || isInGap(nowNanos, nowMillis);
--- a/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
+++ b/core/src/main/java/org/bronzelug/core/stream/StreamOrigins.java
@@ -70,7 +70,7 @@
 
     /**
      * Returns the origins of open streams that are not shared and of which a copy is due: none was
-     * sent yet, or the last one some time ago, since nothing tells whether it arrived.
+     * sent yet, or the last one was sent long enough ago. Copies are not acknowledged.
      *
      * @param repeatNanos time until the next copy is due
      */
--- a/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
+++ b/router/src/main/java/org/bronzelug/router/control/FleetStreamOrigins.java
@@ -158,7 +158,7 @@
         int fleetSize = members.fleetSize(nowNanos);
         List<VmState> asked = first(count, key, states(members.live(nowNanos)));
         if (asked.size() < Math.min(count, fleetSize / 2)) {
-            // This VM may have stood still, so that no VM counts as live though all are.
+            // This VM may have stalled, so that no VM counts as live though all are.
             asked = first(count, key, states(members.notExpired(nowNanos)));
         }
         int awaited = asked.size();
--- a/router/src/main/java/org/bronzelug/router/control/ObservedWeights.java
+++ b/router/src/main/java/org/bronzelug/router/control/ObservedWeights.java
@@ -7,8 +7,8 @@
 import org.bronzelug.core.routing.EndpointEntry;
 
 /**
- * Selects the observed weights that a state update tells. Callers choose the names of models that
- * their requests name, so there may be any number.
+ * Selects the observed weights that a state update contains. Callers choose the model names of
+ * their requests, so there may be any number.
  *
  * <p>Invariant: what it selects fits into a datagram beside the rest of a state update; models that
  * an endpoint's entry names come first. Stateless and thread-safe.
--- a/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
+++ b/router/src/main/java/org/bronzelug/router/stream/StreamOriginDirectory.java
@@ -20,10 +20,10 @@
  * <p>The VM that forwards a stream's first event records its origin. While the pool's past leaves
  * open which version began a stream, it also has some other VMs keep the record, since a caller
  * resumes a stream at another VM mostly because the first one has died. While the pool has a single
- * version, one other VM gets a copy a little later, since a VM that stands still while a new
- * version joins can't tell the others. A VM without the record asks these VMs. If none has it, the
- * version is known if the pool has had a single one for as long as a stream can last, which others
- * have to confirm, or if the platform keeps the record of a VM that has died.
+ * version, one other VM gets a copy a little later, since a VM that is suspended while a new
+ * version joins can't share its records. A VM without the record asks the VMs that may keep it. If
+ * none has it, the version is known if the pool has had a single one for as long as a stream can
+ * last, which others have to confirm, or if the platform keeps the record of a VM that has died.
  *
  * <p>Invariant: a version is never guessed. Confined to the traffic thread.
  */
