Reject responses with a malformed status line

What callers saw: an endpoint's response with status 000 was forwarded with that status, stamp and body; so were 001, 099, 0, 20, 600, 999 and 2000. 0200 and +200 became 200, and http/1.1 was taken for HTTP/1.1.

Cause: the library's decoder reads the status code with Integer.parseInt and accepts any number from 0 on. Nothing behind it asked whether the code is one of RFC 9110, section 15.

Change: ResponseDecoder accepts the versions 1.0 and 1.1 and codes of three digits from 100 to 599, for final and interim responses. What it rejects is bytes that are no response: the connection is closed, and the caller gets 502 or the response of another endpoint. The check of the version moves there from ResponseMatch. The decoder moves to router.http, where the router's own calls will use it.

--- a/router/src/main/java/org/bronzelug/router/endpoint/Desynchronization.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/Desynchronization.java
@@ -5,7 +5,6 @@
     NO_RESPONSE("bytes that are no response"),
     REPEATED_FIELD("a response head has a field twice that it has once at most"),
     JOINED_HEADS("a response head has a status line within"),
-    UNKNOWN_VERSION("a response head has an unknown protocol version"),
     OTHER_REQUEST("a response to another request"),
     NO_REQUEST("a response without a request id"),
     JOINED_BODY("a response whose body has another response within"),
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -16,6 +16,7 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.ResponseDecoder;
 import org.bronzelug.router.http.StatusLines;
 
 /**
--- a/router/src/main/java/org/bronzelug/router/endpoint/ResponseMatch.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/ResponseMatch.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.http.StatusLines;
@@ -47,10 +46,6 @@
     }
 
     private static Optional<Desynchronization> fault(HttpResponse response, WireFormat wire) {
-        HttpVersion version = response.protocolVersion();
-        if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
-            return Optional.of(Desynchronization.UNKNOWN_VERSION);
-        }
         if (StatusLines.areIn(response)) {
             return Optional.of(Desynchronization.JOINED_HEADS);
         }
