Reject responses with a transfer coding that is not decoded

What callers saw: a response with "Transfer-Encoding: gzip" and no length reached them with 200 and the coded bytes as the body; "xchunked" beside a length did so as well.

Cause: the router decodes chunks alone, but removes the field as one of the connection, whatever it names. RFC 9112, section 6.3, delimits such a body by the close of the connection; the body it codes is not known to a recipient that can't decode it. The router never asks for a coding.

Change: ResponseDecoder rejects heads whose transfer coding is anything but chunked, once.

--- a/router/src/main/java/org/bronzelug/router/http/ResponseDecoder.java
+++ b/router/src/main/java/org/bronzelug/router/http/ResponseDecoder.java
@@ -3,6 +3,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
@@ -14,12 +16,14 @@
 /**
  * Decodes responses strictly. The library's decoder accepts malformed heads and passes on another
  * status, field or body than the server has sent: it reads any whole number as a status code, drops
- * what lies between a blank in a field's name and the colon, and joins folded lines.
+ * what lies between a blank in a field's name and the colon, joins folded lines, and removes
+ * transfer codings that it does not decode.
  *
  * <p>Invariant: a head that is passed on without a failure has a status line and field names as RFC
- * 9112 defines them, no folded line, and not both a length and chunks, since two recipients could
- * take different bytes for the end of its body (section 6.3). Names in a trailer section are
- * checked in the same way. Confined to the event loop of its channel.
+ * 9112 defines them, no folded line, no transfer coding but chunked, and not both a length and
+ * chunks, since two recipients could take different bytes for the end of its body (section 6.3).
+ * Names in a trailer section are checked in the same way. Confined to the event loop of its
+ * channel.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
@@ -66,8 +70,21 @@
     }
 
     private void check(HttpResponse response) {
-        if (folded && response.decoderResult().isSuccess()) {
+        if (response.decoderResult().isFailure()) {
+            return;
+        }
+        if (folded) {
             fail(response, "folded line");
+            return;
+        }
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean decodable =
+                codings.isEmpty()
+                        || (codings.size() == 1
+                                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                        codings.get(0)));
+        if (!decodable) {
+            fail(response, "unknown transfer coding");
         }
     }
 
