Decode the responses to own calls strictly as well

The calls to the platform's store, to runners and to peers had the library's lenient decoder: a store's "0200" or "+200" was a success, a response with "Transfer Encoding: chunked" had the chunks' bytes as its body, and "HTTP/2.0" was accepted. An order's response is judged by its status alone, so that a malformed one counted as an accepted order.

ClientConnection uses ResponseDecoder, as the connections to endpoints do.

--- a/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
+++ b/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
@@ -11,7 +11,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -54,7 +53,7 @@
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
     private Optional<ChannelFuture> written = Optional.empty();
     private Optional<HttpResponse> head = Optional.empty();
-    private Optional<HttpResponseDecoder> decoder = Optional.empty();
+    private Optional<ResponseDecoder> decoder = Optional.empty();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int interimResponses;
     private boolean closedByServer;
@@ -99,7 +98,7 @@
         body = new ByteArrayOutputStream();
         interimResponses = 0;
         followed = false;
-        HttpResponseDecoder newDecoder = new HttpResponseDecoder();
+        ResponseDecoder newDecoder = new ResponseDecoder();
         decoder = Optional.of(newDecoder);
         channel.pipeline().addBefore(channel.pipeline().context(this).name(), null, newDecoder);
         timeout =
