A response without a length is incomplete if a reset follows the endpoint's close

What callers saw: an endpoint answered an upload of 1 MB with 200 and no length before it had read all of it, sent a part and broke off. The caller got the part as a complete response: always on the routes of single requests if the endpoint ended by close(), or by a half closure and a reset; on the streams if the part ended after an event.

Cause: the close of a socket with unread bytes is a FIN and, right behind it, a reset. The router took the FIN as the orderly end of the response. Reads never show the reset (the kernel returns the end of the stream), and the write of the request had long been accepted by the socket's buffers, so that its success says nothing about the endpoint.

Change: if a response ends by its connection and its request's body is larger than what is read along with a head, the FIN is held back from the decoder. It is passed on as the end once all of the request is written and no error is pending on the socket 100 ms later; else the response is broken off. A selector shows such an error on a connected channel as readiness to connect (documented for SelectionKey.OP_CONNECT), so that nothing has to be written to find out.

Responses with a length or chunks, and to requests with bodies up to 16 KB, take the same way as before and wait for nothing. A later reset than that, and one behind a small body, are not noticed.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -13,9 +13,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.ClientSocketChannel;
 import org.bronzelug.router.http.ResponseDecoder;
 import org.bronzelug.router.http.StatusLines;
 
@@ -33,11 +35,13 @@
  * response ends its request only when all that was read with it is decoded.
  *
  * <p>Invariant: a response without a length or chunks is complete only if the endpoint's orderly
- * close was read. A reset, a failed write and a close by this VM end the decoder's response too.
- * Confined to the traffic thread.
+ * close was read. A reset, a failed write and a close by this VM end the decoder's response too. If
+ * the endpoint may not have read the request's whole body, its close is orderly only if no reset
+ * follows it. Confined to the traffic thread.
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
+    private static final String RESET_BY_ENDPOINT = "reset by the endpoint behind its close";
     private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
     /**
@@ -62,6 +66,7 @@
     private boolean responseEnded;
     private boolean endsWithConnection;
     private boolean closedByEndpoint;
+    private boolean requestReadInParts;
     private long idleSinceNanos;
     private long lastReceivedNanos;
     private long idleLimitMillis = Long.MAX_VALUE;
@@ -128,6 +133,7 @@
         headSeen = false;
         skipped = new SkippedResponses();
         body = newScanner();
+        requestReadInParts = ClientSocketChannel.isReadInParts(request.content().readableBytes());
         written = Optional.of(channel.writeAndFlush(request));
         responseListener.onSent(use);
     }
@@ -441,10 +447,29 @@
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             if (event instanceof ChannelInputShutdownEvent) {
-                closedByEndpoint = true;
                 reusable = false;
+                if (listener.isPresent() && endsWithConnection && requestReadInParts) {
+                    verifyClose(context, event);
+                    return;
+                }
+                closedByEndpoint = true;
             }
             context.fireUserEventTriggered(event);
         }
+
+        /** Passes the close on once it is known that no reset follows it. */
+        private void verifyClose(ChannelHandlerContext context, Object event) {
+            if (channel instanceof ClientSocketChannel direct) {
+                direct.verifyClose(
+                        () -> {
+                            closedByEndpoint = true;
+                            context.fireUserEventTriggered(event);
+                        },
+                        () -> context.fireExceptionCaught(new IOException(RESET_BY_ENDPOINT)));
+            } else {
+                // The VM that relays the connection verifies the close, and ends it likewise.
+                closedByEndpoint = true;
+            }
+        }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
@@ -19,6 +18,7 @@
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
 import org.bronzelug.router.exchange.WireFormat;
+import org.bronzelug.router.http.ClientSocketChannel;
 import org.bronzelug.router.http.SocketSettings;
 import org.bronzelug.router.metrics.RouterMetrics;
 import org.bronzelug.router.relay.RelayTarget;
@@ -278,7 +278,7 @@
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(traffic)
-                        .channel(NioSocketChannel.class)
+                        .channel(ClientSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                         // Distinguishes the endpoint's close from any other end of the connection.
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/router/src/main/java/org/bronzelug/router/relay/RelayClientHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayClientHandler.java
@@ -19,7 +19,8 @@
  * the response, and then passes the endpoint's bytes on.
  *
  * <p>Invariant: the close of the endpoint's connection is passed on as on a direct one, by an event
- * if it was an orderly close, else by an exception. Confined to the traffic thread.
+ * if it was an orderly close, else by an exception. The relayed connection ends behind the event;
+ * it is reset if a reset has followed the endpoint's close. Confined to the traffic thread.
  */
 final class RelayClientHandler extends ChannelInboundHandlerAdapter {
     private final RelayTarget target;
@@ -75,7 +76,6 @@
         frame.release();
         closedByEndpoint = true;
         context.fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
-        context.close();
     }
 
     private void readResponse(ChannelHandlerContext context, byte[] bytes) {
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
@@ -13,7 +13,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.Optional;
@@ -21,6 +20,7 @@
 import org.bronzelug.api.fleet.v1.RelayResponse;
 import org.bronzelug.log.EventLog;
 import org.bronzelug.log.LogEvent;
+import org.bronzelug.router.http.ClientSocketChannel;
 import org.bronzelug.router.http.SocketSettings;
 import org.bronzelug.router.metrics.RouterMetrics;
 
@@ -95,7 +95,7 @@
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(traffic)
-                        .channel(NioSocketChannel.class)
+                        .channel(ClientSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MILLIS)
                         // Nothing may be passed on before the response to the request.
                         .option(ChannelOption.AUTO_READ, false)
@@ -167,7 +167,8 @@
 
     /**
      * The endpoint's side of a relayed connection. Only the endpoint's own close is passed on as an
-     * orderly one. Confined to the traffic thread.
+     * orderly one: it is stated at once, and followed by the close of the relayed connection, or by
+     * its reset if a reset follows the endpoint's close. Confined to the traffic thread.
      */
     private static final class EndpointHandler extends ChannelInboundHandlerAdapter {
         private final Channel peer;
@@ -196,11 +197,23 @@
             if (event instanceof ChannelInputShutdownEvent) {
                 closed = true;
                 // The empty frame of an orderly close.
-                peer.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-                context.close();
+                ChannelFuture stated = peer.writeAndFlush(Unpooled.EMPTY_BUFFER);
+                ((ClientSocketChannel) context.channel())
+                        .verifyClose(() -> end(context, stated), () -> reset(context));
             }
         }
 
+        private static void end(ChannelHandlerContext context, ChannelFuture stated) {
+            stated.addListener(ChannelFutureListener.CLOSE);
+            context.close();
+        }
+
+        private void reset(ChannelHandlerContext context) {
+            peer.config().setOption(ChannelOption.SO_LINGER, 0);
+            peer.close();
+            context.close();
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
