Own calls: a response behind whose end a reset follows fails the call

The calls to the store, to runners and to peers took the FIN of a socket that was closed with unread bytes for the end of a response without a length, as the connections to endpoints did: a store that breaks off within a large write acknowledged it.

--- a/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
+++ b/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
@@ -35,7 +35,8 @@
  * completely and nothing followed it; it is closed at the first byte that arrives while no call is
  * in progress. A call fails if bytes follow its response at once, since either can be the late
  * response to an earlier call. A response without a length is complete only if the server's orderly
- * close was read. Confined to the event loop.
+ * close was read, and no reset follows it if the server may not have read the whole request.
+ * Confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
     /** Larger than the largest response of the platform, a list page of a megabyte plus framing. */
@@ -45,6 +46,7 @@
     private static final int MAXIMUM_INTERIM_RESPONSES = 16;
 
     private static final String CLOSED_BY_SERVER = "connection closed";
+    private static final String RESET_BY_SERVER = "connection reset behind its close";
 
     private final InetSocketAddress address;
     private final Pool pool;
@@ -57,6 +59,7 @@
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int interimResponses;
     private boolean closedByServer;
+    private boolean requestReadInParts;
     private boolean followed;
 
     /** The connections to one address. */
@@ -108,6 +111,7 @@
                                         () -> onTimeout(timeoutMillis),
                                         timeoutMillis,
                                         TimeUnit.MILLISECONDS));
+        requestReadInParts = ClientSocketChannel.isReadInParts(request.content().readableBytes());
         written = Optional.of(channel.writeAndFlush(request));
     }
 
@@ -183,7 +187,7 @@
     }
 
     private void complete(HttpResponse whole) {
-        boolean endsWithConnection = BodyFraming.of(whole) == BodyFraming.CONNECTION_CLOSE;
+        boolean endsWithConnection = endsWithConnection(whole);
         if (endsWithConnection && !closedByServer) {
             fail("connection lost within a response that has no length");
             return;
@@ -205,6 +209,10 @@
                 new HttpClientResponse(whole.status().code(), whole.headers(), body.toByteArray()));
     }
 
+    private static boolean endsWithConnection(HttpResponse response) {
+        return BodyFraming.of(response) == BodyFraming.CONNECTION_CLOSE;
+    }
+
     /** Removes the decoder, which passes on what it has read beyond the end of the response. */
     private void removeDecoder() {
         decoder.ifPresent(used -> channel.pipeline().remove(used));
@@ -268,9 +276,23 @@
         @Override
         public void userEventTriggered(ChannelHandlerContext context, Object event) {
             if (event instanceof ChannelInputShutdownEvent) {
-                closedByServer = true;
+                boolean unframed = head.filter(ClientConnection::endsWithConnection).isPresent();
+                if (unframed
+                        && requestReadInParts
+                        && channel instanceof ClientSocketChannel direct) {
+                    direct.verifyClose(
+                            () -> passClose(context, event), () -> fail(RESET_BY_SERVER));
+                    return;
+                }
+                passClose(context, event);
+                return;
             }
             context.fireUserEventTriggered(event);
         }
+
+        private void passClose(ChannelHandlerContext context, Object event) {
+            closedByServer = true;
+            context.fireUserEventTriggered(event);
+        }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
+++ b/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -101,7 +100,7 @@
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
-                        .channel(NioSocketChannel.class)
+                        .channel(ClientSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, SocketSettings.CONNECT_MILLIS)
                         // Distinguishes the server's close from any other end of the connection.
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/router/src/test/java/org/bronzelug/router/http/CutOffCallTest.java
+++ b/router/src/test/java/org/bronzelug/router/http/CutOffCallTest.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -11,12 +12,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
@@ -32,6 +35,8 @@
     /** Time in which the client usually reads what was written. */
     private static final long READ_MILLIS = 2;
 
+    private static final int LARGE_BODY_BYTES = 1_000_000;
+
     private static final String WHOLE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole";
 
     private static final List<String> HEADS =
@@ -91,6 +96,38 @@
         assertThat(wrong.toString()).isEmpty();
     }
 
+    /**
+     * Guards against a part of a response to a write that looks whole, since the server closes its
+     * socket before it has read the request: a reset follows its FIN.
+     */
+    @ParameterizedTest
+    @EnumSource(End.class)
+    void aResponseBeforeTheEndOfTheRequestFailsTheCall(End end) throws Exception {
+        byte[] body = new byte[LARGE_BODY_BYTES];
+        try (RawServer server =
+                new RawServer((socket, number, path) -> endWithinRequest(socket, end))) {
+            PooledHttpClient client = new PooledHttpClient(loop, server.address());
+            CompletableFuture<HttpClientResponse> call =
+                    client.call(HttpMethod.PUT, "/", Map.of(), body, TIMEOUT_MILLIS);
+            assertThrows(
+                    ExecutionException.class, () -> call.get(WAIT_MILLIS, TimeUnit.MILLISECONDS));
+            client.close();
+        }
+    }
+
+    private static boolean endWithinRequest(Socket socket, End end) throws Exception {
+        RawServer.write(socket, "HTTP/1.1 200 OK\r\n\r\n{}");
+        TimeUnit.MILLISECONDS.sleep(READ_MILLIS);
+        if (end == End.HALF_CLOSE) {
+            socket.shutdownOutput();
+            TimeUnit.MILLISECONDS.sleep(READ_MILLIS);
+        }
+        if (end != End.CLOSE) {
+            socket.setSoLinger(true, 0);
+        }
+        return false;
+    }
+
     private static boolean respond(Socket socket) throws IOException {
         RawServer.write(socket, WHOLE);
         return true;
