A stop answers pipelined requests before it closes their connection

What callers saw: a VM that stops announced the close with its next response and closed the connection behind it. Requests that it had read whole by then, queued behind the one in progress, got no response at all; they had not been passed on, but a closed connection promises nothing, so that an unrepeatable request could not be sent again.

Change: the connection is closed by a stop, or because it is to close when idle, only behind the response to the last request that was read. A rejection that closes the connection, and a caller's own "close", still do so at once.

PlannedStopTest.pipelinedRequestsGetResponses: both cases failed before (the connection ended behind the first response), none does now.

--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -71,6 +71,7 @@
     private boolean starting;
     private boolean keepAlive = true;
     private boolean closeAfterResponse;
+    private boolean closeWhenIdle;
     private boolean closed;
 
     CallerConnection(RequestHandler handler, Channel channel) {
@@ -92,9 +93,12 @@
         return busy || unsent.isPending();
     }
 
-    /** Closes the connection: immediately if it is idle, otherwise when the response is sent. */
+    /**
+     * Closes the connection: immediately if it is idle, otherwise when the responses to all
+     * requests that were read are sent.
+     */
     public void closeWhenIdle() {
-        closeAfterResponse = true;
+        closeWhenIdle = true;
         if (!busy && !reader.isReading()) {
             closeAfterFlush();
         }
@@ -258,7 +262,7 @@
         busy = false;
         currentListener = Optional.empty();
         unsent.begin(written);
-        if (!keepAlive || closeAfterResponse) {
+        if (!keepAlive || closeAfterResponse || (closeWhenIdle && pipelined.isEmpty())) {
             closeAfterFlush();
             return;
         }
@@ -300,7 +304,7 @@
     }
 
     private void setConnectionHeader(HttpHeaders headers) {
-        closeAfterResponse |= handler.isStopping();
+        closeAfterResponse |= (closeWhenIdle || handler.isStopping()) && pipelined.isEmpty();
         if (closeAfterResponse || !keepAlive) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         } else {
