A stop rejects late requests that can't be expected to end in time

What callers saw: a request whose last byte arrived late in the grace period of a planned stop, long after the listener was closed, was passed on to an endpoint, on all routes. At the end of the grace period its connection was closed; a request that may run once only was lost with it.

Cause: the stop closed idle connections, but nothing asked about it when a request was sent: neither for new requests, nor for those that had waited for an endpoint, nor for retries, moves and resumptions.

Change: StopAdmission decides it. Else it is rejected at once with 503 and a Retry-After of 50 ms, as other VMs serve it, or failed with 502 if it may have run. A begun stream that has lost its endpoint ends at once, so that its caller resumes it elsewhere. Slow uploads to routes whose requests end quickly are served as before.

--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -13,6 +13,10 @@
 final class Abandonment {
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
+    private static final String STOPPING = "this VM stops";
+
+    /** Retry delay if other VMs serve the request at once. */
+    private static final long OTHER_VM_MILLIS = 50;
 
     private final TrafficState state;
     private final RouterMetrics metrics;
@@ -100,6 +104,27 @@
         }
     }
 
+    /** Gives the request up if it is not expected to end before this VM, and returns whether so. */
+    boolean giveUpIfLate(long nowNanos) {
+        if (admitted.endsBefore(state.stop(), nowNanos)) {
+            return false;
+        }
+        metrics.count("requests_given_up_by_stop");
+        shutDown();
+        return true;
+    }
+
+    private void shutDown() {
+        if (relay.hasBegun()) {
+            outcome.breakOff(STOPPING);
+        } else if (attempts.mayHaveRun()) {
+            outcome.fail(BAD_GATEWAY, STOPPING);
+        } else {
+            refund();
+            outcome.rejectNotRun(STOPPING, OTHER_VM_MILLIS);
+        }
+    }
+
     /** Gives the request up because it, or parts of its prompt, are under quarantine. */
     void giveUpQuarantined(PartAdmission.Rejected rejected) {
         String reason = PartGate.reason(rejected);
--- a/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.bronzelug.core.admission.AdmissionQueue;
+import org.bronzelug.core.admission.StopAdmission;
 import org.bronzelug.core.placement.PromptPriority;
 import org.bronzelug.core.routing.EndpointPool;
 import org.bronzelug.core.routing.RetryPolicy;
@@ -80,6 +81,13 @@
         return Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
     }
 
+    /** Returns whether a VM that stops may still send the request, by the local monotonic clock. */
+    boolean endsBefore(StopAdmission stop, long nowNanos) {
+        boolean repeatable = route.retryPolicy() != RetryPolicy.AT_MOST_ONCE;
+        long timeLimitNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis());
+        return stop.admits(route.name(), repeatable, timeLimitNanos, nowNanos);
+    }
+
     /** Returns the rank of the request's team and route, where lower ranks are served first. */
     int urgency() {
         return PromptPriority.of(
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -151,7 +151,7 @@
             abandonment.giveUp(DEADLINE_PASSED);
             return false;
         }
-        return hold.admits(continuation, nowNanos);
+        return !abandonment.giveUpIfLate(nowNanos) && hold.admits(continuation, nowNanos);
     }
 
     /** Starts an attempt at the chosen endpoint. */
@@ -353,6 +353,7 @@
         }
         relay.complete();
         streamVersion.complete();
+        responseStart.recordComplete(System.nanoTime());
         outcome.complete(relay.status());
     }
 
@@ -456,10 +457,6 @@
     }
 
     private void onTimeout() {
-        timeout = Optional.empty();
-        if (outcome.isDone()) {
-            return;
-        }
         attempt.abandon();
         abandonment.timeOut();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -89,11 +89,18 @@
     /**
      * Makes all connections close after their next response.
      *
-     * @param waitMillis time for which requests may still wait for an endpoint
+     * @param lateMillis time after which only requests that are expected to end are sent
+     * @param endMillis time for which requests may still wait for an endpoint, and by which they
+     *     are to end
      */
-    public void beginStop(long waitMillis) {
+    public void beginStop(long lateMillis, long endMillis) {
         stopping = true;
-        waiting.stopAfter(waitMillis);
+        waiting.stopAfter(endMillis);
+        long nowNanos = System.nanoTime();
+        state.stop()
+                .begin(
+                        nowNanos + lateMillis * NANOS_PER_MILLI,
+                        nowNanos + endMillis * NANOS_PER_MILLI);
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
@@ -64,6 +64,11 @@
         }
     }
 
+    /** Records that the caller's response is complete. */
+    void recordComplete(long nowNanos) {
+        state.stop().recordDuration(admitted.route().name(), nowNanos - admitted.arrivedNanos());
+    }
+
     boolean hasBegun() {
         return firstDataNanos.isPresent();
     }
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -12,8 +12,9 @@
 
 /**
  * Stops a VM without interrupting a request. The VM is no longer announced to callers, but
- * continues to serve those that still use its address. After 2.5 s it accepts no new connections,
- * and the stop is complete when the last response has been sent and the peers have closed the
+ * continues to serve those that still use its address. After 2.5 s, or half of a shorter grace
+ * period, it accepts no new connections and sends only requests that are expected to end in time.
+ * The stop is complete when the last response has been sent and the peers have closed the
  * connections that this VM relays for them.
  *
  * <p>Runs once, on the thread that calls {@link #run}.
@@ -40,6 +41,7 @@
     private final RelayServer relay;
     private final ControlService control;
     private final CountDownLatch done = new CountDownLatch(1);
+    private final long listenMillis;
     private long startNanos;
 
     public GracefulStop(
@@ -55,6 +57,7 @@
         this.ingress = ingress;
         this.relay = relay;
         this.control = control;
+        listenMillis = Math.min(KEEP_LISTENING_MILLIS, bounds.graceMillis() / 2);
     }
 
     /**
@@ -64,8 +67,8 @@
         startNanos = System.nanoTime();
         control.beginStop();
         long waitMillis = bounds.graceMillis() - SHUTDOWN_MARGIN_MILLIS - REJECTION_MARGIN_MILLIS;
-        traffic.execute(() -> forwarder.beginStop(waitMillis));
-        traffic.schedule(this::closeListener, KEEP_LISTENING_MILLIS, TimeUnit.MILLISECONDS);
+        traffic.execute(() -> forwarder.beginStop(listenMillis, waitMillis));
+        traffic.schedule(this::closeListener, listenMillis, TimeUnit.MILLISECONDS);
         traffic.schedule(this::check, CHECK_MILLIS, TimeUnit.MILLISECONDS);
         try {
             boolean drained =
@@ -88,7 +91,7 @@
     private void check() {
         long elapsedMillis = (System.nanoTime() - startNanos) / 1_000_000;
         boolean idle = ingress.busyCount() == 0 && relay.connectionCount() == 0;
-        if (elapsedMillis > KEEP_LISTENING_MILLIS && idle) {
+        if (elapsedMillis > listenMillis && idle) {
             done.countDown();
             return;
         }
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -7,6 +7,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.bronzelug.core.admission.StopAdmission;
 import org.bronzelug.core.routing.RoutingConfiguration;
 import org.bronzelug.router.exchange.WireFormat;
 import org.bronzelug.router.metrics.RouterMetrics;
@@ -35,6 +36,7 @@
     private final PoisonDirectory poison;
     private final RetryBudgets retries;
     private final TeamShares shares;
+    private final StopAdmission stop = new StopAdmission();
     private Runnable updateListener = () -> {};
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
@@ -164,6 +166,11 @@
         return shares;
     }
 
+    /** Returns which requests are still sent once this VM stops. */
+    public StopAdmission stop() {
+        return stop;
+    }
+
     public RetryBudgets retries() {
         return retries;
     }
