A stop answers requests that are open at the end of the grace period

What callers saw: a request without a response at the end of the grace period ended with a closed connection, which a caller can't tell from a lost network.

Change: GracefulStop has the open requests answered before the process goes, at the time at which it gave up on them before: 502 if a request may have run, 503 if not. A response that has begun is broken off as before.

--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -114,7 +114,8 @@
         return true;
     }
 
-    private void shutDown() {
+    /** Gives the request up because this VM ends. */
+    void shutDown() {
         if (relay.hasBegun()) {
             outcome.breakOff(STOPPING);
         } else if (attempts.mayHaveRun()) {
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -461,6 +461,12 @@
         abandonment.timeOut();
     }
 
+    @Override
+    public void onShutdown() {
+        attempt.abandon();
+        abandonment.shutDown();
+    }
+
     @Override
     public void onCallerClosed() {
         attempt.abandon();
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -55,6 +55,11 @@
                 public void onWritable(boolean writable) {
                     // The response was written whole.
                 }
+
+                @Override
+                public void onShutdown() {
+                    // The response was written whole.
+                }
             };
 
     private final EventLoop traffic;
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamResumption.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamResumption.java
@@ -113,6 +113,14 @@
         }
     }
 
+    @Override
+    public void onShutdown() {
+        exchange.ifPresent(CallerListener::onShutdown);
+        if (!decided) {
+            onUnknown("this VM stops", 0);
+        }
+    }
+
     @Override
     public void onWritable(boolean writable) {
         exchange.ifPresent(forwarding -> forwarding.onWritable(writable));
--- a/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerConnection.java
@@ -104,6 +104,12 @@
         }
     }
 
+    /** Has the request in progress answered, since the VM ends, and then those queued behind it. */
+    void shutDown() {
+        closeWhenIdle();
+        currentListener.ifPresent(CallerListener::onShutdown);
+    }
+
     /** Writes the head of a response whose body follows in chunks. */
     public void writeHead(int status, HttpHeaders headers, OptionalLong length) {
         DefaultHttpResponse response =
--- a/router/src/main/java/org/bronzelug/router/ingress/CallerListener.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/CallerListener.java
@@ -11,4 +11,10 @@
      * @param writable whether more of the response can be written now
      */
     void onWritable(boolean writable);
+
+    /**
+     * Called when the VM ends before the response is complete. Completes it if no part of it was
+     * sent.
+     */
+    void onShutdown();
 }
--- a/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/GracefulStop.java
@@ -15,7 +15,8 @@
  * continues to serve those that still use its address. After 2.5 s, or half of a shorter grace
  * period, it accepts no new connections and sends only requests that are expected to end in time.
  * The stop is complete when the last response has been sent and the peers have closed the
- * connections that this VM relays for them.
+ * connections that this VM relays for them. Requests that are still open near the end of the grace
+ * period are answered, unless a part of their response was sent.
  *
  * <p>Runs once, on the thread that calls {@link #run}.
  */
@@ -29,6 +30,9 @@
     /** The end of the grace period that is reserved for shutting down. */
     private static final long SHUTDOWN_MARGIN_MILLIS = 700;
 
+    /** Time for the responses to requests that are open at the end of the grace period. */
+    private static final long RESPONSE_MILLIS = 100;
+
     /** Time before that in which callers get the rejections of requests that still wait. */
     private static final long REJECTION_MARGIN_MILLIS = 300;
 
@@ -76,6 +80,8 @@
                             bounds.graceMillis() - SHUTDOWN_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
             if (!drained) {
                 EventLog.warn(LogEvent.DRAIN_INCOMPLETE, "connections are closed within responses");
+                traffic.submit(ingress::answerOpenRequests)
+                        .await(RESPONSE_MILLIS, TimeUnit.MILLISECONDS);
             }
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
--- a/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
+++ b/router/src/main/java/org/bronzelug/router/ingress/IngressServer.java
@@ -93,6 +93,14 @@
         Set.copyOf(connections).forEach(CallerConnection::closeWhenIdle);
     }
 
+    /**
+     * Has the requests in progress answered, since the VM ends. Must be called on the traffic
+     * thread.
+     */
+    public void answerOpenRequests() {
+        Set.copyOf(connections).forEach(CallerConnection::shutDown);
+    }
+
     /**
      * Returns the number of connections with a request or an unsent response. Must be called on the
      * traffic thread.
--- a/router/src/test/java/org/bronzelug/router/ingress/CallerConnectionTest.java
+++ b/router/src/test/java/org/bronzelug/router/ingress/CallerConnectionTest.java
@@ -91,6 +91,9 @@
 
                 @Override
                 public void onWritable(boolean writable) {}
+
+                @Override
+                public void onShutdown() {}
             };
         }
 
