Bound the frames that a relaying VM may send

A frame of a relayed connection was buffered whole up to 64 MB, the bound of requests, in both directions. A VM that relays announces frames of what it has read at once from an endpoint; one that breaks off within a larger one, or a process that took its port, had the other VM buffer nearly all of its direct memory.

--- a/router/src/main/java/org/bronzelug/router/relay/RelayConnector.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayConnector.java
@@ -49,7 +49,7 @@
                                 new ChannelInitializer<SocketChannel>() {
                                     @Override
                                     protected void initChannel(SocketChannel channel) {
-                                        RelayFraming.addTo(channel.pipeline());
+                                        RelayFraming.addToClient(channel.pipeline());
                                         channel.pipeline().addLast(handler);
                                     }
                                 });
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServer.java
@@ -106,7 +106,7 @@
             }
             connections.add(channel);
             channel.closeFuture().addListener(closed -> connections.remove(channel));
-            RelayFraming.addTo(channel.pipeline());
+            RelayFraming.addToServer(channel.pipeline());
             channel.pipeline().addLast(new RelayServerHandler(traffic, directory, metrics));
         }
     }
