--- a/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
+++ b/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
@@ -39,9 +39,6 @@
  * Confined to the event loop.
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
-    /** Larger than the largest response of the platform, a list page of a megabyte plus framing. */
-    private static final int MAXIMUM_RESPONSE_BYTES = 8 * 1_048_576;
-
     /** Maximum number of interim responses (1xx) to one request. */
     private static final int MAXIMUM_INTERIM_RESPONSES = 16;
 
@@ -50,6 +47,7 @@
 
     private final InetSocketAddress address;
     private final Pool pool;
+    private final int maximumResponseBytes;
     private Channel channel;
     private Optional<CompletableFuture<HttpClientResponse>> pendingResponse = Optional.empty();
     private Optional<ScheduledFuture<?>> timeout = Optional.empty();
@@ -74,9 +72,10 @@
         void onTimeout();
     }
 
-    ClientConnection(InetSocketAddress address, Pool pool) {
+    ClientConnection(InetSocketAddress address, Pool pool, int maximumResponseBytes) {
         this.address = address;
         this.pool = pool;
+        this.maximumResponseBytes = maximumResponseBytes;
     }
 
     void bind(Channel opened) {
@@ -170,10 +169,12 @@
         if (pendingResponse.isEmpty() || head.isEmpty()) {
             return;
         }
-        append(content.content());
-        if (body.size() > MAXIMUM_RESPONSE_BYTES) {
+        if (content.content().readableBytes() > maximumResponseBytes - body.size()) {
             fail("the response is too large");
-        } else if (content instanceof LastHttpContent) {
+            return;
+        }
+        append(content.content());
+        if (content instanceof LastHttpContent) {
             complete(head.get());
         }
     }
--- a/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
+++ b/router/src/main/java/org/bronzelug/router/http/PooledHttpClient.java
@@ -32,13 +32,25 @@
  * which any thread may call.
  */
 public final class PooledHttpClient {
+    /** Larger than the largest response of the platform, a list page of a megabyte plus framing. */
+    private static final int LARGE_RESPONSE_BYTES = 8 * 1_048_576;
+
     private final EventLoop loop;
     private final InetSocketAddress address;
+    private final int maximumResponseBytes;
     private final Deque<ClientConnection> idle = new ArrayDeque<>();
 
     public PooledHttpClient(EventLoop loop, InetSocketAddress address) {
+        this(loop, address, LARGE_RESPONSE_BYTES);
+    }
+
+    /**
+     * @param maximumResponseBytes size of a response's body in bytes above which the call fails
+     */
+    public PooledHttpClient(EventLoop loop, InetSocketAddress address, int maximumResponseBytes) {
         this.loop = loop;
         this.address = address;
+        this.maximumResponseBytes = maximumResponseBytes;
     }
 
     /**
@@ -96,7 +108,8 @@
             sendIf(idleConnection, maySend, request, response, timeoutMillis);
             return;
         }
-        ClientConnection connection = new ClientConnection(address, new IdleConnections());
+        ClientConnection connection =
+                new ClientConnection(address, new IdleConnections(), maximumResponseBytes);
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
