Daemon: bound what is kept of a response

The calls of the daemon module to runners and to the platform kept all that arrived: a runner or platform in trouble that sends bytes without end fills the memory of the process long before a call times out (a completion has no such time at all).

--- /dev/null
+++ b/daemon/src/main/java/org/bronzelug/daemon/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the HTTP clients of the daemon have in common. */
+package org.bronzelug.daemon.http;
--- a/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -15,6 +16,7 @@
 import okhttp3.RequestBody;
 import okhttp3.Response;
 import org.bronzelug.core.configuration.VersionedObject;
+import org.bronzelug.daemon.http.BoundedBody;
 import org.bronzelug.router.http.JsonBody;
 
 /**
@@ -72,7 +74,7 @@
                 return Optional.empty();
             }
             requireSuccess(response);
-            return Optional.of(toObject(JsonBody.parseObject(response.body().bytes())));
+            return Optional.of(toObject(JsonBody.parseObject(BoundedBody.read(response.body()))));
         } catch (IOException failed) {
             throw new PlatformException("reading " + key + " failed", failed);
         }
@@ -94,7 +96,11 @@
         try (Response response = execute(request)) {
             long version = 0;
             if (response.isSuccessful() || response.code() == CONFLICT) {
-                version = Long.parseLong(response.body().string());
+                version =
+                        Long.parseLong(
+                                new String(
+                                        BoundedBody.read(response.body()),
+                                        StandardCharsets.US_ASCII));
             }
             if (response.code() == CONFLICT) {
                 return new WriteResult.Conflict(version);
@@ -120,7 +126,7 @@
     private Listing listing(HttpUrl url) throws PlatformException {
         try (Response response = execute(new Request.Builder().url(url).build())) {
             requireSuccess(response);
-            JsonNode responseBody = JsonBody.parseObject(response.body().bytes());
+            JsonNode responseBody = JsonBody.parseObject(BoundedBody.read(response.body()));
             List<VersionedObject> objects = new ArrayList<>();
             responseBody.path("objects").forEach(node -> objects.add(toObject(node)));
             return new Listing(responseBody.path("revision").asLong(), objects);
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
@@ -21,6 +21,7 @@
 import okhttp3.Response;
 import okio.BufferedSource;
 import org.bronzelug.core.stream.StreamGapException;
+import org.bronzelug.daemon.http.BoundedBody;
 import org.bronzelug.daemon.settings.Settings;
 import org.bronzelug.router.http.JsonBody;
 
@@ -94,14 +95,14 @@
     private void readChunks(Endpoint endpoint, BufferedSource source, CompletionListener listener)
             throws IOException, RunnerException, StreamGapException {
         while (true) {
-            String line = source.readUtf8Line();
-            if (line == null) {
+            Optional<String> line = BoundedBody.readLine(source);
+            if (line.isEmpty()) {
                 throw new RunnerException(
                         endpoint.name() + " ended the stream without the end line", false);
             }
             // Once the first chunk has arrived, a longer pause means that the engine is frozen.
             source.timeout().timeout(silenceMillis, TimeUnit.MILLISECONDS);
-            JsonNode node = JSON.readTree(line);
+            JsonNode node = JSON.readTree(line.get());
             if (node.path("cancelled").asBoolean(false)) {
                 throw new RunnerException(
                         endpoint.name() + " reported that the generation was cancelled", false);
@@ -122,7 +123,7 @@
         RequestBody requestBody = RequestBody.create(body, JSON_MEDIA_TYPE);
         Call call = stateHttp.newCall(post(endpoint, "/v1/cancel", requestBody).build());
         try (Response response = call.execute()) {
-            response.body().bytes();
+            BoundedBody.read(response.body());
         } catch (IOException unreachable) {
             // The engine is unreachable; there is nothing more to do for the generation.
             return;
@@ -134,7 +135,7 @@
         Request request = new Request.Builder().url(endpoint.url() + "/v1/state").build();
         try (Response response = stateHttp.newCall(request).execute()) {
             requireSuccess(endpoint, response);
-            return toReport(JsonBody.parseObject(response.body().bytes()));
+            return toReport(JsonBody.parseObject(BoundedBody.read(response.body())));
         } catch (IOException unreachable) {
             throw new RunnerException(
                     endpoint.name() + " did not answer the state request", true, unreachable);
@@ -188,7 +189,7 @@
         }
         try (Response response = call.execute()) {
             requireSuccess(endpoint, response);
-            return response.body().bytes();
+            return BoundedBody.read(response.body());
         } catch (ConnectException neverSent) {
             throw new RunnerException(endpoint.name() + " refused the connection", true, neverSent);
         } catch (IOException broken) {
