Daemon: fail calls whose response has a malformed head

The client library of the daemon module keeps lines that are no fields. "Content Length: 1" or an unknown transfer coding then left the close of the connection to delimit the body, and "Transfer Encoding: chunked" would have given an action's caller the chunks' bytes. A network interceptor checks names and codings of each response, as ResponseDecoder does for the router. Malformed status codes failed a call before, since they are no success.

--- a/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/platform/PlatformClient.java
@@ -17,6 +17,7 @@
 import okhttp3.Response;
 import org.bronzelug.core.configuration.VersionedObject;
 import org.bronzelug.daemon.http.BoundedBody;
+import org.bronzelug.daemon.http.StrictResponses;
 import org.bronzelug.router.http.JsonBody;
 
 /**
@@ -42,6 +43,7 @@
                 new OkHttpClient.Builder()
                         .callTimeout(CALL_TIMEOUT)
                         .retryOnConnectionFailure(false)
+                        .addNetworkInterceptor(new StrictResponses())
                         .build();
     }
 
--- a/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
+++ b/daemon/src/main/java/org/bronzelug/daemon/runner/RunnerClient.java
@@ -22,6 +22,7 @@
 import okio.BufferedSource;
 import org.bronzelug.core.stream.StreamGapException;
 import org.bronzelug.daemon.http.BoundedBody;
+import org.bronzelug.daemon.http.StrictResponses;
 import org.bronzelug.daemon.settings.Settings;
 import org.bronzelug.router.http.JsonBody;
 
@@ -62,6 +63,7 @@
                         .connectTimeout(CONNECT_TIMEOUT)
                         .readTimeout(Duration.ZERO)
                         .retryOnConnectionFailure(false)
+                        .addNetworkInterceptor(new StrictResponses())
                         .build();
         stateHttp = http.newBuilder().callTimeout(STATE_TIMEOUT).build();
         orderHttp = http.newBuilder().callTimeout(ORDER_TIMEOUT).build();
