A verified close of a connection that has ended meanwhile is left alone

If a connection ends while its server's close is verified, verifyClose reports a reset. A relaying VM then set an option on the other connection, which may have been closed as well: an exception in the task, once for each relayed connection that ends in an orderly way. A direct connection passed an exception on to handlers that were removed. By reading; callers were not affected. The relaying VM now resets open connections only, and the direct one fails its request, if there is one, as the own calls do.

BrokenUploadTest and RelayedConnectionTest pass; build, format and lint of all modules pass.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import org.bronzelug.router.exchange.WireFormat;
@@ -41,7 +40,8 @@
  */
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
     private static final String CLOSED_BY_ENDPOINT = "connection closed by the endpoint";
-    private static final String RESET_BY_ENDPOINT = "reset by the endpoint behind its close";
+    private static final String RESET_BY_ENDPOINT =
+            "connection reset by the endpoint behind its close";
     private static final String LOST_WITHIN_HEAD = "connection lost within the head of a response";
 
     /**
@@ -465,9 +465,9 @@
                             closedByEndpoint = true;
                             context.fireUserEventTriggered(event);
                         },
-                        () -> context.fireExceptionCaught(new IOException(RESET_BY_ENDPOINT)));
+                        () -> fail(RESET_BY_ENDPOINT));
             } else {
-                // The VM that relays the connection verifies the close, and ends it likewise.
+                // The VM that relays the connection verifies the close, and closes or resets it.
                 closedByEndpoint = true;
             }
         }
--- a/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
+++ b/router/src/main/java/org/bronzelug/router/relay/RelayServerHandler.java
@@ -209,8 +209,10 @@
         }
 
         private void reset(ChannelHandlerContext context) {
-            peer.config().setOption(ChannelOption.SO_LINGER, 0);
-            peer.close();
+            if (peer.isActive()) {
+                peer.config().setOption(ChannelOption.SO_LINGER, 0);
+                peer.close();
+            }
             context.close();
         }
 
