--- a/core/src/main/java/org/bronzelug/core/admission/StopAdmission.java
+++ b/core/src/main/java/org/bronzelug/core/admission/StopAdmission.java
@@ -9,13 +9,13 @@
  *
  * <p>Load pattern: a planned stop under traffic. Requests go on arriving on open connections, from
  * slow uploads and from the queue, until the process ends, and what is in progress then is cut off.
- * From a time on, a request is sent only if it is expected to end before, by its time limit or by
- * the durations of the latest requests of its route. A request that may run once only is lost with
- * its response, so that nearly all of the latest ones must have been short enough; one that may be
- * repeated is sent if half of them were.
+ * Late in the stop, a request is sent only if it is expected to end before the process does. That
+ * is so if its time limit ends before, or if the latest requests of its route were short enough:
+ * nearly all of them for a request that may run once only, since its caller can't repeat it, and
+ * half of them for any other.
  *
- * <p>Invariants: before that time, and while the VM doesn't stop, all requests are sent; memory is
- * bounded for each route. Not thread-safe: guarded by its owner.
+ * <p>Invariants: while the VM does not stop, and early in the stop, all requests are sent. Memory
+ * is bounded for each route. Not thread-safe: guarded by its owner.
  */
 public final class StopAdmission {
     /** Number of requests of a route whose durations are kept. */
@@ -44,7 +44,11 @@
             known = Math.min(known + 1, REMEMBERED);
         }
 
-        /** Returns the duration that a fraction of the requests did not exceed, if it is known. */
+        /**
+         * Returns the duration that a fraction of the requests did not exceed.
+         *
+         * @param unknown returned if too few durations are known
+         */
         long quantile(double fraction, long unknown) {
             if (known < LEAST_REMEMBERED) {
                 return unknown;
@@ -63,13 +67,13 @@
     /**
      * Records that the VM stops.
      *
-     * @param late the time from which requests must be expected to end in time
-     * @param end the time at which requests in progress are cut off
+     * @param lateFromNanos the time from which requests must be expected to end in time
+     * @param cutOffNanos the time at which requests in progress are cut off
      */
-    public void begin(long late, long end) {
+    public void begin(long lateFromNanos, long cutOffNanos) {
         stopping = true;
-        lateNanos = late;
-        endNanos = end;
+        lateNanos = lateFromNanos;
+        endNanos = cutOffNanos;
     }
 
     /**
--- a/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Abandonment.java
@@ -104,9 +104,13 @@
         }
     }
 
-    /** Gives the request up if it is not expected to end before this VM, and returns whether so. */
+    /**
+     * Gives the request up if it is not expected to end before this VM does.
+     *
+     * @return whether it was given up
+     */
     boolean giveUpIfLate(long nowNanos) {
-        if (admitted.endsBefore(state.stop(), nowNanos)) {
+        if (admitted.isAdmittedBy(state.stopAdmission(), nowNanos)) {
             return false;
         }
         metrics.count("requests_given_up_by_stop");
--- a/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/AdmittedRequest.java
@@ -81,8 +81,8 @@
         return Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
     }
 
-    /** Returns whether a VM that stops may still send the request, by the local monotonic clock. */
-    boolean endsBefore(StopAdmission stop, long nowNanos) {
+    /** Returns whether the request may be sent, also if this VM stops. */
+    boolean isAdmittedBy(StopAdmission stop, long nowNanos) {
         boolean repeatable = route.retryPolicy() != RetryPolicy.AT_MOST_ONCE;
         long timeLimitNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(timeoutMillis());
         return stop.admits(route.name(), repeatable, timeLimitNanos, nowNanos);
--- a/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Forwarder.java
@@ -102,7 +102,7 @@
         stopping = true;
         waiting.stopAfter(endMillis);
         long nowNanos = System.nanoTime();
-        state.stop()
+        state.stopAdmission()
                 .begin(
                         nowNanos + lateMillis * NANOS_PER_MILLI,
                         nowNanos + endMillis * NANOS_PER_MILLI);
--- a/router/src/main/java/org/bronzelug/router/exchange/MoveConditions.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/MoveConditions.java
@@ -41,7 +41,7 @@
     Optional<EndpointState> chooseOther(RetryKind kind, long nowNanos) {
         boolean possible =
                 !builder.isExpired(nowNanos)
-                        && admitted.endsBefore(state.stop(), nowNanos)
+                        && admitted.isAdmittedBy(state.stopAdmission(), nowNanos)
                         && gate.admit(nowNanos) instanceof PartAdmission.Allowed;
         return possible ? attempts.chooseForRetry(selection, kind, nowNanos) : Optional.empty();
     }
--- a/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/ResponseStart.java
@@ -66,7 +66,8 @@
 
     /** Records that the caller's response is complete. */
     void recordComplete(long nowNanos) {
-        state.stop().recordDuration(admitted.route().name(), nowNanos - admitted.arrivedNanos());
+        state.stopAdmission()
+                .recordDuration(admitted.route().name(), nowNanos - admitted.arrivedNanos());
     }
 
     boolean hasBegun() {
--- a/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/TrafficState.java
@@ -36,7 +36,7 @@
     private final PoisonDirectory poison;
     private final RetryBudgets retries;
     private final TeamShares shares;
-    private final StopAdmission stop = new StopAdmission();
+    private final StopAdmission stopAdmission = new StopAdmission();
     private Runnable updateListener = () -> {};
     private Optional<RoutingConfiguration> configuration = Optional.empty();
     private int vmCount = 1;
@@ -166,9 +166,9 @@
         return shares;
     }
 
-    /** Returns which requests are still sent once this VM stops. */
-    public StopAdmission stop() {
-        return stop;
+    /** Returns the decisions on which requests are still sent once this VM stops. */
+    public StopAdmission stopAdmission() {
+        return stopAdmission;
     }
 
     public RetryBudgets retries() {
