Review: requests reach a removed runner after the bound on draining

An entry that is missing from the list after a cut watch stays in use for two seconds from that list, as after an outage of the platform.

--- a/review/src-2/AppRunner.java
+++ b/review/src-2/AppRunner.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -33,6 +34,10 @@
     private int waiting;
     private ServerSocket server;
     private double shedShare;
+    private boolean exited;
+    /** When each request arrived here, also those that were not run. */
+    final Map<String, Long> arrivedNanos = new ConcurrentHashMap<>();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
 
     AppRunner(String id, String service, Store store, Record record, int workMillis) throws IOException {
         this.id = id;
@@ -73,6 +78,7 @@
             while (true) {
                 Socket socket = opened.accept();
                 socket.setTcpNoDelay(true);
+                sockets.add(socket);
                 synchronized (this) {
                     connections++;
                     update();
@@ -84,8 +90,18 @@
         }
     }
 
+    /** Ends the runner: it listens no longer, and its connections are closed. */
+    synchronized void exit() throws IOException {
+        exited = true;
+        update();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        record.line(id + " has exited");
+    }
+
     private synchronized void update() throws IOException {
-        boolean full = connections >= MAX_CONNS;
+        boolean full = exited || connections >= MAX_CONNS;
         if (full && server != null) {
             server.close();
             server = null;
@@ -104,6 +120,7 @@
         } catch (IOException | InterruptedException gone) {
             // The connection was closed.
         } finally {
+            sockets.remove(socket);
             synchronized (this) {
                 connections--;
                 try {
@@ -126,6 +143,7 @@
             write(socket, 200, "", "Bronzelug-Instance-Id: " + id + "\r\n", "");
             return;
         }
+        arrivedNanos.put(request, System.nanoTime());
         synchronized (this) {
             boolean grey = ThreadLocalRandom.current().nextDouble() < shedShare;
             if (grey || running >= SLOTS && waiting >= QUEUE) {
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -6,9 +6,12 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The platform's store on loopback: objects by kind and name, conditional writes and watches. */
@@ -18,6 +21,7 @@
     private final Map<String, TreeMap<String, Map<String, Object>>> kinds = new LinkedHashMap<>();
     private final List<Event> events = new ArrayList<>();
     private final ServerSocket server;
+    private final Map<String, Set<Socket>> waiting = new HashMap<>();
     private long revision = 100;
 
     Store() throws IOException {
@@ -46,7 +50,7 @@
             InputStream in = Http.buffered(socket.getInputStream());
             Http.Message call;
             while ((call = Http.read(in)) != null) {
-                Answer answer = answer(call);
+                Answer answer = answer(call, socket);
                 byte[] body = answer.body.getBytes(StandardCharsets.UTF_8);
                 Http.write(
                         socket.getOutputStream(),
@@ -61,7 +65,7 @@
 
     private record Answer(int status, String body) {}
 
-    private Answer answer(Http.Message call) throws InterruptedException {
+    private Answer answer(Http.Message call, Socket socket) throws InterruptedException {
         String target = call.target();
         int mark = target.indexOf('?');
         String path = mark < 0 ? target : target.substring(0, mark);
@@ -78,7 +82,7 @@
         boolean status = parts.length > 4;
         return switch (call.method()) {
             case "GET" -> name != null ? one(kind, name)
-                    : query.containsKey("watch") ? watch(kind, query) : list(kind, query);
+                    : query.containsKey("watch") ? watch(kind, query, socket) : list(kind, query);
             case "POST" -> create(kind, Json.object(call.text()));
             case "PUT" -> replace(kind, name, status, Json.object(call.text()), query);
             case "DELETE" -> delete(kind, name, query);
@@ -108,14 +112,18 @@
         return new Answer(200, Json.write(page));
     }
 
-    private synchronized Answer watch(String kind, Map<String, String> query) throws InterruptedException {
+    private synchronized Answer watch(String kind, Map<String, String> query, Socket socket)
+            throws InterruptedException {
         long since = Long.parseLong(query.get("watch"));
         long end = System.nanoTime() + Long.parseLong(query.getOrDefault("waitMs", "0")) * 1_000_000;
         List<Object> found = eventsAfter(kind, since);
+        Set<Socket> watches = waiting.computeIfAbsent(kind, key -> new HashSet<>());
+        watches.add(socket);
         while (found.isEmpty() && System.nanoTime() < end) {
             wait(Math.max(1, (end - System.nanoTime()) / 1_000_000));
             found = eventsAfter(kind, since);
         }
+        watches.remove(socket);
         Map<String, Object> answer = new LinkedHashMap<>();
         answer.put("events", found);
         answer.put("storeRevision", revision);
@@ -216,6 +224,17 @@
         notifyAll();
     }
 
+    /** Cuts off the watches of a kind that are waiting. */
+    synchronized int cutWatches(String kind) throws IOException {
+        Set<Socket> watches = waiting.getOrDefault(kind, Set.of());
+        int count = watches.size();
+        for (Socket socket : watches) {
+            socket.close();
+        }
+        watches.clear();
+        return count;
+    }
+
     void close() throws IOException {
         server.close();
     }
