--- a/review/src-2/ModelRunner.java
+++ b/review/src-2/ModelRunner.java
@@ -32,6 +32,8 @@
     static final int MAX_CONNS = 480;
     private int connections;
     private ServerSocket server;
+    /** By how much the ids of a stream's events increase. */
+    private int idStep = 1;
     private long version = 1;
     private long ordered;
     private long sequence;
@@ -59,6 +61,10 @@
                 """.formatted(port, state, MODEL, version, sequence));
     }
 
+    void setIdStep(int step) {
+        idStep = step;
+    }
+
     /** Opens connections as other callers do, which stay idle, and returns them. */
     List<Socket> connectOthers(int count) throws IOException {
         List<Socket> sockets = new ArrayList<>();
@@ -240,11 +246,11 @@
                     + "\r\nBronzelug-Response-Stamp: stamp." + id + "." + request + "\r\nBronzelug-Weight-Versions: "
                     + runVersion + "\r\nKeep-Alive: timeout=15\r\nTransfer-Encoding: chunked\r\n\r\n";
             out.write(head.getBytes(StandardCharsets.ISO_8859_1));
-            long first = last.isEmpty() ? 1 : Long.parseLong(last) + 1;
+            long first = last.isEmpty() ? 1 : Long.parseLong(last) / idStep + 1;
             String[] tokens = call.field("Bronzelug-Token-Count").split(",");
             int length = tokens.length > 1 ? Math.min(events, Integer.parseInt(tokens[1])) : events;
             for (long event = first; event <= length && !closed.get(); event++) {
-                String text = "id: " + event + "\ndata: " + id + " run " + number + " token " + event + "\n\n";
+                String text = "id: " + event * idStep + "\ndata: " + id + " run " + number + " token " + event + "\n\n";
                 String chunk = Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
                 out.write(chunk.getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
