--- a/review/src-2/ConnectionLimitCase.java
+++ b/review/src-2/ConnectionLimitCase.java
@@ -30,7 +30,11 @@
 
     private ConnectionLimitCase() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        Outcome.exit(() -> run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path work = Path.of(arguments[0]);
         Record record = new Record(Path.of(arguments[1]));
@@ -91,7 +95,7 @@
         } finally {
             daemons.stopAll();
         }
-        System.exit(result);
+        return result;
     }
 
     private static ModelRunner busiest(List<ModelRunner> runners, List<ModelRunner.Run> runs) {
--- a/review/src-2/Daemons.java
+++ b/review/src-2/Daemons.java
@@ -42,6 +42,8 @@
         this.work = work;
         this.storeAddress = storeAddress;
         this.command = command();
+        // Ends the daemons also if this process is ended by a signal.
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stopAll));
         for (int index = 1; index <= count; index++) {
             Daemon daemon = new Daemon("front-" + index);
             daemon.settings = work.resolve(daemon.name + ".json");
@@ -75,7 +77,6 @@
 
     /** The settings as deploy/settings.json makes them of a small deployment's fields. */
     void writeSettings(Daemon daemon, boolean fleetStarts) throws IOException {
-        List<String> seeds = all.stream().limit(3).map(other -> "\"127.0.0.1:" + other.peers + "\"").toList();
         Files.writeString(daemon.settings, """
                 {"vm": "%s", "availabilityZone": "zone-a", "ip": "127.0.0.1", "zones": {"zone-a": "region"},
                 "callersAddress": "127.0.0.1:%d", "readyAddress": "127.0.0.1:%d", "directoryAddress": "127.0.0.1:%d",
--- a/review/src-2/EventIdsCase.java
+++ b/review/src-2/EventIdsCase.java
@@ -21,7 +21,11 @@
 
     private EventIdsCase() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        Outcome.exit(() -> run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path work = Path.of(arguments[0]);
         Record record = new Record(Path.of(arguments[1]));
@@ -65,7 +69,7 @@
         } finally {
             daemons.stopAll();
         }
-        System.exit(result);
+        return result;
     }
 
     private static void call(Daemons.Daemon daemon, Record record, List<String> lost, AtomicInteger complete) {
--- a/review/src-2/FullRunnersCase.java
+++ b/review/src-2/FullRunnersCase.java
@@ -32,7 +32,11 @@
 
     private FullRunnersCase() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        Outcome.exit(() -> run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path work = Path.of(arguments[0]);
         Record record = new Record(Path.of(arguments[1]));
@@ -40,8 +44,8 @@
         Store store = new Store();
         store.put("config", "main", """
                 {"version":7,"routes":[{"name":"r-read","host":"tab.example","pathPrefix":"/read/","kind":"safe",
-                "timeoutMs":1000,"goalMs":121,"priority":2,"service":"tab","maxAttempts":2,"anonymous":false,"sticky":false},
-                {"name":"r-settle","host":"tab.example","pathPrefix":"/settle/","kind":"unsafe","timeoutMs":1000,"goalMs":121,
+                "timeoutMs":900,"goalMs":121,"priority":2,"service":"tab","maxAttempts":2,"anonymous":false,"sticky":false},
+                {"name":"r-settle","host":"tab.example","pathPrefix":"/settle/","kind":"unsafe","timeoutMs":900,"goalMs":121,
                 "priority":2,"service":"tab","maxAttempts":1,"anonymous":false,"sticky":false}],
                 "services":[{"name":"tab","healthPath":"/health","maxConns":96,"protocol":"h1","tls":false}],
                 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -91,7 +95,7 @@
         } finally {
             daemons.stopAll();
         }
-        System.exit(result);
+        return result;
     }
 
     private static boolean isLastAtSound(String id, List<AppRunner> runners) {
--- a/review/src-2/SlowUploadCase.java
+++ b/review/src-2/SlowUploadCase.java
@@ -27,7 +27,11 @@
 
     private record Answer(int status, int events, boolean complete) {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        Outcome.exit(() -> run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path work = Path.of(arguments[0]);
         Record record = new Record(Path.of(arguments[1]));
@@ -88,7 +92,7 @@
         } finally {
             daemons.stopAll();
         }
-        System.exit(result);
+        return result;
     }
 
     private static void usualTraffic(Daemons.Daemon daemon, Record record) throws InterruptedException {
--- a/review/src-2/WatchCutCase.java
+++ b/review/src-2/WatchCutCase.java
@@ -27,7 +27,11 @@
 
     private WatchCutCase() {}
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
+        Outcome.exit(() -> run(arguments));
+    }
+
+    private static int run(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Path work = Path.of(arguments[0]);
         Record record = new Record(Path.of(arguments[1]));
@@ -77,7 +81,7 @@
         } finally {
             daemons.stopAll();
         }
-        System.exit(result);
+        return result;
     }
 
     /** Has a runner leave that never reports draining; returns the number of requests that reached it too late. */
