A request's call is known before its first event, and ends with its attempt

Cause: EndpointConnections.send returned the handle of a call after the call's first events. On an idle connection, Exchange.beforeSend could leave the endpoint and send the request elsewhere in a nested call; the outer one then replaced the handle of the call in use by its own, unused one. From then on nothing could cancel the run. A stream that moved kept it, and its events went to the same listener as those of the next run; a rejection that was not detached ended the attempt after it.

Change: a call exists before it is sent, so its owner holds it before any event. A call passes no event on once it has ended, and the end of an attempt ends its call, so an event of an attempt that has ended has no way to the next one. StreamMover.begin had the same order and is changed with it.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
@@ -1,20 +1,28 @@
 package org.bronzelug.router.endpoint;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 
 /**
- * One attempt to send a request to one endpoint, which can be cancelled at any time.
+ * One attempt to send a request to one endpoint, which can be cancelled at any time. The call
+ * exists before it is sent, so that its owner can cancel it from within each of its events.
  *
- * <p>Invariant: after {@link #cancel} the listener is not called any more. Confined to the traffic
- * thread.
+ * <p>Invariant: the listener is not called any more once the call has ended, which is at the last
+ * event of its response, when the request is withheld, or at {@link #cancel}. A call that ends
+ * before its whole response has arrived closes its connection. Without this, events of an attempt
+ * that a request has left count as those of its next attempt.
+ *
+ * <p>Confined to the traffic thread.
  */
 public final class EndpointCall {
     private final FullHttpRequest request;
     private final String requestId;
     private final ResponseListener listener;
     private Optional<EndpointConnection> connection = Optional.empty();
-    private boolean cancelled;
+    private boolean ended;
 
     EndpointCall(FullHttpRequest request, String requestId, ResponseListener listener) {
         this.request = request;
@@ -22,27 +30,35 @@
         this.listener = listener;
     }
 
+    String requestId() {
+        return requestId;
+    }
+
     void start(EndpointConnection opened, ConnectionUse use) {
-        if (cancelled || !listener.beforeSend(request.headers())) {
+        if (ended || !listener.beforeSend(request.headers())) {
+            ended = true;
             request.release();
             opened.close();
             return;
         }
         connection = Optional.of(opened);
-        opened.send(request, requestId, listener, use);
+        opened.send(request, requestId, new Events(), use);
     }
 
     void unreachable(String cause) {
         request.release();
-        if (!cancelled) {
+        if (!ended) {
+            ended = true;
             listener.onUnreachable(cause);
         }
     }
 
     /** Cancels the request by closing its connection, so that the endpoint stops working on it. */
     public void cancel() {
-        cancelled = true;
-        connection.ifPresent(EndpointConnection::cancel);
+        if (!ended) {
+            ended = true;
+            connection.ifPresent(EndpointConnection::cancel);
+        }
     }
 
     /** Returns the connection that carries the request; empty if none does yet. */
@@ -52,6 +68,60 @@
 
     /** Pauses or resumes reading the response. */
     public void setReading(boolean reading) {
-        connection.ifPresent(opened -> opened.setReading(reading));
+        if (!ended) {
+            connection.ifPresent(opened -> opened.setReading(reading));
+        }
+    }
+
+    /** Passes the events of the connection on until the call has ended. */
+    private final class Events implements ResponseListener {
+        @Override
+        public boolean beforeSend(HttpHeaders headers) {
+            return !ended && listener.beforeSend(headers);
+        }
+
+        @Override
+        public void onUnreachable(String cause) {
+            unreachable(cause);
+        }
+
+        @Override
+        public void onSent(ConnectionUse use) {
+            if (!ended) {
+                listener.onSent(use);
+            }
+        }
+
+        @Override
+        public void onHead(EndpointResponse head, HttpResponse response) {
+            if (!ended) {
+                listener.onHead(head, response);
+            }
+        }
+
+        @Override
+        public void onData(ByteBuf data) {
+            if (ended) {
+                data.release();
+            } else {
+                listener.onData(data);
+            }
+        }
+
+        @Override
+        public void onComplete() {
+            if (!ended) {
+                ended = true;
+                listener.onComplete();
+            }
+        }
+
+        @Override
+        public void onBroken(String cause) {
+            if (!ended) {
+                ended = true;
+                listener.onBroken(cause);
+            }
+        }
     }
 }
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -112,20 +112,27 @@
         crash.recordConnectFailed(cause);
     }
 
-    /** Sends a request on an idle connection, or on a new one. */
-    public EndpointCall send(
-            FullHttpRequest request, String requestId, ResponseListener listener, long nowNanos) {
-        EndpointCall call = new EndpointCall(request, requestId, listener);
+    /** Returns a call that is to be sent by {@link #send}. */
+    public static EndpointCall newCall(
+            FullHttpRequest request, String requestId, ResponseListener listener) {
+        return new EndpointCall(request, requestId, listener);
+    }
+
+    /**
+     * Sends a call on an idle connection, or on a new one. The events of the call may arrive before
+     * this method returns.
+     */
+    public void send(EndpointCall call, long nowNanos) {
         Optional<EndpointConnection> kept =
                 idle.take(
-                        connection -> isDoubtful(connection) || connection.hasCarried(requestId),
+                        connection ->
+                                isDoubtful(connection) || connection.hasCarried(call.requestId()),
                         nowNanos);
         if (kept.isPresent()) {
             call.start(kept.get(), kept.get().keptUse());
         } else {
             new ConnectionAttempt(traffic, this, paths, new CallListener(call)).start();
         }
-        return call;
     }
 
     private boolean isDoubtful(EndpointConnection connection) {
--- a/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/CurrentAttempt.java
@@ -12,7 +12,8 @@
  * prompt there.
  *
  * <p>Invariant: the request counts as in flight at its endpoint from {@link #begin} to {@link
- * #end}, and at no other one. Confined to the traffic thread.
+ * #end}, and at no other one. The call is known before any of its events and ends with the attempt,
+ * so an event of an attempt that has ended reaches no other one. Confined to the traffic thread.
  */
 final class CurrentAttempt {
     private final EndpointState.RequestListener owner;
@@ -133,14 +134,8 @@
         begun = false;
     }
 
-    void cancelCall() {
-        call.ifPresent(EndpointCall::cancel);
-        call = Optional.empty();
-    }
-
     /** Cancels the attempt, if one is in progress. */
     void abandon() {
-        cancelCall();
         if (endpoint.isPresent()) {
             end();
         }
@@ -148,22 +143,22 @@
 
     /** Cancels the attempt, since its endpoint has failed, and returns that endpoint. */
     EndpointState fail() {
-        cancelCall();
         EndpointState failed = end();
         failed.recordFailure(System.nanoTime());
         return failed;
     }
 
-    /** Ends the attempt and returns the endpoint that it was sent to. */
+    /** Ends the attempt, cancels its call and returns the endpoint that it was sent to. */
     EndpointState end() {
         EndpointState current = currentEndpoint();
+        call.ifPresent(EndpointCall::cancel);
+        call = Optional.empty();
         endpoint = Optional.empty();
         current.end(owner);
         prefill.end();
         watched.ifPresent(present -> present.end(System.nanoTime()));
         watched = Optional.empty();
         gate.recordChange();
-        call = Optional.empty();
         return current;
     }
 }
--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -11,6 +11,8 @@
 import org.bronzelug.core.retry.RetryKind;
 import org.bronzelug.router.endpoint.BodyFraming;
 import org.bronzelug.router.endpoint.ConnectionUse;
+import org.bronzelug.router.endpoint.EndpointCall;
+import org.bronzelug.router.endpoint.EndpointConnections;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.endpoint.ResponseListener;
 import org.bronzelug.router.ingress.CallerConnection;
@@ -166,7 +168,9 @@
         metrics.routed(nowNanos - admitted.arrivedNanos());
         FullHttpRequest copy =
                 builder.build(request, chosen, runner, relay.lastEventId(), nowNanos);
-        attempt.setCall(chosen.connections().send(copy, admitted.head().id(), this, nowNanos));
+        EndpointCall call = EndpointConnections.newCall(copy, admitted.head().id(), this);
+        attempt.setCall(call);
+        chosen.connections().send(call, nowNanos);
     }
 
     @Override
@@ -272,7 +276,6 @@
 
     /** Retries a request that the endpoint did not execute, within the retry budget. */
     private void onNotExecuted(EndpointResponse head) {
-        attempt.cancelCall();
         attempt.recordNotExecuted();
         EndpointState rejecting = attempt.end();
         attempts.recordNotExecuted(rejecting);
@@ -405,7 +408,6 @@
         if (!attempt.isWaiting() || check.mayWaitAt(attempt.currentEndpoint(), nowNanos)) {
             return;
         }
-        attempt.cancelCall();
         metrics.count("requests_withdrawn_from_replaced_weights");
         continueElsewhere(attempt.end(), EndpointCheck.WEIGHTS_EXPIRED);
     }
@@ -440,7 +442,6 @@
             mover.begin(other.get(), cause, System.nanoTime());
             return;
         }
-        attempt.cancelCall();
         if (!relay.hasBegun()) {
             relay.reset();
         }
@@ -450,7 +451,6 @@
 
     /** Continues the stream at the endpoint that has accepted it. */
     void takeOver(StreamMove accepted) {
-        attempt.cancelCall();
         relay.prepareResume();
         log.moved(attempt.end(), attempts.sends(), accepted.cause());
         attempt.takeOver(accepted);
--- a/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/PartHold.java
@@ -94,7 +94,6 @@
         if (attempt.isWaiting()
                 && gate.isQuarantined(nowNanos)
                 && gate.admit(nowNanos) instanceof PartAdmission.Rejected rejected) {
-            attempt.cancelCall();
             attempt.end();
             abandonment.giveUpQuarantined(rejected);
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMover.java
@@ -6,6 +6,7 @@
 import org.bronzelug.core.poison.WatchedAttempt;
 import org.bronzelug.router.endpoint.ConnectionUse;
 import org.bronzelug.router.endpoint.EndpointCall;
+import org.bronzelug.router.endpoint.EndpointConnections;
 import org.bronzelug.router.endpoint.EndpointResponse;
 import org.bronzelug.router.traffic.EndpointState;
 import org.bronzelug.router.traffic.TrafficState;
@@ -84,7 +85,9 @@
         log.sent(target, prefill.runner(), selection.limited());
         FullHttpRequest copy =
                 builder.build(request, target, prefill.runner(), relay.lastEventId(), nowNanos);
-        started.setCall(target.connections().send(copy, admitted.head().id(), started, nowNanos));
+        EndpointCall call = EndpointConnections.newCall(copy, admitted.head().id(), started);
+        started.setCall(call);
+        target.connections().send(call, nowNanos);
     }
 
     boolean beforeSend(HttpHeaders headers) {
