A request uses the connection that is open for it, and unused ones are kept

Requests left the last open connection of a runner at its limit on connections, and the connection was closed, so the runner got no more requests although it had room; with no other runner they were rejected.

Cause: the check right before a request is written asked whether a connect to the endpoint had failed in the last 500 ms, unless a connection is idle. The last idle one is the one that the request has just taken. The connection of a request that is withheld or cancelled was closed although nothing had been written to it.

Change: the check before writing looks at what the endpoint has stated (leaving, backoff), at quarantines and weights, not at refused connects. A connection to which nothing was written goes back to the pool.

Evidence: ConnectionLimitTest#theLastOpenConnectionIsUsed (3 of 3 cases) and EndpointConnectionTest#aConnectionIsKeptIfItsRequestWasCancelledBefore ItWasOpen failed before and pass now.

--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointCall.java
@@ -34,15 +34,20 @@
         return requestId;
     }
 
-    void start(EndpointConnection opened, ConnectionUse use) {
+    /**
+     * Sends the request, unless the call has ended or its listener withholds it.
+     *
+     * @return whether the connection carries the request now
+     */
+    boolean start(EndpointConnection opened, ConnectionUse use) {
         if (ended || !listener.beforeSend(request.headers())) {
             ended = true;
             request.release();
-            opened.close();
-            return;
+            return false;
         }
         connection = Optional.of(opened);
         opened.send(request, requestId, new Events(), use);
+        return true;
     }
 
     void unreachable(String cause) {
--- a/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
+++ b/router/src/main/java/org/bronzelug/router/endpoint/EndpointConnections.java
@@ -129,12 +129,19 @@
                                 isDoubtful(connection) || connection.hasCarried(call.requestId()),
                         nowNanos);
         if (kept.isPresent()) {
-            call.start(kept.get(), kept.get().keptUse());
+            startOn(kept.get(), call, kept.get().keptUse());
         } else {
             new ConnectionAttempt(traffic, this, paths, new CallListener(call)).start();
         }
     }
 
+    /** Sends a call on an open connection, which is kept if the call has ended or is withheld. */
+    private void startOn(EndpointConnection connection, EndpointCall call, ConnectionUse use) {
+        if (!call.start(connection, use)) {
+            keep(connection);
+        }
+    }
+
     private boolean isDoubtful(EndpointConnection connection) {
         return connection.relayVm().isEmpty()
                 && path.isDoubtful(connection.lastReceivedNanos(), paths.lastSilentLossNanos());
@@ -351,7 +358,7 @@
 
         @Override
         public void onConnected(EndpointConnection connection, ConnectionUse use) {
-            call.start(connection, use);
+            startOn(connection, call, use);
         }
 
         @Override
--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
@@ -25,9 +25,12 @@
         this.gate = gate;
     }
 
-    /** Returns why the request may not be sent to the endpoint; empty if it may. */
+    /**
+     * Returns why the request may not be sent to the endpoint on the connection that is open for
+     * it; empty if it may.
+     */
     Optional<String> obstacle(EndpointState endpoint, long nowNanos) {
-        if (!endpoint.isAvailable(nowNanos)) {
+        if (!endpoint.isAvailableOnOpenConnection(nowNanos)) {
             return Optional.of("endpoint accepts no more requests");
         }
         if (gate.isQuarantined(nowNanos)) {
--- a/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
+++ b/router/src/main/java/org/bronzelug/router/traffic/EndpointState.java
@@ -346,6 +346,14 @@
         return !isLeaving() && unavailableNanos(nowNanos) == 0;
     }
 
+    /**
+     * Returns whether a request for which a connection is open may be sent. A refused connect says
+     * nothing about open connections: a runner at its limit on connections serves them.
+     */
+    public boolean isAvailableOnOpenConnection(long nowNanos) {
+        return !isLeaving() && advertisements.backoff().remainingNanos(nowNanos) == 0;
+    }
+
     /** Returns whether a response has stated that the endpoint leaves, whatever its entry says. */
     boolean isLeaving() {
         return advertisements.isLeaving();
