A request is not written to an endpoint that has left meanwhile

A request that had chosen an endpoint was sent to it although the endpoint had left the list while the connection was opened, which can take more than a second (DRAIN).

Cause: the check right before a request is written looked at what the endpoint had stated, not at the list.

Evidence: EndpointListFailureTest#aRequestIsNotSentIfItsEndpointLeaves WhileTheConnectionOpens failed in 3 of 3 cases without the check and passes now; the other cases of the class and ResponseLeavingTest, LeavingEndpointTest and PausedEndpointTest pass.

--- a/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/EndpointCheck.java
@@ -30,6 +30,9 @@
      * it; empty if it may.
      */
     Optional<String> obstacle(EndpointState endpoint, long nowNanos) {
+        if (!isListed(endpoint)) {
+            return Optional.of("endpoint has left");
+        }
         if (!endpoint.isAvailableOnOpenConnection(nowNanos)) {
             return Optional.of("endpoint accepts no more requests");
         }
@@ -39,6 +42,14 @@
         return mayWaitAt(endpoint, nowNanos) ? Optional.empty() : Optional.of(WEIGHTS_EXPIRED);
     }
 
+    /** Returns whether the endpoint is still in use, with the same start. */
+    private boolean isListed(EndpointState endpoint) {
+        return state.endpoints()
+                .find(endpoint.entry().id())
+                .filter(listed -> listed == endpoint)
+                .isPresent();
+    }
+
     /** Returns whether the request may begin on the weights of the endpoint. */
     boolean mayWaitAt(EndpointState endpoint, long nowNanos) {
         Optional<String> model = admitted.head().prompt().map(PromptSpec::model);
