A short loss of contact with the platform is no outage

An endpoint whose entry was removed right after a watch was cut got requests for up to 180 ms longer than it serves; some that can't be repeated were lost when it exited (DRAIN).

Cause: any failed call counted as an outage of the platform, after which missing entries are kept for two seconds from the next list, and dropped in the next round after that. A cut watch lasts some 60 ms, and no entry expires in that time.

After a shorter one a missing entry is used until 1.8 s after the contact was lost, when the endpoint still served. The endpoint leaves the list at that moment rather than in the next round. Entries are also kept if another kind of objects can't be read yet.

--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -73,6 +73,7 @@
     private final FleetStreamOrigins streamOrigins;
     private final FleetPoisonReports poisonReports;
     private final StoredState stored;
+    private final MissingEntryExpiry missingEntries;
     private final RoundPeriod period = new RoundPeriod();
     private final ProcessorOverload overload = new ProcessorOverload();
     private final long startNanos = System.nanoTime();
@@ -98,7 +99,11 @@
         this.settings = settings;
         this.incarnation = incarnation;
         this.trafficState = trafficState;
-        this.state = new ControlState(decoder, initialWeightsAgeNanos(settings));
+        this.state =
+                new ControlState(
+                        decoder, initialWeightsAgeNanos(settings), settings.runnerReportMillis());
+        this.missingEntries =
+                new MissingEntryExpiry(control, state.endpointList(), this::updateTraffic);
         this.members = new MemberTable(settings.vm());
         this.gossip = new FleetGossip(control, settings.peersAddress(), this::onStateUpdate);
         this.reading =
@@ -259,6 +264,7 @@
         rollouts.onChange(kind);
         orders.round();
         updateTraffic();
+        missingEntries.schedule();
     }
 
     private void runPeriodically() {
@@ -299,7 +305,6 @@
                                 applyReport(newReport);
                             });
                 });
-        state.endpointList().expire(System.nanoTime());
         orders.round();
         reading.round(rounds);
         if (rounds % LIST_INTERVAL_ROUNDS == 0 && members.live(System.nanoTime()).isEmpty()) {
--- a/router/src/main/java/org/bronzelug/router/control/ControlState.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlState.java
@@ -37,7 +37,7 @@
     private final DecodedItems<RoutingConfiguration> configurations;
     private final DecodedItems<EndpointEntry> listedEndpoints;
     private final DecodedItems<Published> publishedWeights;
-    private final EndpointList endpoints = new EndpointList();
+    private final EndpointList endpoints;
     private final Map<String, WeightsTarget> weights = new HashMap<>();
     // The version of each model that was published before this VM started: its age is assumed.
     private final Map<String, Long> assumedVersions = new HashMap<>();
@@ -46,9 +46,11 @@
     /**
      * @param initialWeightsAgeNanos assumed age of weights that were published before this VM
      *     started
+     * @param runnerReportMillis interval at which runners renew their entries
      */
-    ControlState(ObjectDecoder decoder, long initialWeightsAgeNanos) {
+    ControlState(ObjectDecoder decoder, long initialWeightsAgeNanos, long runnerReportMillis) {
         this.decoder = decoder;
+        this.endpoints = new EndpointList(runnerReportMillis);
         this.configurations = new DecodedItems<>(item -> decoder.configuration(List.of(item)));
         this.listedEndpoints = new DecodedItems<>(decoder::endpoint);
         this.publishedWeights = new DecodedItems<>(this::published);
--- a/router/src/main/java/org/bronzelug/router/control/EndpointList.java
+++ b/router/src/main/java/org/bronzelug/router/control/EndpointList.java
@@ -13,10 +13,16 @@
  * within about two seconds after it. Without the rule below, every request is rejected after an
  * outage although all endpoints are alive, because the first list is empty.
  *
- * <p>Invariant: within {@link #MISSING_ENTRY_NANOS} after the end of an outage, an endpoint whose
- * entry is missing stays in use, unless it was draining; if the entry is still missing after that,
- * the endpoint is removed. At any other time a missing entry removes the endpoint at once. Confined
- * to the control thread.
+ * <p>An entry expires after {@link #SILENT_REPORTS} reports that the platform has not received, so
+ * no shorter loss of contact is an outage. After a shorter one, as when a watch is cut, an entry is
+ * missing because its endpoint has left, at the earliest when the contact was lost, unless an
+ * outage before that has gone unnoticed. Requests may go to such an endpoint for {@link
+ * #MISSING_ENTRY_NANOS} after it has left.
+ *
+ * <p>Invariant: an endpoint whose entry is missing stays in use, unless it was draining, until
+ * {@link #MISSING_ENTRY_NANOS} after the end of an outage, or {@link #SENDING_NANOS} less than that
+ * after the begin of a shorter loss of contact. Then, and at any other time, a missing entry
+ * removes the endpoint. Confined to the control thread.
  */
 public final class EndpointList {
     /**
@@ -24,30 +30,61 @@
      */
     private static final long MISSING_ENTRY_NANOS = 2_000_000_000L;
 
+    /** Time in which a request that has chosen an endpoint reaches it. */
+    private static final long SENDING_NANOS = 200_000_000L;
+
+    /**
+     * Reports in a row that the platform does not receive from an endpoint before its entry expires
+     * during an outage. The platform waits for one more, which may have been due just before.
+     */
+    private static final int SILENT_REPORTS = 2;
+
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Map<String, EndpointEntry> inUse = new HashMap<>();
     private final Map<String, Long> missingUntil = new HashMap<>();
     private final Map<String, Map<String, Long>> observedWeights = new HashMap<>();
     private Optional<Map<String, EndpointEntry>> entries = Optional.empty();
+    private final long shortestOutageNanos;
+
+    /** From when missing entries are kept for {@link #MISSING_ENTRY_NANOS}. */
     private long outageEndNanos = Long.MIN_VALUE;
 
     /**
-     * Records that an outage of the platform has ended, as observed by this VM or by the peer that
-     * it reads from.
+     * @param reportMillis interval at which endpoints renew their entries
+     */
+    EndpointList(long reportMillis) {
+        shortestOutageNanos = SILENT_REPORTS * reportMillis * NANOS_PER_MILLI;
+    }
+
+    /**
+     * Records that this VM reaches the platform again.
      *
-     * @param ageMillis how long ago the outage ended
+     * @param lostSinceNanos since when it may not have reached the platform
+     */
+    void recordContactRegained(long lostSinceNanos, long nowNanos) {
+        boolean outage = nowNanos - lostSinceNanos >= shortestOutageNanos;
+        keepMissingFrom(outage ? nowNanos : lostSinceNanos - SENDING_NANOS);
+    }
+
+    /**
+     * Records that the peer that this VM reads from keeps missing entries.
+     *
+     * @param ageMillis how long ago the outage ended, as the peer's {@link #recoveryAgeMillis}
      */
     void recordPlatformRecovery(long ageMillis, long nowNanos) {
-        long endNanos = nowNanos - ageMillis * NANOS_PER_MILLI;
-        if (outageEndNanos == Long.MIN_VALUE || endNanos > outageEndNanos) {
-            outageEndNanos = endNanos;
+        keepMissingFrom(nowNanos - ageMillis * NANOS_PER_MILLI);
+    }
+
+    private void keepMissingFrom(long nanos) {
+        if (outageEndNanos == Long.MIN_VALUE || nanos > outageEndNanos) {
+            outageEndNanos = nanos;
         }
     }
 
     /**
-     * Returns how long ago the last outage of the platform ended; empty where that no longer
-     * affects missing entries.
+     * Returns how long ago the last outage of the platform ended, or a shorter loss of contact
+     * counts as one that has ended; empty where that no longer affects missing entries.
      */
     OptionalLong recoveryAgeMillis(long nowNanos) {
         return isRecentlyRecovered(nowNanos)
@@ -75,6 +112,11 @@
         expire(nowNanos);
     }
 
+    /** Returns when the next endpoint is to be removed by {@link #expire}; empty if none is. */
+    OptionalLong nextExpiryNanos() {
+        return missingUntil.values().stream().mapToLong(Long::longValue).min();
+    }
+
     /**
      * Removes endpoints whose entries have not reappeared in time.
      *
--- a/router/src/main/java/org/bronzelug/router/control/KindWatch.java
+++ b/router/src/main/java/org/bronzelug/router/control/KindWatch.java
@@ -112,6 +112,11 @@
         return contact.isReachable();
     }
 
+    /** Returns since when the platform was not reachable, now or the last time that it was not. */
+    long lostSinceNanos() {
+        return contact.lostSinceNanos();
+    }
+
     /**
      * Returns how long the call in flight has been waiting for a response; 0 if none is. A watch
      * waits for changes, so a long wait alone does not show that the platform is unreachable.
@@ -134,6 +139,7 @@
      */
     CompletableFuture<Long> check() {
         int startGeneration = generation;
+        long startNanos = System.nanoTime();
         return begin(() -> store.changes(kind, mirror.revision()))
                 .whenComplete(
                         (changes, failure) -> {
@@ -142,7 +148,10 @@
                             }
                             if (failure != null) {
                                 generation++;
-                                runSafely(() -> onWatchFailure(failure, mirror.revision()));
+                                runSafely(
+                                        () ->
+                                                onWatchFailure(
+                                                        failure, mirror.revision(), startNanos));
                             } else {
                                 runSafely(() -> onCheckResponse(changes));
                             }
@@ -276,7 +285,7 @@
                     applyChanges(changes);
                     watch(changes.revision());
                 },
-                failure -> onWatchFailure(failure, revision));
+                failure -> onWatchFailure(failure, revision, callStartNanos));
     }
 
     private void watch(long revision) {
@@ -284,7 +293,7 @@
         call(
                 () -> store.watch(kind, revision),
                 this::onWatchResponse,
-                failure -> onWatchFailure(failure, revision));
+                failure -> onWatchFailure(failure, revision, brokenSinceNanos(failure)));
     }
 
     private void onWatchResponse(ItemChanges changes) {
@@ -299,7 +308,17 @@
         relistBackoff.reset();
     }
 
-    private void onWatchFailure(Throwable failure, long revision) {
+    /**
+     * Returns since when the platform may not have been reachable through a watch: a watch whose
+     * connection breaks waited until then, but one that gets no response may never have arrived.
+     */
+    private long brokenSinceNanos(Throwable failure) {
+        return StoreException.problem(failure) == StoreException.Problem.UNANSWERED
+                ? callStartNanos
+                : System.nanoTime();
+    }
+
+    private void onWatchFailure(Throwable failure, long revision, long failedSinceNanos) {
         if (StoreException.problem(failure) == StoreException.Problem.HISTORY_GONE) {
             Throwable cause = failure.getCause() == null ? failure : failure.getCause();
             EventLog.info(
@@ -310,7 +329,7 @@
                             + (" cause=\"" + cause.getMessage() + "\""));
             listAgain();
         } else {
-            retryWatch(failure);
+            retryWatch(failure, failedSinceNanos);
         }
     }
 
@@ -319,12 +338,14 @@
      * waited for longer than that: without it, a platform that responds to lists and rejects each
      * watch is listed many times a second, since each list ends the backoff of failed calls.
      */
-    private void retryWatch(Throwable failure) {
+    private void retryWatch(Throwable failure, long failedSinceNanos) {
         long unansweredMillis = sinceCallStartMillis();
         if (unansweredMillis > MAXIMUM_BACKOFF_MILLIS) {
             relistBackoff.reset();
         }
-        long delayMillis = contact.recordFailure(failure, mirror.revision(), unansweredMillis);
+        long delayMillis =
+                contact.recordFailure(
+                        failure, mirror.revision(), unansweredMillis, failedSinceNanos);
         scheduleStep(this::list, Math.max(delayMillis, relistBackoff.nextMillis()));
     }
 
@@ -344,7 +365,8 @@
 
     private void retryWithBackoff(Throwable failure) {
         long delayMillis =
-                contact.recordFailure(failure, mirror.revision(), sinceCallStartMillis());
+                contact.recordFailure(
+                        failure, mirror.revision(), sinceCallStartMillis(), callStartNanos);
         scheduleStep(this::list, delayMillis);
     }
 
--- a/router/src/main/java/org/bronzelug/router/control/PlatformContact.java
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformContact.java
@@ -16,6 +16,7 @@
     private final KindWatch.Listener listener;
     private final RandomBackoff backoff;
     private boolean reachable = true;
+    private long lostSinceNanos;
 
     PlatformContact(String kind, KindWatch.Listener listener, RandomBackoff backoff) {
         this.kind = kind;
@@ -27,6 +28,11 @@
         return reachable;
     }
 
+    /** Returns since when the platform was not reachable, now or the last time that it was not. */
+    long lostSinceNanos() {
+        return lostSinceNanos;
+    }
+
     /** Takes the platform for reachable until a call fails. */
     void reset() {
         reachable = true;
@@ -47,11 +53,14 @@
      *
      * @param revision the revision up to which this VM knows the objects, for the log
      * @param unansweredMillis how long the call has waited, for the log
+     * @param failedSinceNanos since when the platform may not have been reachable
      * @return the delay before the next call, in milliseconds
      */
-    long recordFailure(Throwable failure, long revision, long unansweredMillis) {
+    long recordFailure(
+            Throwable failure, long revision, long unansweredMillis, long failedSinceNanos) {
         if (reachable) {
             reachable = false;
+            lostSinceNanos = failedSinceNanos;
             Throwable cause = failure.getCause() == null ? failure : failure.getCause();
             listener.onReachable(kind, false);
             EventLog.warn(
--- a/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
+++ b/router/src/main/java/org/bronzelug/router/control/PlatformReading.java
@@ -362,8 +362,9 @@
 
     @Override
     public void onReachable(String kind, boolean reachable) {
-        if (reachable && !isLost()) {
-            state.endpointList().recordPlatformRecovery(0, System.nanoTime());
+        if (reachable) {
+            state.endpointList()
+                    .recordContactRegained(watches.get(kind).lostSinceNanos(), System.nanoTime());
         }
     }
 
--- a/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
+++ b/router/src/main/java/org/bronzelug/router/http/ClientConnection.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -115,7 +116,7 @@
     }
 
     private void onTimeout(long timeoutMillis) {
-        fail("no response within " + timeoutMillis + " ms");
+        fail(new SocketTimeoutException(address + ": no response within " + timeoutMillis + " ms"));
         pool.onTimeout();
     }
 
@@ -228,12 +229,14 @@
     }
 
     private void fail(String cause) {
+        fail(new IOException(address + ": " + cause));
+    }
+
+    private void fail(IOException failure) {
         Optional<CompletableFuture<HttpClientResponse>> pending = endCall();
         pool.remove(this);
         channel.close();
-        pending.ifPresent(
-                response ->
-                        response.completeExceptionally(new IOException(address + ": " + cause)));
+        pending.ifPresent(response -> response.completeExceptionally(failure));
     }
 
     @Override
--- a/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
+++ b/router/src/main/java/org/bronzelug/router/settings/VmSettings.java
@@ -15,6 +15,7 @@
  * @param processorCapacity processor time that the VM has, in cores
  * @param bounds bounds of the fleet
  * @param load what the installation states about its behavior under load
+ * @param runnerReportMillis interval at which runners renew their entries at the platform
  */
 public record VmSettings(
         String vm,
@@ -26,7 +27,8 @@
         boolean fleetStarts,
         double processorCapacity,
         FleetBounds bounds,
-        LoadSettings load) {
+        LoadSettings load,
+        long runnerReportMillis) {
     public VmSettings {
         seedAddresses = List.copyOf(seedAddresses);
     }
@@ -44,6 +46,7 @@
                 + (" fleetStarts=" + fleetStarts)
                 + (" processorCapacity=" + processorCapacity)
                 + (" " + bounds)
-                + (" " + load);
+                + (" " + load)
+                + (" runnerReportMillis=" + runnerReportMillis);
     }
 }
--- a/router/src/main/java/org/bronzelug/router/store/StoreException.java
+++ b/router/src/main/java/org/bronzelug/router/store/StoreException.java
@@ -23,8 +23,10 @@
 
     /** The kind of failure, which determines how to proceed. */
     public enum Problem {
-        /** No response arrived, or it stated that nothing was done: retry later. */
+        /** The connection was lost, or the response stated that nothing was done: retry later. */
         UNAVAILABLE,
+        /** No response arrived in time: retry later. */
+        UNANSWERED,
         /**
          * The platform no longer has the changes after the requested revision, or they can't be
          * read: list again.
--- a/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/ControlStateTest.java
@@ -20,7 +20,8 @@
     private static final long INITIAL_AGE_NANOS = TimeUnit.SECONDS.toNanos(1_000);
     private static final String WEIGHTS = OneModelDecoder.WEIGHTS;
 
-    private final ControlState state = new ControlState(new OneModelDecoder(), INITIAL_AGE_NANOS);
+    private final ControlState state =
+            new ControlState(new OneModelDecoder(), INITIAL_AGE_NANOS, 1_200);
 
     /**
      * Guards against rejected requests after a model's first new weights are published while a VM
--- a/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/CutOffOrderGiverTest.java
@@ -41,7 +41,7 @@
 
     private final DefaultEventLoop control = new DefaultEventLoop();
     private final OneRunnerDecoder decoder = new OneRunnerDecoder(MODEL);
-    private final ControlState state = new ControlState(decoder, 0);
+    private final ControlState state = new ControlState(decoder, 0, 1_200);
     private final Store store = new Store();
     private final List<String> ordered = new ArrayList<>();
     private OrderService orders;
@@ -62,7 +62,8 @@
                                 true,
                                 1,
                                 BOUNDS,
-                                LoadSettings.none()),
+                                LoadSettings.none(),
+                                1_200),
                         "incarnation",
                         state,
                         new MemberTable("vm"),
--- a/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/EndpointListTest.java
@@ -14,6 +14,7 @@
  */
 class EndpointListTest {
     private static final long MILLI = 1_000_000L;
+    private static final long REPORT_MILLIS = 1_200;
     private static final long OUTAGE_END = 10_000 * MILLI;
 
     private static EndpointEntry entry(
@@ -47,7 +48,7 @@
             long emptyListMillis,
             long checkMillis,
             boolean expected) {
-        EndpointList list = new EndpointList();
+        EndpointList list = new EndpointList(REPORT_MILLIS);
         list.update(listed(entry("a", draining, 1, 1)), 0);
         list.recordPlatformRecovery(0, OUTAGE_END);
         list.update(Map.of(), OUTAGE_END + emptyListMillis * MILLI);
@@ -55,13 +56,51 @@
         assertThat(list.entries().containsKey("a")).isEqualTo(expected);
     }
 
+    /**
+     * Guards against requests to an endpoint that has left for longer than it serves them: only an
+     * outage in which entries can expire extends its use beyond the return of the platform.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "a cut watch: used at first, 60, 1739, true",
+        "a cut watch: not until two seconds after it, 60, 1740, false",
+        "a shorter outage than entries need to expire, 2399, 0, false",
+        "an outage, 2400, 1999, true",
+        "after an outage, 2400, 2000, false",
+    })
+    void anEntryThatIsMissingAfterALossOfContactIsUsedForABoundedTime(
+            String name, long lostMillis, long checkMillis, boolean expected) {
+        EndpointList list = new EndpointList(REPORT_MILLIS);
+        list.update(listed(entry("a", false, 1, 1)), 0);
+        list.recordContactRegained(OUTAGE_END - lostMillis * MILLI, OUTAGE_END);
+        list.update(Map.of(), OUTAGE_END);
+        list.expire(OUTAGE_END + checkMillis * MILLI);
+        assertThat(list.entries().containsKey("a")).isEqualTo(expected);
+    }
+
+    /**
+     * Guards against a second loss of contact that extends the use of an endpoint that has left.
+     */
+    @Test
+    void aMissingEntryIsNotKeptForLongerByAnotherLossOfContact() {
+        EndpointList list = new EndpointList(REPORT_MILLIS);
+        list.update(listed(entry("a", false, 1, 1)), 0);
+        list.recordContactRegained(OUTAGE_END - 60 * MILLI, OUTAGE_END);
+        list.update(Map.of(), OUTAGE_END);
+        list.recordContactRegained(OUTAGE_END + 900 * MILLI, OUTAGE_END + 1_000 * MILLI);
+        list.update(Map.of(), OUTAGE_END + 1_000 * MILLI);
+        assertThat(list.nextExpiryNanos().getAsLong()).isEqualTo(OUTAGE_END + 1_740 * MILLI);
+        list.expire(OUTAGE_END + 1_740 * MILLI);
+        assertThat(list.entries()).isEmpty();
+    }
+
     /**
      * Guards against a list of endpoints that can't be read any more: a caller, a runner's report
      * or a peer's state update has named a model whose name is too long for an entry.
      */
     @Test
     void aModelWithALongNameIsNotRecorded() {
-        EndpointList list = new EndpointList();
+        EndpointList list = new EndpointList(REPORT_MILLIS);
         list.update(listed(entry("a", false, 1, 1)), 0);
         assertThat(list.recordWeights("a", 1, "n".repeat(300), 2)).isFalse();
         assertThat(list.recordWeights("a", 1, "model", 2)).isTrue();
@@ -71,7 +110,7 @@
     /** Guards against memory that grows with each model that callers name. */
     @Test
     void fewModelsAreRecordedThatTheEntryDoesNotName() {
-        EndpointList list = new EndpointList();
+        EndpointList list = new EndpointList(REPORT_MILLIS);
         list.update(listed(entry("a", false, 1, 1)), 0);
         for (int number = 0; number < 1_000; number++) {
             list.recordWeights("a", 1, "other-" + number, 2);
@@ -84,7 +123,7 @@
     @ParameterizedTest
     @CsvSource({"1, 3", "2, 2"})
     void observedWeightsAreDroppedWhenTheEndpointRestarts(long startMillis, long expected) {
-        EndpointList list = new EndpointList();
+        EndpointList list = new EndpointList(REPORT_MILLIS);
         list.update(listed(entry("a", false, 1, 2)), 0);
         list.recordWeights("a", 1, "model", 3);
         list.update(listed(entry("a", false, startMillis, 2)), 1);
@@ -93,7 +132,7 @@
 
     @Test
     void weightsObservedBeforeARestartAreIgnored() {
-        EndpointList list = new EndpointList();
+        EndpointList list = new EndpointList(REPORT_MILLIS);
         list.update(listed(entry("a", false, 2, 2)), 0);
         assertThat(list.recordWeights("a", 1, "model", 9)).isFalse();
     }
--- a/router/src/test/java/org/bronzelug/router/control/OddLeaseTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/OddLeaseTest.java
@@ -42,7 +42,7 @@
 
     private final DefaultEventLoop control = new DefaultEventLoop();
     private final OneRunnerDecoder decoder = new OneRunnerDecoder(MODEL);
-    private final ControlState state = new ControlState(decoder, 0);
+    private final ControlState state = new ControlState(decoder, 0, 1_200);
     private final List<Write> writes = new ArrayList<>();
     private final OrderService orders = orders();
     private long revision = 100;
--- a/router/src/test/java/org/bronzelug/router/control/OnlyVm.java
+++ b/router/src/test/java/org/bronzelug/router/control/OnlyVm.java
@@ -22,7 +22,8 @@
                     true,
                     1,
                     new FleetBounds(0.2, 10, 50, 1, 3_000, 8_000, 8_000, 2_000, 0),
-                    LoadSettings.none());
+                    LoadSettings.none(),
+                    1_200);
 
     private OnlyVm() {}
 
--- a/router/src/test/java/org/bronzelug/router/control/PeerFeedTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/PeerFeedTest.java
@@ -33,8 +33,8 @@
     private final MultiThreadIoEventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop control = group.next();
-    private final ControlState served = new ControlState(new OneModelDecoder(), 0);
-    private final ControlState polling = new ControlState(new OneModelDecoder(), 0);
+    private final ControlState served = new ControlState(new OneModelDecoder(), 0, 1_200);
+    private final ControlState polling = new ControlState(new OneModelDecoder(), 0, 1_200);
     private final PeerFeed feed = new PeerFeed(control, served);
     private final PeerReader reader = new PeerReader(control, polling, polling::onChange);
     private SmallHttpServer server;
--- a/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/RejectedLeaseTest.java
@@ -31,7 +31,7 @@
 
     private final DefaultEventLoop control = new DefaultEventLoop();
     private final OneRunnerDecoder decoder = new OneRunnerDecoder(MODEL);
-    private final ControlState state = new ControlState(decoder, 0);
+    private final ControlState state = new ControlState(decoder, 0, 1_200);
     private final AtomicInteger writes = new AtomicInteger();
 
     @AfterEach
--- a/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmRegistrationTest.java
@@ -42,7 +42,8 @@
                         true,
                         1,
                         BOUNDS,
-                        LoadSettings.none());
+                        LoadSettings.none(),
+                        1_200);
         new VmRegistration(control, store, settings, members, found -> listed = found).start();
     }
 
