VMs that are not heard keep their share of a rate until they are gone

Cause: a VM that had not been heard for ten seconds counted as gone, so each side took itself for the whole fleet. Counting VMs for 15 minutes instead keeps the rule, but leaves the share of a VM that is gone unused.

Change: what tells the two apart is the platform, which both sides reach. A VM that reaches the majority of the fleet takes an unheard VM for gone if that one has stopped or does not renew its entry; other VMs renew theirs. One that reaches neither the majority nor the platform uses a tenth of its share. No call is made while all VMs are heard.

--- a/router/src/main/java/org/bronzelug/log/LogEvent.java
+++ b/router/src/main/java/org/bronzelug/log/LogEvent.java
@@ -26,6 +26,8 @@
     PEER_READ_FAILED(
             211, "read of the platform's objects from a peer failed; using another source"),
     LISTED_IN_PAGES(212, "list of a kind read in several pages"),
+    VMS_GONE(213, "VMs taken for gone have changed; the others use their shares"),
+    VM_SHARE_CHANGED(214, "other VMs may have taken this VM's share of rates, or no longer have"),
     FRESHNESS_LOST(300, "configuration not confirmed as current for too long; rejecting requests"),
     FRESHNESS_REGAINED(301, "configuration confirmed as current again"),
     PEER_UNREACHABLE(302, "peer unreachable"),
--- a/router/src/main/java/org/bronzelug/router/control/ControlService.java
+++ b/router/src/main/java/org/bronzelug/router/control/ControlService.java
@@ -310,6 +310,7 @@
         if (rounds % LIST_INTERVAL_ROUNDS == 0 && members.live(System.nanoTime()).isEmpty()) {
             registration.list();
         }
+        registration.round(System.nanoTime());
         updateTraffic();
         logServingChange();
     }
--- a/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
+++ b/router/src/main/java/org/bronzelug/router/control/VmRegistration.java
@@ -31,6 +31,7 @@
     static final String KIND = "router-vms";
     private static final String ADDRESS_FIELD = "peersAddress";
     private static final String ZONE_FIELD = "availabilityZone";
+    private static final String RENEWALS_FIELD = "renewals";
     private static final long RETRY_MILLIS = 500;
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -40,6 +41,8 @@
     private final MemberTable members;
     private final Consumer<List<Candidate>> onListed;
     private final DecodedItems<Candidate> decoded = new DecodedItems<>(VmRegistration::decode);
+    private final VmPresence presence;
+    private long renewals;
     private boolean listInFlight;
     private boolean stopped;
 
@@ -58,6 +61,9 @@
         this.store = store;
         this.settings = settings;
         this.members = members;
+        this.presence =
+                new VmPresence(
+                        settings.vm(), store, members, this::renewedContent, System.nanoTime());
     }
 
     /**
@@ -81,13 +87,27 @@
                 .whenComplete((item, failure) -> onRegistered(failure));
     }
 
+    /** Runs one round of {@link VmPresence}, until the VM has stopped. */
+    void round(long nowNanos) {
+        if (!stopped) {
+            presence.round(nowNanos);
+        }
+    }
+
     private byte[] content() {
         ObjectNode content = JSON.createObjectNode();
         content.put(ADDRESS_FIELD, settings.peersAddress());
         content.put(ZONE_FIELD, settings.availabilityZone());
+        content.put(RENEWALS_FIELD, renewals);
         return content.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Returns a content that differs from all before, so that the entry's revision changes. */
+    private byte[] renewedContent() {
+        renewals = Math.max(renewals + 1, System.currentTimeMillis());
+        return content();
+    }
+
     private void onRegistered(Throwable failure) {
         boolean isRegistered =
                 failure == null
--- a/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
+++ b/router/src/main/java/org/bronzelug/router/fleet/MemberTable.java
@@ -1,6 +1,7 @@
 package org.bronzelug.router.fleet;
 
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -18,8 +19,8 @@
  *
  * <p>The table is also the failure detector. A VM is live while its last state update is younger
  * than a timeout that covers several of its rounds in a small fleet, or two turns of the fleet in a
- * large one. A VM that is no longer live still counts as possibly admitting requests until it
- * expires after {@link #EXPIRY_NANOS}.
+ * large one. A VM that is no longer live still counts as admitting requests, since it may be cut
+ * off, unless it has stopped or is known to be gone.
  *
  * <p>Invariant: within one incarnation of a VM, only a state update with a higher sequence number
  * replaces an earlier one, so a delayed datagram changes nothing. Confined to the control thread.
@@ -41,8 +42,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     /**
-     * Time without a state update after which a VM no longer counts as one that may admit requests
-     * while it is unreachable.
+     * Time without a state update after which a VM no longer answers, and after which a VM that was
+     * stopping has ended.
      */
     private static final long EXPIRY_NANOS = 10_000_000_000L;
 
@@ -52,6 +53,9 @@
      */
     private static final long FLEET_NANOS = 900_000_000_000L;
 
+    /** Fraction of its share that a VM uses while other VMs may have taken that share. */
+    private static final double LOST_SHARE_FRACTION = 0.1;
+
     private final String self;
     private final Map<String, Member> members = new HashMap<>();
 
@@ -59,6 +63,8 @@
     private final Map<String, Long> lastKnownNanos = new HashMap<>();
 
     private final Set<String> addresses = new HashSet<>();
+    private final Set<String> gone = new HashSet<>();
+    private boolean shareLost;
 
     public MemberTable(String self) {
         this.self = self;
@@ -81,6 +87,7 @@
         if (outdated) {
             return false;
         }
+        gone.remove(state.getVm());
         if (state.getCountsOnly()) {
             return known != null && updateUsage(known, state, nowNanos);
         }
@@ -176,10 +183,64 @@
      * if it is replaced, and also while it is not heard: it may be cut off from this VM only.
      */
     public int fleetSize(long nowNanos) {
-        lastKnownNanos.values().removeIf(known -> nowNanos - known >= FLEET_NANOS);
+        forget(nowNanos);
         return 1 + lastKnownNanos.size();
     }
 
+    private void forget(long nowNanos) {
+        lastKnownNanos.values().removeIf(known -> nowNanos - known >= FLEET_NANOS);
+    }
+
+    /** Returns the VMs that are not live, whether they are cut off or gone; none that stopped. */
+    public Set<String> unheard(long nowNanos) {
+        forget(nowNanos);
+        Set<String> unheard = new HashSet<>(lastKnownNanos.keySet());
+        live(nowNanos).forEach(member -> unheard.remove(member.state().getVm()));
+        unheard.removeIf(vm -> hasStopped(vm, nowNanos));
+        return unheard;
+    }
+
+    private boolean hasStopped(String vm, long nowNanos) {
+        return Optional.ofNullable(members.get(vm))
+                .filter(member -> member.state().getStopping())
+                .filter(member -> nowNanos - member.receivedNanos() >= EXPIRY_NANOS)
+                .isPresent();
+    }
+
+    /** Returns the VMs that are not live and may admit requests nevertheless. */
+    public Set<String> missing(long nowNanos) {
+        Set<String> missing = unheard(nowNanos);
+        missing.removeAll(gone);
+        return missing;
+    }
+
+    /** Sets the VMs that admit no requests any more, until a state update of them arrives. */
+    public void setGone(Set<String> vms) {
+        gone.clear();
+        gone.addAll(vms);
+    }
+
+    /** Sets whether VMs that this one does not reach may have taken its share. */
+    public void setShareLost(boolean lost) {
+        shareLost = lost;
+    }
+
+    /**
+     * Returns whether this VM reaches the majority of the VMs that may admit requests, itself
+     * included. Of two halves, the one with the first VM by name is the majority.
+     */
+    public boolean isMajority(long nowNanos) {
+        Set<String> missing = missing(nowNanos);
+        List<Member> live = live(nowNanos);
+        int reachable = 1 + live.size();
+        if (reachable != missing.size()) {
+            return reachable > missing.size();
+        }
+        String first = Collections.min(missing);
+        return self.compareTo(first) < 0
+                || live.stream().anyMatch(member -> member.state().getVm().compareTo(first) < 0);
+    }
+
     /** Returns the VMs that have not expired, live or not. */
     public List<Member> notExpired(long nowNanos) {
         return members.values().stream()
@@ -198,8 +259,11 @@
      */
     public double reachableFraction(long nowNanos) {
         int live = 1 + live(nowNanos).size();
-        int admitting =
-                members.isEmpty() ? Math.max(1, addresses.size()) : 1 + notExpired(nowNanos).size();
-        return (double) live / admitting;
+        int admitting = live + missing(nowNanos).size();
+        if (members.isEmpty()) {
+            admitting = Math.max(admitting, addresses.size());
+        }
+        double fraction = (double) live / admitting;
+        return shareLost ? LOST_SHARE_FRACTION * fraction : fraction;
     }
 }
