--- a/router/src/test/java/org/bronzelug/router/control/VmPresenceTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmPresenceTest.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.bronzelug.api.fleet.v1.VmState;
 import org.bronzelug.router.fleet.MemberTable;
 import org.bronzelug.router.store.ItemChanges;
@@ -61,9 +62,9 @@
             store.create(VmRegistration.KIND, name, bytes("{}"));
         }
 
-        private <T> CompletableFuture<T> call(java.util.function.Supplier<CompletableFuture<T>> c) {
+        private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call) {
             return reachesStore
-                    ? c.get()
+                    ? call.get()
                     : CompletableFuture.failedFuture(
                             new StoreException(StoreException.Problem.UNANSWERED, "cut off"));
         }
