A move of a stream that is not accepted ends in time

A stream that moves was worked on by two runners for up to 450 ms: the other one may take 250 ms to respond, but that was only checked every 200 ms (TWICE, after 400 ms).

Change: the check is also made 250 ms after the begin of the move.

--- a/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/Exchange.java
@@ -368,9 +368,7 @@
             mover.accept();
             return;
         }
-        EndpointState broken = attempt.end();
-        broken.recordFailure(System.nanoTime());
-        continueElsewhere(broken, cause);
+        continueElsewhere(attempt.fail(), cause);
     }
 
     /** Continues a request elsewhere that may have run at the endpoint that it has left. */
@@ -440,6 +438,7 @@
         // An attempt that its endpoint has not accepted has nothing that the stream could stay for.
         if (relay.hasBegun() && attempt.isAccepted()) {
             mover.begin(other.get(), cause, System.nanoTime());
+            silence.checkAfter(StreamMove.ACCEPTANCE_NANOS);
             return;
         }
         if (!relay.hasBegun()) {
--- a/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/SilenceWatch.java
@@ -48,11 +48,19 @@
         next = Optional.of(traffic.schedule(this::run, CHECK_MILLIS, TimeUnit.MILLISECONDS));
     }
 
-    private void run() {
-        if (stopped) {
-            return;
+    /** Checks once more after a time, besides the periodic checks. */
+    void checkAfter(long nanos) {
+        traffic.schedule(this::check, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private void check() {
+        if (!stopped) {
+            check.run();
         }
-        check.run();
+    }
+
+    private void run() {
+        check();
         if (!stopped) {
             schedule();
         }
--- a/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
+++ b/router/src/main/java/org/bronzelug/router/exchange/StreamMove.java
@@ -21,7 +21,7 @@
      * How long the current endpoint's events are held back while the other endpoint has not
      * responded: less than the gap between events that callers tolerate.
      */
-    private static final long ACCEPTANCE_NANOS = 250_000_000L;
+    static final long ACCEPTANCE_NANOS = 250_000_000L;
 
     private final Exchange exchange;
     private final StreamMover mover;
@@ -80,7 +80,7 @@
 
     /** Returns whether the current endpoint's events may not be held back any longer. */
     boolean isOverdue(long nowNanos) {
-        return nowNanos - startNanos > ACCEPTANCE_NANOS;
+        return nowNanos - startNanos >= ACCEPTANCE_NANOS;
     }
 
     /** Passes all further events to the exchange. */
