--- a/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
+++ b/router/src/main/java/org/bronzelug/router/store/ObjectStore.java
@@ -5,8 +5,8 @@
 
 /**
  * The platform's object store. Each future completes on the control thread and fails with a {@link
- * StoreException}; a write that fails with {@code UNAVAILABLE} may still take effect later.
- * Thread-safe.
+ * StoreException}; a write that fails with {@code UNAVAILABLE} or {@code UNANSWERED} may still take
+ * effect later. Thread-safe.
  */
 public interface ObjectStore {
     /** Lists all objects of a kind, page by page. */
--- a/router/src/test/java/org/bronzelug/router/control/VmPresenceTest.java
+++ b/router/src/test/java/org/bronzelug/router/control/VmPresenceTest.java
@@ -23,8 +23,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * Guards against a rate that is admitted by both sides of a partition, however long it lasts, and
- * against a share of the rate that stays unused once its VM has gone.
+ * Guards against a rate that is admitted by both sides of a partition, and against a share of the
+ * rate that stays unused once its VM has gone.
  */
 class VmPresenceTest {
     private static final long MILLI = 1_000_000L;
